core, io: the thin path's parts, from search machine to listeners

Cause: no caller can be answered before a search can be planned, sent, merged and answered. Change: view, search machine, hits, hedging delay, budgets, replica choice, tickets in core; upstream connections, platform client, driver, callers' listener and peer stubs in io.

--- /dev/null
+++ b/io/drive/doc.go
@@ -0,0 +1,14 @@
+// Package drive takes callers' searches through a VM: it reads the team's
+// configuration from the published view, judges tickets, and performs what the
+// search machine decides.
+//
+// # Usage
+//
+//	dr := drive.New(drive.Config{View: published.Load, Upstream: servers.Of, ...})
+//	answer := dr.Search(ctx, request)
+//
+// A Driver is used from many goroutines at once. Each search has one goroutine
+// that owns its machine; sub-requests run on the worker pool and hand their
+// events over through a mailbox, so that none of them ever waits for a search
+// that has already been answered.
+package drive
--- /dev/null
+++ b/io/drive/search.go
@@ -0,0 +1,186 @@
+package drive
+
+import (
+	"context"
+	"time"
+
+	"laburnumvane/core/search"
+	"laburnumvane/core/team"
+	"laburnumvane/core/view"
+	"laburnumvane/io/meter"
+	"laburnumvane/io/wire"
+)
+
+// Reasons of searches that this VM refuses itself.
+const (
+	ReasonBadRequest = "badRequest"
+	ReasonNoConfig   = "noConfig"
+	ReasonNoSearch   = "unknownSearch"
+	ReasonNoRegister = "noUpstreams"
+	ReasonTicket     = "ticketNeeded"
+)
+
+const (
+	// hedgeLastShare is the share of shards still missing at which hedging
+	// begins: hedging earlier would double the work of a slow moment.
+	hedgeLastShare = 0.05
+	hedgeLastLeast = 2
+	leastSendTime  = time.Millisecond
+	defaultHits    = 100
+)
+
+// Search takes one search of a caller to its answer.
+func (dr *Driver) Search(ctx context.Context, rq wire.SearchRequest) wire.SearchAnswer {
+	begun := time.Now()
+	dr.active.Add(1)
+	dr.flight.Add(1)
+	defer dr.active.Done()
+	defer dr.flight.Add(-1)
+	an := dr.search(ctx, rq)
+	an.ID = rq.ID
+	if an.Hits == nil {
+		an.Hits = []wire.Hit{}
+	}
+	elapsed := time.Since(begun)
+	an.ElapsedMs = float64(elapsed.Microseconds()) / 1000
+	dr.cfg.Meter.Count(meter.Outcome, string(an.Outcome))
+	dr.cfg.Meter.Observe(meter.SearchLatency, elapsed)
+	return an
+}
+
+func (dr *Driver) search(ctx context.Context, rq wire.SearchRequest) wire.SearchAnswer {
+	vw := dr.cfg.View()
+	tm, ok := vw.Team(rq.Team)
+	if !ok {
+		return dr.refuse(ReasonNoConfig, "this VM holds no configuration of team "+rq.Team)
+	}
+	conf, ok := tm.Document.Searches[rq.Search]
+	if !ok {
+		return dr.refuse(ReasonNoSearch, "team "+rq.Team+" has no search "+rq.Search)
+	}
+	if rq.Register != "" && rq.Register != conf.Register {
+		return dr.refuse(ReasonBadRequest, "search "+rq.Search+" is over register "+conf.Register)
+	}
+	once := conf.NeverRepeat || rq.Repeat == wire.RepeatNever
+	if once && rq.Ticket == "" {
+		return dr.refuse(ReasonTicket, "a search that must not be repeated needs a ticket")
+	}
+	if once {
+		return dr.withTicket(ctx, vw, rq, conf)
+	}
+	return dr.execute(ctx, vw, rq, conf, false)
+}
+
+// execute runs a search here.
+func (dr *Driver) execute(ctx context.Context, vw *view.View, rq wire.SearchRequest, conf team.Search, once bool) wire.SearchAnswer {
+	rg, ok := vw.Register(view.RegisterKey{Team: rq.Team, Register: conf.Register})
+	if !ok {
+		return dr.refuse(ReasonNoRegister, "no upstream of register "+conf.Register+" has been seen yet")
+	}
+	sn, ok := rg.Pin(dr.live(vw))
+	if !ok {
+		return dr.refuse(ReasonNoRegister, "no snapshot of register "+conf.Register+" is known yet")
+	}
+	if conf.HitLimit == 0 {
+		conf.HitLimit = defaultHits
+	}
+	kd := dr.kindOf(kindKey{rq.Team, rq.Search}, conf)
+	se := &session{
+		dr:       dr,
+		vw:       vw,
+		rq:       rq,
+		kd:       kd,
+		register: conf.Register,
+		box:      newMailbox(sn.Shards()),
+		timer:    time.NewTimer(time.Hour),
+		sent:     make([]view.ServerID, 0, sn.Shards()),
+	}
+	se.machine = search.New(dr.planOf(vw, rq, kd, sn, once))
+	return answerOf(se.run(ctx))
+}
+
+func (dr *Driver) planOf(vw *view.View, rq wire.SearchRequest, kd *kind, sn view.Snapshot, once bool) search.Config {
+	now := dr.now()
+	hard := min(kd.conf.HardDeadline(), dr.cfg.MaxDeadline)
+	if rq.DeadlineMs > 0 {
+		hard = min(hard, time.Duration(rq.DeadlineMs)*time.Millisecond)
+	}
+	least := kd.conf.MinCoverage
+	if rq.MinCoverage != nil {
+		least = *rq.MinCoverage
+	}
+	number := dr.numbers.Add(1)
+	delay := time.Duration(0)
+	if kd.conf.Hedge.Quantile > 0 {
+		delay = kd.tracker.Delay()
+	}
+	return search.Config{
+		Number:        number,
+		Snapshot:      sn,
+		Newer:         dr.newer(rq.Team, kd.conf.Register),
+		Soft:          now + min(hard, kd.conf.SoftDeadline()),
+		Hard:          now + hard,
+		MinCoverage:   least,
+		Once:          once,
+		HitLimit:      kd.conf.HitLimit,
+		Chooser:       dr.cfg.Table.Chooser(vw, dr.random(number)),
+		HedgeDelay:    delay,
+		HedgeLast:     max(hedgeLastLeast, int(hedgeLastShare*float64(sn.Shards()))),
+		HedgeBudget:   kd.hedges,
+		RetryBudget:   kd.retries,
+		RetryPerShard: kd.conf.Retry.PerShard,
+		LeastTime:     leastSendTime,
+	}
+}
+
+// newer looks at the view of the moment, not at the one the search began with.
+func (dr *Driver) newer(teamName, register string) func(uint64) (view.Snapshot, bool) {
+	return func(version uint64) (view.Snapshot, bool) {
+		vw := dr.cfg.View()
+		rg, ok := vw.Register(view.RegisterKey{Team: teamName, Register: register})
+		if !ok {
+			return view.Snapshot{}, false
+		}
+		return rg.Newer(version, dr.live(vw))
+	}
+}
+
+func (dr *Driver) live(vw *view.View) func(view.ServerID) bool {
+	return func(id view.ServerID) bool {
+		return !vw.Server(id).State.Leaving()
+	}
+}
+
+func (dr *Driver) refuse(reason, message string) wire.SearchAnswer {
+	dr.cfg.Meter.Count(meter.Refusal, reason)
+	return wire.SearchAnswer{Outcome: wire.OutcomeNotRun, Reason: reason, Message: message}
+}
+
+func answerOf(an *search.Answer) wire.SearchAnswer {
+	out := wire.SearchAnswer{
+		Outcome:   outcomeName(an.Outcome),
+		Reason:    an.Reason,
+		Snapshot:  an.Snapshot,
+		Hits:      an.Hits,
+		Truncated: an.Truncated,
+		Coverage:  wire.Coverage{Shards: an.Shards, Answered: an.Answered},
+		Work:      wire.Work{Primaries: an.Primaries, Hedges: an.Hedges, Retries: an.Retries},
+	}
+	if an.Shards > 0 {
+		out.Coverage.Share = float64(an.Answered) / float64(an.Shards)
+	}
+	return out
+}
+
+func outcomeName(oc search.Outcome) wire.Outcome {
+	switch oc {
+	case search.OutcomeComplete:
+		return wire.OutcomeComplete
+	case search.OutcomePartial:
+		return wire.OutcomePartial
+	case search.OutcomeNotRun:
+		return wire.OutcomeNotRun
+	default:
+		return wire.OutcomeUnknown
+	}
+}
--- /dev/null
+++ b/io/front/front.go
@@ -0,0 +1,135 @@
+// Package front is the callers' listener: it turns HTTP requests into searches
+// and answers into HTTP replies.
+//
+// # Usage
+//
+//	fr := front.New(front.Config{Listener: ln, Search: driver, Leaving: node.Leaving})
+//	go fr.Serve()
+//	fr.Shutdown(ctx)
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/go-faster/errors"
+
+	"laburnumvane/io/wire"
+)
+
+// Searcher is what the callers' listener asks of the VM.
+type Searcher interface {
+	Search(ctx context.Context, rq wire.SearchRequest) wire.SearchAnswer
+	Tickets(team string, n int) []string
+}
+
+// Config sets the listener.
+type Config struct {
+	Listener net.Listener
+	Search   Searcher
+	// Leaving tells whether a planned stop has begun.
+	Leaving func() bool
+	// MaxBody bounds a request's body, in bytes.
+	MaxBody int
+	// ReadTimeout bounds how long a client may take to send a request.
+	ReadTimeout time.Duration
+	// MaxDeadline bounds deadlineMs.
+	MaxDeadline time.Duration
+	// TicketTTL is told to those who ask for tickets.
+	TicketTTL time.Duration
+	// NewID names requests whose caller did not.
+	NewID func() string
+	// Log is given each answer.
+	Log func(rq wire.SearchRequest, an wire.SearchAnswer)
+}
+
+// Front is the callers' listener.
+type Front struct {
+	cfg Config
+	srv *server.Hertz
+}
+
+// New makes the listener; Serve starts it.
+func New(cfg Config) *Front {
+	fr := &Front{cfg: cfg}
+	fr.srv = server.New(
+		server.WithListener(cfg.Listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(cfg.MaxBody),
+		server.WithReadTimeout(cfg.ReadTimeout),
+		server.WithIdleTimeout(cfg.ReadTimeout),
+		server.WithSenseClientDisconnection(true),
+		server.WithDisablePrintRoute(true),
+	)
+	fr.srv.POST(wire.RouteSearch, fr.search)
+	fr.srv.POST(wire.RouteTickets, fr.tickets)
+	fr.srv.GET(wire.RouteHealth, fr.health)
+	return fr
+}
+
+// Serve serves until Shutdown.
+func (fr *Front) Serve() error {
+	return errors.Wrap(fr.srv.Run(), "front.Serve")
+}
+
+// Shutdown stops listening and waits for requests under way.
+func (fr *Front) Shutdown(ctx context.Context) error {
+	return errors.Wrap(fr.srv.Shutdown(ctx), "front.Shutdown")
+}
+
+func (fr *Front) search(ctx context.Context, rc *app.RequestContext) {
+	rq, fault := fr.decode(rc)
+	if fault != nil {
+		fr.reply(rc, consts.StatusBadRequest, fault)
+		return
+	}
+	an := fr.cfg.Search.Search(ctx, rq)
+	fr.cfg.Log(rq, an)
+	if an.RetryAfterMs > 0 {
+		rc.Header("Retry-After", strconv.FormatInt((an.RetryAfterMs+999)/1000, 10))
+	}
+	rc.Header(wire.HeaderRequestID, an.ID)
+	fr.reply(rc, statusOf(an), an)
+}
+
+func (fr *Front) tickets(_ context.Context, rc *app.RequestContext) {
+	var rq wire.TicketRequest
+	if err := json.Unmarshal(rc.Request.Body(), &rq); err != nil {
+		fr.reply(rc, consts.StatusBadRequest, badRequest("", err.Error()))
+		return
+	}
+	if fault := checkTickets(&rq); fault != nil {
+		fr.reply(rc, consts.StatusBadRequest, fault)
+		return
+	}
+	fr.reply(rc, consts.StatusOK, wire.TicketReply{
+		Tickets:   fr.cfg.Search.Tickets(rq.Team, rq.Count),
+		ExpiresMs: fr.cfg.TicketTTL.Milliseconds(),
+	})
+}
+
+func (fr *Front) health(_ context.Context, rc *app.RequestContext) {
+	if fr.cfg.Leaving() {
+		fr.reply(rc, consts.StatusServiceUnavailable, wire.ErrorReply{Error: "leaving", Reason: "leaving"})
+		return
+	}
+	fr.reply(rc, consts.StatusOK, struct {
+		State string `json:"state"`
+	}{"serving"})
+}
+
+func (fr *Front) reply(rc *app.RequestContext, status int, body any) {
+	if fr.cfg.Leaving() {
+		// The balancer may still send requests on this connection: closing
+		// it with the answer moves the client to another VM without a cut.
+		rc.SetConnectionClose()
+	}
+	rc.JSON(status, body)
+}
--- /dev/null
+++ b/io/front/status.go
@@ -0,0 +1,32 @@
+package front
+
+import (
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/go-faster/errors"
+
+	"laburnumvane/io/drive"
+	"laburnumvane/io/wire"
+)
+
+func asType[E error](err error, target *E) bool {
+	return errors.As(err, target)
+}
+
+// statusOf is the HTTP status of an answer.
+func statusOf(an wire.SearchAnswer) int {
+	switch an.Outcome {
+	case wire.OutcomeComplete, wire.OutcomePartial:
+		return consts.StatusOK
+	case wire.OutcomeUnknown:
+		return consts.StatusGatewayTimeout
+	}
+	switch an.Reason {
+	case drive.ReasonBadRequest, drive.ReasonNoSearch, drive.ReasonTicket,
+		drive.ReasonTicketForged, drive.ReasonTicketTeam, drive.ReasonTicketBody:
+		return consts.StatusBadRequest
+	}
+	if an.RetryAfterMs > 0 {
+		return consts.StatusTooManyRequests
+	}
+	return consts.StatusServiceUnavailable
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"laburnumvane/io/inner"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxBodyBytes  = 8 << 20
+)
+
+// ServerConfig sets the inner listener.
+type ServerConfig struct {
+	Listener net.Listener
+	Service  inner.Peer
+}
+
+// Server serves the inner protocol.
+type Server struct {
+	cfg  ServerConfig
+	http *http.Server
+}
+
+// NewServer makes a server; Serve starts it.
+func NewServer(cfg ServerConfig) *Server {
+	tw := inner.NewPeerServer(cfg.Service)
+	mux := http.NewServeMux()
+	mux.Handle(tw.PathPrefix(), http.MaxBytesHandler(tw, maxBodyBytes))
+	return &Server{
+		cfg: cfg,
+		http: &http.Server{
+			Handler:           mux,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+		},
+	}
+}
+
+// Serve serves until Shutdown or Close.
+func (sr *Server) Serve() error {
+	err := sr.http.Serve(sr.cfg.Listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "peer.Serve")
+}
+
+// Shutdown stops taking requests and waits for those under way.
+func (sr *Server) Shutdown(ctx context.Context) error {
+	return errors.Wrap(sr.http.Shutdown(ctx), "peer.Shutdown")
+}
+
+// Close cuts everything off.
+func (sr *Server) Close() error {
+	return errors.Wrap(sr.http.Close(), "peer.Close")
+}
--- a/io/wire/caller.go
+++ b/io/wire/caller.go
@@ -1,6 +1,10 @@
 package wire
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"laburnumvane/core/merge"
+)
 
 // Routes of the callers' listener.
 const (
@@ -81,11 +85,7 @@
 }
 
 // Hit is one member found.
-type Hit struct {
-	Member string          `json:"member"`
-	Key    string          `json:"key,omitempty"`
-	Fields json.RawMessage `json:"fields,omitempty"`
-}
+type Hit = merge.Hit
 
 // TicketRequest is the body of POST /v1/tickets.
 type TicketRequest struct {
