client: typed access for callers and operators

Cause: commands and embedders need one way to a VM's two listeners that never sends anything twice and says when a request is in doubt.

--- /dev/null
+++ b/io/client/operator.go
@@ -0,0 +1,134 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"laburnumvane/io/wire"
+)
+
+// Operator speaks to the operators' listener of a VM. It may be used by several
+// goroutines at once.
+type Operator struct {
+	cn *conn
+}
+
+// NewOperator makes an Operator; nothing is sent yet.
+func NewOperator(cfg Config) (*Operator, error) {
+	cn, err := newConn("client.NewOperator", cfg)
+	if err != nil {
+		return nil, err
+	}
+	return &Operator{cn: cn}, nil
+}
+
+// Change is a new document for a team.
+type Change struct {
+	Team     string
+	Document json.RawMessage
+	// IfRevision is the revision that the change was made from; 0 means that
+	// the team must have no document yet.
+	IfRevision uint64
+	// DryRun checks everything and changes nothing.
+	DryRun bool
+	// RequestID is the caller's own id for the request, for the VM's log.
+	RequestID string
+}
+
+// Config reads the document in force for a team.
+func (opr *Operator) Config(ctx context.Context, team string) (wire.ConfigReply, error) {
+	var rep wire.ConfigReply
+	cl := call{op: "client.Config", method: http.MethodGet, path: pathOf(wire.RouteConfig, "team", team)}
+	if err := opr.cn.read(ctx, cl, &rep); err != nil {
+		return wire.ConfigReply{}, err
+	}
+	return rep, nil
+}
+
+// SetConfig offers a change. A conflict, and a change that the VM itself cannot
+// vouch for, come back as a reply with that Result and no error. An *Error of
+// KindUnknown means that not even the id of the change is known: look into
+// History.
+func (opr *Operator) SetConfig(ctx context.Context, chg Change) (wire.ChangeReply, error) {
+	cl := call{
+		op: "client.SetConfig", method: http.MethodPut, path: pathOf(wire.RouteConfig, "team", chg.Team),
+		query: url.Values{}, header: http.Header{}, body: chg.Document, effect: !chg.DryRun,
+	}
+	cl.header.Set("If-Match", strconv.Quote(strconv.FormatUint(chg.IfRevision, 10)))
+	if chg.RequestID != "" {
+		cl.header.Set(wire.HeaderRequestID, chg.RequestID)
+	}
+	if chg.DryRun {
+		cl.query.Set("dryRun", "true")
+	}
+	rep, err := opr.cn.do(ctx, cl)
+	if err != nil {
+		return wire.ChangeReply{}, err
+	}
+	var cr wire.ChangeReply
+	if err := json.Unmarshal(rep.body, &cr); err == nil && isResult(cr.Result) {
+		return cr, nil
+	}
+	if rep.status == http.StatusOK {
+		return wire.ChangeReply{}, cl.unreadable(rep.status, errors.New("it holds no result"))
+	}
+	return wire.ChangeReply{}, cl.refusal(rep)
+}
+
+// History lists a team's last changes, newest first.
+func (opr *Operator) History(ctx context.Context, team string) (wire.HistoryReply, error) {
+	var rep wire.HistoryReply
+	cl := call{op: "client.History", method: http.MethodGet, path: pathOf(wire.RouteHistory, "team", team)}
+	if err := opr.cn.read(ctx, cl, &rep); err != nil {
+		return wire.HistoryReply{}, err
+	}
+	return rep, nil
+}
+
+// ChangeStatus tells where a change is in force.
+func (opr *Operator) ChangeStatus(ctx context.Context, id string) (wire.ChangeStatus, error) {
+	var rep wire.ChangeStatus
+	cl := call{op: "client.ChangeStatus", method: http.MethodGet, path: pathOf(wire.RouteChange, "id", id)}
+	if err := opr.cn.read(ctx, cl, &rep); err != nil {
+		return wire.ChangeStatus{}, err
+	}
+	return rep, nil
+}
+
+// Status reads the VM's view of itself, its peers and its upstreams.
+func (opr *Operator) Status(ctx context.Context) (wire.Status, error) {
+	var rep wire.Status
+	cl := call{op: "client.Status", method: http.MethodGet, path: wire.RouteStatus}
+	if err := opr.cn.read(ctx, cl, &rep); err != nil {
+		return wire.Status{}, err
+	}
+	return rep, nil
+}
+
+// Metrics reads the VM's counters, gauges and histograms as they come.
+func (opr *Operator) Metrics(ctx context.Context) (json.RawMessage, error) {
+	var rep json.RawMessage
+	cl := call{op: "client.Metrics", method: http.MethodGet, path: wire.RouteMetrics}
+	if err := opr.cn.read(ctx, cl, &rep); err != nil {
+		return nil, err
+	}
+	return rep, nil
+}
+
+// Health returns nil while the VM wants work.
+func (opr *Operator) Health(ctx context.Context) error {
+	return health(ctx, opr.cn)
+}
+
+func isResult(res wire.ChangeResult) bool {
+	switch res {
+	case wire.ChangeAccepted, wire.ChangeConflict, wire.ChangeUnknown, wire.ChangeDryRun:
+		return true
+	}
+	return false
+}
