--- a/core/team/error.go
+++ b/core/team/error.go
@@ -27,3 +27,22 @@
 	}
 	return fmt.Sprintf("%s: %s: %s: %s", e.Op, e.Kind, e.Path, e.Msg)
 }
+
+// Faults gives every *Error within err, in the order of the document.
+func Faults(err error) []*Error {
+	switch ev := err.(type) {
+	case nil:
+		return nil
+	case *Error:
+		return []*Error{ev}
+	case interface{ Unwrap() []error }:
+		var flts []*Error
+		for _, sub := range ev.Unwrap() {
+			flts = append(flts, Faults(sub)...)
+		}
+		return flts
+	case interface{ Unwrap() error }:
+		return Faults(ev.Unwrap())
+	}
+	return nil
+}
