node: one VM, from settings to listeners

Cause: the parts of the thin path were not joined. Change: the control goroutine with its published view, polling of platform and upstreams, operators' listener, inner service, planned stop, serve. Conclusion: a VM starts from its settings alone.

--- /dev/null
+++ b/io/node/control.go
@@ -0,0 +1,165 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"laburnumvane/core/change"
+	"laburnumvane/core/team"
+	"laburnumvane/core/view"
+	"laburnumvane/io/upst"
+	"laburnumvane/io/wire"
+)
+
+// event is something the control goroutine has to take in.
+type event interface {
+	apply(ct *control)
+}
+
+// control owns all state that is not a search's. Only its goroutine touches it.
+type control struct {
+	nd        *Node
+	view      view.View
+	ids       map[string]view.ServerID
+	holdings  map[view.ServerID][]wire.ShardHolding
+	vms       []wire.VM
+	alarms    []string
+	published int
+}
+
+func newControl(nd *Node) *control {
+	return &control{
+		nd:       nd,
+		ids:      make(map[string]view.ServerID),
+		holdings: make(map[view.ServerID][]wire.ShardHolding),
+	}
+}
+
+func (ct *control) loop(ctx context.Context) {
+	for {
+		select {
+		case ev := <-ct.nd.events:
+			ev.apply(ct)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (ct *control) publish() {
+	vw := ct.view
+	ct.nd.view.Store(&vw)
+}
+
+// post hands an event to the control goroutine, unless the VM has stopped.
+func (nd *Node) post(ev event) {
+	select {
+	case nd.events <- ev:
+	case <-nd.stopping.Done():
+	}
+}
+
+// ask runs f on the control goroutine and waits for it; false if the VM stopped.
+func (nd *Node) ask(f func(ct *control)) bool {
+	done := make(chan struct{})
+	nd.post(asked{f: f, done: done})
+	select {
+	case <-done:
+		return true
+	case <-nd.stopping.Done():
+		return false
+	}
+}
+
+type asked struct {
+	f    func(ct *control)
+	done chan struct{}
+}
+
+func (ev asked) apply(ct *control) {
+	ev.f(ct)
+	close(ev.done)
+}
+
+// configSeen brings a team's accepted configuration, from wherever.
+type configSeen struct {
+	team  string
+	entry change.Entry
+}
+
+func (ev configSeen) apply(ct *control) {
+	held, ok := ct.view.Team(ev.team)
+	if ok && ev.entry.Revision <= held.Revision {
+		// Older news, as from a service that answers from the past, must
+		// never put an accepted configuration back.
+		return
+	}
+	doc, err := team.Parse(ev.team, ev.entry.Document)
+	if err != nil {
+		ct.alarm("configuration of team " + ev.team + " cannot be read: " + err.Error())
+		return
+	}
+	ct.view = ct.view.WithTeam(view.Team{Revision: ev.entry.Revision, ChangeID: ev.entry.ID, Document: doc})
+	ct.placeServers(doc)
+	ct.mapRegisters()
+	ct.publish()
+	ct.nd.log.Info().Str("team", ev.team).Uint64("revision", ev.entry.Revision).Str("change", ev.entry.ID).Msg("configuration in force")
+}
+
+func (ct *control) alarm(text string) {
+	ct.alarms = append(ct.alarms, text)
+	ct.nd.log.Error().Str("alarm", text).Msg("alarm")
+}
+
+// vmsSeen brings the VM list.
+type vmsSeen struct {
+	vms []wire.VM
+}
+
+func (ev vmsSeen) apply(ct *control) {
+	ct.vms = ev.vms
+}
+
+const dialTimeout = 2 * time.Second
+
+// placeServers gives each server of a document its id and its connections.
+func (ct *control) placeServers(doc team.Document) {
+	servers := append([]view.Server(nil), ct.view.Servers()...)
+	pools := append([]*upst.Server(nil), *ct.nd.servers.Load()...)
+	for register, rg := range doc.Registers {
+		for service, sc := range rg.Services {
+			for _, sr := range sc.Servers {
+				if _, ok := ct.ids[sr.Addr]; ok {
+					continue
+				}
+				id := view.ServerID(len(servers))
+				ct.ids[sr.Addr] = id
+				servers = append(servers, view.Server{
+					ID:          id,
+					Addr:        sr.Addr,
+					DataCentre:  sr.DataCentre,
+					Service:     service,
+					Team:        doc.Team,
+					Register:    register,
+					State:       view.StateUnknown,
+					Why:         "not heard from yet",
+					Slots:       sc.SlotsPerServer,
+					Connections: sc.ConnectionsPerServer,
+				})
+				pools = append(pools, upst.New(upst.Config{
+					Addr:        sr.Addr,
+					MaxConns:    ct.connectionShare(sc.ConnectionsPerServer),
+					DialTimeout: dialTimeout,
+				}))
+			}
+		}
+	}
+	ct.nd.table.Grow(len(servers))
+	ct.nd.servers.Store(&pools)
+	ct.view = ct.view.WithServers(servers)
+}
+
+// connectionShare is this VM's part of a server's connections.
+func (ct *control) connectionShare(limit int) int {
+	return max(1, limit/max(1, len(ct.vms)))
+}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/phuslu/log"
+
+	"laburnumvane/core/pick"
+	"laburnumvane/core/ticket"
+	"laburnumvane/core/view"
+	"laburnumvane/io/drive"
+	"laburnumvane/io/front"
+	"laburnumvane/io/inner"
+	"laburnumvane/io/meter"
+	"laburnumvane/io/oper"
+	"laburnumvane/io/peer"
+	"laburnumvane/io/plat"
+	"laburnumvane/io/setup"
+	"laburnumvane/io/upst"
+)
+
+const (
+	platformTimeout = 5 * time.Second
+	peerTimeout     = time.Second
+	readTimeout     = 10 * time.Second
+	operatorMaxBody = 1 << 20
+	eventRoom       = 1024
+	secretLen       = 32
+)
+
+// Config sets a VM.
+type Config struct {
+	Settings setup.Settings
+	Log      *log.Logger
+	// Version is shown in the status.
+	Version string
+}
+
+// Node is a running VM.
+type Node struct {
+	cfg      Config
+	set      setup.Settings
+	addr     string
+	log      *log.Logger
+	meter    *meter.Meter
+	view     atomic.Pointer[view.View]
+	servers  atomic.Pointer[[]*upst.Server]
+	table    *pick.Table
+	workers  *ants.Pool
+	driver   *drive.Driver
+	kv       *plat.Client
+	vms      *plat.Client
+	peers    *peer.Client
+	inner    *peer.Server
+	front    *front.Front
+	oper     *oper.Oper
+	events   chan event
+	leaving  atomic.Bool
+	stopping context.Context
+	stop     context.CancelFunc
+	running  sync.WaitGroup
+	lns      listeners
+	started  time.Time
+	requests atomic.Uint64
+}
+
+type listeners struct {
+	caller, operator, inner net.Listener
+}
+
+// Addrs are the addresses that the VM listens on.
+type Addrs struct {
+	Caller, Operator, Inner string
+}
+
+// Start starts a VM; it serves as soon as it returns.
+func Start(cfg Config) (*Node, error) {
+	lns, err := listen(cfg.Settings)
+	if err != nil {
+		return nil, err
+	}
+	nd := &Node{
+		cfg:     cfg,
+		set:     cfg.Settings,
+		log:     cfg.Log,
+		meter:   meter.New(),
+		table:   pick.New(pick.Config{DataCentre: cfg.Settings.DataCentre}),
+		events:  make(chan event, eventRoom),
+		lns:     lns,
+		started: time.Now(),
+	}
+	nd.addr = cfg.Settings.AdvertiseAddr
+	if nd.addr == "" {
+		nd.addr = lns.inner.Addr().String()
+	}
+	nd.view.Store(&view.View{})
+	nd.servers.Store(&[]*upst.Server{})
+	nd.stopping, nd.stop = context.WithCancel(context.Background())
+	if err := nd.build(); err != nil {
+		nd.stop()
+		return nil, err
+	}
+	nd.serve()
+	return nd, nil
+}
+
+func listen(set setup.Settings) (listeners, error) {
+	var lns listeners
+	for _, one := range []struct {
+		addr string
+		ln   *net.Listener
+	}{
+		{set.CallerAddr, &lns.caller},
+		{set.OperatorAddr, &lns.operator},
+		{set.InnerAddr, &lns.inner},
+	} {
+		ln, err := net.Listen("tcp", one.addr)
+		if err != nil {
+			lns.close()
+			return listeners{}, errors.Wrap(err, "node.Start")
+		}
+		*one.ln = ln
+	}
+	return lns, nil
+}
+
+func (lns listeners) close() {
+	for _, ln := range []net.Listener{lns.caller, lns.operator, lns.inner} {
+		if ln != nil {
+			// Nothing was accepted yet; an error changes nothing.
+			_ = ln.Close()
+		}
+	}
+}
+
+func (nd *Node) build() error {
+	workers, err := ants.NewPool(nd.set.Workers, ants.WithNonblocking(true))
+	if err != nil {
+		return errors.Wrap(err, "node.Start")
+	}
+	secret := make([]byte, secretLen)
+	if _, err := rand.Read(secret); err != nil {
+		return errors.Wrap(err, "node.Start")
+	}
+	nd.workers = workers
+	nd.kv = plat.New(plat.Config{Addrs: nd.set.KV, Timeout: platformTimeout})
+	nd.vms = plat.New(plat.Config{Addrs: []string{nd.set.VMList}, Timeout: platformTimeout})
+	nd.peers = peer.NewClient(peer.ClientConfig{Self: nd.self(), Timeout: peerTimeout})
+	nd.driver = drive.New(drive.Config{
+		View:     nd.view.Load,
+		Upstream: func(id view.ServerID) drive.Upstream { return (*nd.servers.Load())[id] },
+		Table:    nd.table,
+		Workers:  workers,
+		Forward:  nd.peers,
+		Observe:  nd,
+		Meter:    nd.meter,
+		Tickets: ticket.Config{
+			Addr:        nd.addr,
+			Incarnation: nd.set.Incarnation,
+			Secret:      secret,
+			TTL:         nd.set.TicketTTL,
+			Cap:         nd.set.TicketCap,
+		},
+		Incarnation: nd.set.Incarnation,
+		MaxDeadline: nd.set.MaxDeadline,
+		Seed:        nd.set.Incarnation,
+	})
+	nd.inner = peer.NewServer(peer.ServerConfig{Listener: nd.lns.inner, Service: &service{nd: nd}})
+	nd.front = front.New(front.Config{
+		Listener:    nd.lns.caller,
+		Search:      nd.driver,
+		Leaving:     nd.Leaving,
+		MaxBody:     nd.set.MaxBodyBytes,
+		ReadTimeout: readTimeout,
+		MaxDeadline: nd.set.MaxDeadline,
+		TicketTTL:   nd.set.TicketTTL,
+		NewID:       nd.newID,
+		Log:         nd.logSearch,
+	})
+	nd.oper = oper.New(oper.Config{
+		Listener:    nd.lns.operator,
+		Operator:    nd,
+		Token:       nd.set.OperatorToken,
+		TeamTokens:  nd.set.TeamTokens,
+		MaxBody:     operatorMaxBody,
+		ReadTimeout: readTimeout,
+	})
+	return nil
+}
+
+func (nd *Node) serve() {
+	ct := newControl(nd)
+	nd.run("control", func() error { ct.loop(nd.stopping); return nil })
+	nd.run("inner", nd.inner.Serve)
+	nd.run("front", nd.front.Serve)
+	nd.run("oper", nd.oper.Serve)
+	nd.run("config", func() error { nd.watchConfig(nd.stopping); return nil })
+	nd.run("vms", func() error { nd.pollVMs(nd.stopping); return nil })
+	nd.run("loads", func() error { nd.pollLoads(nd.stopping); return nil })
+}
+
+func (nd *Node) run(name string, f func() error) {
+	nd.running.Add(1)
+	go func() {
+		defer nd.running.Done()
+		if err := f(); err != nil {
+			nd.log.Error().Str("part", name).Err(err).Msg("part of the VM ended")
+		}
+	}()
+}
+
+func (nd *Node) self() *inner.VM {
+	return &inner.VM{
+		Addr:        nd.addr,
+		DataCentre:  nd.set.DataCentre,
+		Incarnation: nd.set.Incarnation,
+		Region:      nd.set.Region,
+	}
+}
+
+// Addrs are the addresses that the VM listens on.
+func (nd *Node) Addrs() Addrs {
+	return Addrs{
+		Caller:   nd.lns.caller.Addr().String(),
+		Operator: nd.lns.operator.Addr().String(),
+		Inner:    nd.lns.inner.Addr().String(),
+	}
+}
+
+// Leaving tells whether a planned stop has begun.
+func (nd *Node) Leaving() bool {
+	return nd.leaving.Load()
+}
--- /dev/null
+++ b/io/node/service.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/twitchtv/twirp"
+
+	"laburnumvane/core/change"
+	"laburnumvane/core/view"
+	"laburnumvane/io/inner"
+	"laburnumvane/io/wire"
+)
+
+// service answers other VMs.
+type service struct {
+	nd *Node
+}
+
+func (se *service) checkVersion(version uint32) error {
+	if version == 0 || version > inner.Version {
+		return twirp.InvalidArgumentError("version", "is not one that this VM reads")
+	}
+	return nil
+}
+
+// Beat answers a heartbeat.
+func (se *service) Beat(_ context.Context, rq *inner.BeatRequest) (*inner.BeatReply, error) {
+	if err := se.checkVersion(rq.GetVersion()); err != nil {
+		return nil, err
+	}
+	return &inner.BeatReply{Version: inner.Version, From: se.nd.self(), Sequence: rq.GetSequence(), Leaving: se.nd.Leaving()}, nil
+}
+
+// Probe tries another VM on the caller's behalf.
+func (se *service) Probe(ctx context.Context, rq *inner.ProbeRequest) (*inner.ProbeReply, error) {
+	if err := se.checkVersion(rq.GetVersion()); err != nil {
+		return nil, err
+	}
+	rp, err := se.nd.peers.To(rq.GetTarget().GetAddr()).Beat(ctx, &inner.BeatRequest{Version: inner.Version, From: se.nd.self()})
+	if err != nil {
+		return &inner.ProbeReply{Version: inner.Version}, nil
+	}
+	return &inner.ProbeReply{Version: inner.Version, Reached: true, Incarnation: rp.GetFrom().GetIncarnation()}, nil
+}
+
+// Push takes configuration from another VM.
+func (se *service) Push(_ context.Context, rq *inner.PushRequest) (*inner.PushReply, error) {
+	if err := se.checkVersion(rq.GetVersion()); err != nil {
+		return nil, err
+	}
+	for _, tc := range rq.GetTeams() {
+		se.nd.post(configSeen{team: tc.GetTeam(), entry: change.Entry{ID: tc.GetChangeId(), Revision: tc.GetRevision(), Document: tc.GetDocument()}})
+	}
+	return &inner.PushReply{Version: inner.Version, Held: heldBy(se.nd.view.Load())}, nil
+}
+
+// Pull tells what this VM holds.
+func (se *service) Pull(_ context.Context, rq *inner.PullRequest) (*inner.PullReply, error) {
+	if err := se.checkVersion(rq.GetVersion()); err != nil {
+		return nil, err
+	}
+	vw := se.nd.view.Load()
+	rp := &inner.PullReply{Version: inner.Version, From: se.nd.self(), Held: heldBy(vw)}
+	if rq.GetBrief() {
+		return rp, nil
+	}
+	has := make(map[string]uint64)
+	for _, tr := range rq.GetHeld() {
+		has[tr.GetTeam()] = tr.GetRevision()
+	}
+	for name, tm := range vw.Teams {
+		if tm.Revision > has[name] {
+			rp.Teams = append(rp.Teams, &inner.TeamConfig{Team: name, Revision: tm.Revision, ChangeId: tm.ChangeID, Document: encodeDocument(tm.Document)})
+		}
+	}
+	return rp, nil
+}
+
+func heldBy(vw *view.View) []*inner.TeamRevision {
+	var out []*inner.TeamRevision
+	for name, tm := range vw.Teams {
+		out = append(out, &inner.TeamRevision{Team: name, Revision: tm.Revision, ChangeId: tm.ChangeID})
+	}
+	return out
+}
+
+// Run executes a search whose ticket this VM issued.
+func (se *service) Run(ctx context.Context, rq *inner.RunRequest) (*inner.RunReply, error) {
+	if err := se.checkVersion(rq.GetVersion()); err != nil {
+		return nil, err
+	}
+	var sr wire.SearchRequest
+	if err := json.Unmarshal(rq.GetRequest(), &sr); err != nil {
+		return nil, twirp.InvalidArgumentError("request", err.Error())
+	}
+	an, void := se.nd.driver.RunForwarded(ctx, sr)
+	body, err := json.Marshal(an)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &inner.RunReply{Version: inner.Version, Answer: body, Void: void}, nil
+}
--- /dev/null
+++ b/io/node/status.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+
+	"laburnumvane/core/team"
+	"laburnumvane/core/view"
+	"laburnumvane/io/inner"
+	"laburnumvane/io/meter"
+	"laburnumvane/io/wire"
+)
+
+func encodeDocument(doc team.Document) json.RawMessage {
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		// A document that was parsed always encodes.
+		panic(err)
+	}
+	return raw
+}
+
+// Status is this VM's view of itself, its peers and its upstreams.
+func (nd *Node) Status() wire.Status {
+	vw := nd.view.Load()
+	st := wire.Status{
+		VM:          nd.addr,
+		DataCentre:  nd.set.DataCentre,
+		Incarnation: nd.set.Incarnation,
+		Phase:       nd.phase(),
+		Version:     nd.cfg.Version,
+		Teams:       teamsOf(vw),
+		Registers:   nd.registersOf(vw),
+		Upstreams:   nd.upstreamsOf(vw),
+		VMs:         []wire.VMStatus{},
+		Alarms:      []string{},
+	}
+	nd.ask(func(ct *control) {
+		st.Alarms = append(st.Alarms, ct.alarms...)
+		for _, vm := range ct.vms {
+			st.VMs = append(st.VMs, wire.VMStatus{Addr: vm.Addr, DataCentre: vm.DataCentre, State: string(vm.State)})
+		}
+	})
+	return st
+}
+
+func (nd *Node) phase() string {
+	if nd.Leaving() {
+		return "leaving"
+	}
+	return "serving"
+}
+
+func teamsOf(vw *view.View) []wire.TeamStatus {
+	out := []wire.TeamStatus{}
+	for name, tm := range vw.Teams {
+		out = append(out, wire.TeamStatus{Team: name, Revision: tm.Revision, ChangeID: tm.ChangeID})
+	}
+	slices.SortFunc(out, func(a, b wire.TeamStatus) int { return strings.Compare(a.Team, b.Team) })
+	return out
+}
+
+func (nd *Node) registersOf(vw *view.View) []wire.RegisterStatus {
+	out := []wire.RegisterStatus{}
+	live := func(id view.ServerID) bool { return !vw.Server(id).State.Leaving() }
+	for key, rg := range vw.Registers {
+		sn, ok := rg.Pin(live)
+		if !ok {
+			continue
+		}
+		rs := wire.RegisterStatus{Register: key.Team + "/" + key.Register, Snapshot: sn.Version, Shards: sn.Shards()}
+		for _, replicas := range sn.Replicas {
+			if slices.ContainsFunc(replicas, live) {
+				rs.Live++
+			}
+		}
+		out = append(out, rs)
+	}
+	slices.SortFunc(out, func(a, b wire.RegisterStatus) int { return strings.Compare(a.Register, b.Register) })
+	return out
+}
+
+func (nd *Node) upstreamsOf(vw *view.View) []wire.UpstreamOfVM {
+	pools := *nd.servers.Load()
+	out := make([]wire.UpstreamOfVM, 0, len(vw.Servers()))
+	for _, sv := range vw.Servers() {
+		out = append(out, wire.UpstreamOfVM{
+			Addr:        sv.Addr,
+			DataCentre:  sv.DataCentre,
+			Service:     sv.Service,
+			State:       sv.State.String(),
+			Why:         sv.Why,
+			Incarnation: sv.Incarnation,
+			InFlight:    nd.table.InFlight(sv.ID),
+			Connections: pools[sv.ID].Open(),
+			LatencyMs:   float64(nd.table.Latency(sv.ID).Microseconds()) / 1000,
+		})
+	}
+	return out
+}
+
+// Metrics lists all counters, gauges and histograms.
+func (nd *Node) Metrics() map[string]float64 {
+	open := 0
+	for _, sv := range *nd.servers.Load() {
+		open += sv.Open()
+	}
+	nd.meter.Set(meter.Connections, int64(open))
+	nd.meter.Set(meter.InFlight, int64(nd.driver.InFlight()))
+	nd.meter.Set(meter.Workers, int64(nd.workers.Running()))
+	return nd.meter.Snapshot()
+}
+
+// SetLogLevel changes the level of the log while the VM runs.
+func (nd *Node) SetLogLevel(level string) error {
+	lv := log.ParseLevel(level)
+	if lv.String() != level {
+		return errors.Errorf("node.SetLogLevel: no level %q", level)
+	}
+	nd.log.SetLevel(lv)
+	return nil
+}
+
+// ChangeStatus asks every VM for its revisions, to tell where a change is in
+// force.
+func (nd *Node) ChangeStatus(ctx context.Context, id string) wire.ChangeStatus {
+	var vms []wire.VM
+	nd.ask(func(ct *control) { vms = slices.Clone(ct.vms) })
+	out := wire.ChangeStatus{ChangeID: id, VMs: make([]wire.ChangeStatusOfVM, len(vms))}
+	held := make([][]*inner.TeamRevision, len(vms))
+	var wg sync.WaitGroup
+	for i, vm := range vms {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			held[i], out.VMs[i] = nd.revisionsOf(ctx, vm)
+		}()
+	}
+	wg.Wait()
+	nd.judge(&out, held)
+	return out
+}
+
+func (nd *Node) revisionsOf(ctx context.Context, vm wire.VM) ([]*inner.TeamRevision, wire.ChangeStatusOfVM) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	st := wire.ChangeStatusOfVM{Addr: vm.Addr, DataCentre: vm.DataCentre}
+	rp, err := nd.peers.To(vm.Addr).Pull(ctx, &inner.PullRequest{Version: inner.Version, From: nd.self(), Brief: true})
+	if err != nil {
+		return nil, st
+	}
+	st.Reachable = true
+	return rp.GetHeld(), st
+}
+
+// judge finds the change's team and revision among the VMs and marks where it,
+// or a later change, is in force.
+func (nd *Node) judge(out *wire.ChangeStatus, held [][]*inner.TeamRevision) {
+	for _, revisions := range held {
+		for _, tr := range revisions {
+			if tr.GetChangeId() == out.ChangeID {
+				out.Known, out.Team, out.Revision = true, tr.GetTeam(), tr.GetRevision()
+			}
+		}
+	}
+	if !out.Known {
+		return
+	}
+	for i, revisions := range held {
+		for _, tr := range revisions {
+			if tr.GetTeam() == out.Team {
+				out.VMs[i].Revision = tr.GetRevision()
+				out.VMs[i].InForce = tr.GetRevision() >= out.Revision
+			}
+		}
+	}
+}
+
+// logSearch writes each search that was not plainly complete, and a sample of
+// the rest.
+func (nd *Node) logSearch(rq wire.SearchRequest, an wire.SearchAnswer) {
+	entry := nd.log.Debug()
+	if an.Outcome != wire.OutcomeComplete {
+		entry = nd.log.Info()
+	}
+	entry.Str("id", an.ID).Str("team", rq.Team).Str("search", rq.Search).
+		Str("outcome", string(an.Outcome)).Str("reason", an.Reason).
+		Uint64("snapshot", an.Snapshot).Int("shards", an.Coverage.Shards).Int("answered", an.Coverage.Answered).
+		Float64("elapsedMs", an.ElapsedMs).Int("hedges", an.Work.Hedges).Int("retries", an.Work.Retries).
+		Msg("search")
+}
--- /dev/null
+++ b/io/oper/auth.go
@@ -0,0 +1,57 @@
+package oper
+
+import (
+	"context"
+	"crypto/subtle"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+)
+
+// authorize lets a request pass that carries the operators' token, or a team's
+// token where nothing but that team's subtree is changed.
+func (op *Oper) authorize(ctx context.Context, rc *app.RequestContext) {
+	if op.cfg.Token == "" {
+		rc.Next(ctx)
+		return
+	}
+	token, ok := strings.CutPrefix(string(rc.GetHeader("Authorization")), "Bearer ")
+	switch {
+	case ok && equal(token, op.cfg.Token):
+		rc.Next(ctx)
+	case !ok:
+		refuse(rc, consts.StatusUnauthorized, "unauthorized", "a bearer token is needed")
+	default:
+		op.authorizeTeam(ctx, rc, token)
+	}
+}
+
+func (op *Oper) authorizeTeam(ctx context.Context, rc *app.RequestContext, token string) {
+	team, ok := op.teamOf(token)
+	if !ok {
+		refuse(rc, consts.StatusUnauthorized, "unauthorized", "the bearer token is not known")
+		return
+	}
+	reads := string(rc.Method()) == consts.MethodGet
+	if reads || rc.Param("team") == team {
+		rc.Next(ctx)
+		return
+	}
+	refuse(rc, consts.StatusForbidden, "otherTeam", "the token changes only team "+team)
+}
+
+func (op *Oper) teamOf(token string) (string, bool) {
+	found := ""
+	// Every token is compared, so that the time taken tells nothing.
+	for team, want := range op.cfg.TeamTokens {
+		if equal(token, want) {
+			found = team
+		}
+	}
+	return found, found != ""
+}
+
+func equal(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
--- /dev/null
+++ b/io/oper/oper.go
@@ -0,0 +1,214 @@
+// Package oper is the operators' listener: configuration, the state of changes,
+// status and metrics of a VM.
+//
+// # Usage
+//
+//	op := oper.New(oper.Config{Listener: ln, Operator: node, Token: token, TeamTokens: tokens})
+//	go op.Serve()
+//	op.Shutdown(ctx)
+//
+// With a token set every call needs it as a bearer token; a team's own token
+// reads everything and changes that team's configuration only.
+package oper
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/go-faster/errors"
+
+	"laburnumvane/io/wire"
+)
+
+// Proposal is an operator's change.
+type Proposal struct {
+	// ID names the change; empty lets the VM choose.
+	ID       string
+	Team     string
+	Document []byte
+	Actor    string
+	// Expect is the revision that the operator saw; nil means any.
+	Expect *uint64
+	DryRun bool
+}
+
+// Operator is what the listener asks of the VM.
+type Operator interface {
+	Config(team string) (wire.ConfigReply, bool)
+	// Change proposes; the error tells what is wrong with the document.
+	Change(ctx context.Context, pr Proposal) (wire.ChangeReply, error)
+	History(ctx context.Context, team string) (wire.HistoryReply, error)
+	ChangeStatus(ctx context.Context, id string) wire.ChangeStatus
+	Status() wire.Status
+	Metrics() map[string]float64
+	// SetLogLevel fails for a level that does not exist.
+	SetLogLevel(level string) error
+	Leaving() bool
+}
+
+// Config sets the listener.
+type Config struct {
+	Listener net.Listener
+	Operator Operator
+	// Token is the operators' bearer token; empty only on loopback.
+	Token string
+	// TeamTokens are the teams' own tokens, by team.
+	TeamTokens  map[string]string
+	MaxBody     int
+	ReadTimeout time.Duration
+}
+
+// Oper is the operators' listener.
+type Oper struct {
+	cfg Config
+	srv *server.Hertz
+}
+
+// New makes the listener; Serve starts it.
+func New(cfg Config) *Oper {
+	op := &Oper{cfg: cfg}
+	op.srv = server.New(
+		server.WithListener(cfg.Listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(cfg.MaxBody),
+		server.WithReadTimeout(cfg.ReadTimeout),
+		server.WithIdleTimeout(cfg.ReadTimeout),
+		server.WithDisablePrintRoute(true),
+	)
+	op.srv.GET(wire.RouteHealth, op.health)
+	op.srv.Use(op.authorize)
+	op.srv.GET(wire.RouteConfig, op.getConfig)
+	op.srv.PUT(wire.RouteConfig, op.putConfig)
+	op.srv.GET(wire.RouteHistory, op.history)
+	op.srv.GET(wire.RouteChange, op.change)
+	op.srv.GET(wire.RouteStatus, op.status)
+	op.srv.GET(wire.RouteMetrics, op.metrics)
+	op.srv.PUT(wire.RouteLog, op.logLevel)
+	return op
+}
+
+// Serve serves until Shutdown.
+func (op *Oper) Serve() error {
+	return errors.Wrap(op.srv.Run(), "oper.Serve")
+}
+
+// Shutdown stops listening and waits for requests under way.
+func (op *Oper) Shutdown(ctx context.Context) error {
+	return errors.Wrap(op.srv.Shutdown(ctx), "oper.Shutdown")
+}
+
+func (op *Oper) getConfig(_ context.Context, rc *app.RequestContext) {
+	cr, ok := op.cfg.Operator.Config(rc.Param("team"))
+	if !ok {
+		refuse(rc, consts.StatusNotFound, "noConfig", "this VM holds no configuration of the team")
+		return
+	}
+	rc.Header("ETag", etag(cr.Revision))
+	rc.JSON(consts.StatusOK, cr)
+}
+
+func (op *Oper) putConfig(ctx context.Context, rc *app.RequestContext) {
+	expect, err := ifMatch(string(rc.GetHeader("If-Match")))
+	if err != nil {
+		refuse(rc, consts.StatusBadRequest, "badRequest", err.Error())
+		return
+	}
+	reply, err := op.cfg.Operator.Change(ctx, Proposal{
+		ID:       rc.Query("id"),
+		Team:     rc.Param("team"),
+		Document: append([]byte(nil), rc.Request.Body()...),
+		Actor:    string(rc.GetHeader("X-Actor")),
+		Expect:   expect,
+		DryRun:   rc.Query("dryRun") == "true",
+	})
+	if err != nil {
+		refuse(rc, consts.StatusBadRequest, "invalid", err.Error())
+		return
+	}
+	rc.JSON(statusOf(reply.Result), reply)
+}
+
+func statusOf(result wire.ChangeResult) int {
+	switch result {
+	case wire.ChangeAccepted, wire.ChangeDryRun:
+		return consts.StatusOK
+	case wire.ChangeConflict:
+		return consts.StatusPreconditionFailed
+	default:
+		return consts.StatusGatewayTimeout
+	}
+}
+
+func (op *Oper) history(ctx context.Context, rc *app.RequestContext) {
+	hr, err := op.cfg.Operator.History(ctx, rc.Param("team"))
+	if err != nil {
+		refuse(rc, consts.StatusServiceUnavailable, "platform", err.Error())
+		return
+	}
+	rc.JSON(consts.StatusOK, hr)
+}
+
+func (op *Oper) change(ctx context.Context, rc *app.RequestContext) {
+	rc.JSON(consts.StatusOK, op.cfg.Operator.ChangeStatus(ctx, rc.Param("id")))
+}
+
+func (op *Oper) status(_ context.Context, rc *app.RequestContext) {
+	rc.JSON(consts.StatusOK, op.cfg.Operator.Status())
+}
+
+func (op *Oper) metrics(_ context.Context, rc *app.RequestContext) {
+	rc.JSON(consts.StatusOK, op.cfg.Operator.Metrics())
+}
+
+func (op *Oper) logLevel(_ context.Context, rc *app.RequestContext) {
+	var rq struct {
+		Level string `json:"level"`
+	}
+	err := json.Unmarshal(rc.Request.Body(), &rq)
+	if err == nil {
+		err = op.cfg.Operator.SetLogLevel(rq.Level)
+	}
+	if err != nil {
+		refuse(rc, consts.StatusBadRequest, "badRequest", err.Error())
+		return
+	}
+	rc.JSON(consts.StatusOK, rq)
+}
+
+func (op *Oper) health(_ context.Context, rc *app.RequestContext) {
+	if op.cfg.Operator.Leaving() {
+		refuse(rc, consts.StatusServiceUnavailable, "leaving", "a planned stop has begun")
+		return
+	}
+	rc.JSON(consts.StatusOK, struct {
+		State string `json:"state"`
+	}{"serving"})
+}
+
+func refuse(rc *app.RequestContext, status int, reason, message string) {
+	rc.AbortWithStatusJSON(status, wire.ErrorReply{Error: message, Reason: reason})
+}
+
+func etag(revision uint64) string {
+	return strconv.Quote(strconv.FormatUint(revision, 10))
+}
+
+// ifMatch reads the revision that the operator saw. "*" and nothing mean any.
+func ifMatch(header string) (*uint64, error) {
+	if header == "" || header == "*" {
+		return nil, nil
+	}
+	revision, err := strconv.ParseUint(strings.Trim(header, `"`), 10, 64)
+	if err != nil {
+		return nil, errors.Errorf("If-Match must be a revision in quotes, not %s", header)
+	}
+	return &revision, nil
+}
