--- a/cmd/laburnumvane/serve.go
+++ b/cmd/laburnumvane/serve.go
@@ -59,7 +59,7 @@
 }
 
 func serve(ctx context.Context, op string, set setup.Settings) error {
-	nd, err := node.Start(node.Config{Settings: set, Log: newLogger(os.Stderr, set.LogLevel), Version: buildVersion()})
+	nd, err := node.Start(node.Config{Settings: set, Log: newLogger(os.Stderr, set.LogLevel), Version: readBuildInfo().Version})
 	if err != nil {
 		return &Error{Op: op, Kind: KindFailure, Err: err}
 	}
