demo, site: the whole path in one process

Cause: no search had gone from a caller to an answer, nor a change from an operator to its effect. The errors library wraps nil into an error, which logged planned stops as failures: fault.Wrap leaves nil alone.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -19,8 +19,8 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
-	"github.com/go-faster/errors"
 
+	"laburnumvane/core/fault"
 	"laburnumvane/io/wire"
 )
 
@@ -76,12 +76,12 @@
 
 // Serve serves until Shutdown.
 func (fr *Front) Serve() error {
-	return errors.Wrap(fr.srv.Run(), "front.Serve")
+	return fault.Wrap(fr.srv.Run(), "front.Serve")
 }
 
 // Shutdown stops listening and waits for requests under way.
 func (fr *Front) Shutdown(ctx context.Context) error {
-	return errors.Wrap(fr.srv.Shutdown(ctx), "front.Shutdown")
+	return fault.Wrap(fr.srv.Shutdown(ctx), "front.Shutdown")
 }
 
 func (fr *Front) search(ctx context.Context, rc *app.RequestContext) {
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -25,6 +25,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/go-faster/errors"
 
+	"laburnumvane/core/fault"
 	"laburnumvane/io/wire"
 )
 
@@ -97,12 +98,12 @@
 
 // Serve serves until Shutdown.
 func (op *Oper) Serve() error {
-	return errors.Wrap(op.srv.Run(), "oper.Serve")
+	return fault.Wrap(op.srv.Run(), "oper.Serve")
 }
 
 // Shutdown stops listening and waits for requests under way.
 func (op *Oper) Shutdown(ctx context.Context) error {
-	return errors.Wrap(op.srv.Shutdown(ctx), "oper.Shutdown")
+	return fault.Wrap(op.srv.Shutdown(ctx), "oper.Shutdown")
 }
 
 func (op *Oper) getConfig(_ context.Context, rc *app.RequestContext) {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"laburnumvane/core/fault"
 	"laburnumvane/io/inner"
 )
 
@@ -50,15 +51,15 @@
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
-	return errors.Wrap(err, "peer.Serve")
+	return fault.Wrap(err, "peer.Serve")
 }
 
 // Shutdown stops taking requests and waits for those under way.
 func (sr *Server) Shutdown(ctx context.Context) error {
-	return errors.Wrap(sr.http.Shutdown(ctx), "peer.Shutdown")
+	return fault.Wrap(sr.http.Shutdown(ctx), "peer.Shutdown")
 }
 
 // Close cuts everything off.
 func (sr *Server) Close() error {
-	return errors.Wrap(sr.http.Close(), "peer.Close")
+	return fault.Wrap(sr.http.Close(), "peer.Close")
 }
--- a/io/plat/client.go
+++ b/io/plat/client.go
@@ -83,7 +83,7 @@
 // VMs reads the VM list.
 func (cl *Client) VMs(ctx context.Context) (wire.VMList, error) {
 	var rp wire.VMList
-	err := cl.post(ctx, "plat.VMs", wire.RouteVMs, struct{}{}, &rp, 0)
+	err := cl.call(ctx, "plat.VMs", http.MethodGet, wire.RouteVMs, nil, &rp, 0)
 	return rp, err
 }
 
@@ -92,9 +92,13 @@
 	if err != nil {
 		return &Error{Op: op, Kind: KindDecode, Err: err}
 	}
+	return cl.call(ctx, op, http.MethodPost, path, body, out, wait)
+}
+
+func (cl *Client) call(ctx context.Context, op, method, path string, body []byte, out any, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, cl.cfg.Timeout+wait)
 	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, cl.url(path), bytes.NewReader(body))
+	rq, err := http.NewRequestWithContext(ctx, method, cl.url(path), bytes.NewReader(body))
 	if err != nil {
 		return &Error{Op: op, Kind: KindUnreachable, Err: err}
 	}
--- /dev/null
+++ b/io/site/platform.go
@@ -0,0 +1,25 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"laburnumvane/io/plat"
+	"laburnumvane/io/wire"
+)
+
+// put writes a key that is absent.
+func (st *Site) put(key string, value []byte) error {
+	cl := plat.New(plat.Config{Addrs: []string{st.kv.Addr()}, Timeout: 5 * time.Second})
+	defer cl.Close()
+	rp, err := cl.Swap(context.Background(), wire.KVSwapRequest{Key: key, Value: value})
+	if err != nil {
+		return err
+	}
+	if !rp.Swapped {
+		return errors.Errorf("key %s is there already", key)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/site/site.go
@@ -0,0 +1,238 @@
+// Package site runs a whole installation in one process on loopback: stand-ins
+// for the platform and the upstreams, and real entry VMs before them. The
+// demonstration and the tests of whole paths use it.
+//
+// # Usage
+//
+//	st, err := site.Start(site.Config{VMs: 3, DataCentres: []string{"east", "west"}, Services: 10, Register: rg, Log: logger})
+//	defer st.Close()
+//	st.Nodes()[0].Addrs().Caller
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+
+	"laburnumvane/core/change"
+	"laburnumvane/core/team"
+	"laburnumvane/io/emul"
+	"laburnumvane/io/node"
+	"laburnumvane/io/setup"
+	"laburnumvane/io/wire"
+)
+
+// Config sets an installation.
+type Config struct {
+	// Team is the name of the one team.
+	Team string
+	// VMs are placed in the data centres in turn.
+	VMs         int
+	DataCentres []string
+	Region      string
+	Register    *emul.Register
+	// Services hold the shards; each has three servers.
+	Services    int
+	Slots       int
+	Connections int
+	// ConnectTime is what a new connection to an upstream costs.
+	ConnectTime time.Duration
+	ServiceTime emul.ServiceTime
+	// Searches are the team's searches; their register is filled in.
+	Searches map[string]team.Search
+	Limits   team.Limits
+	Log      *log.Logger
+	// BalancerLag is how long a stopping VM goes on listening.
+	BalancerLag time.Duration
+	// TicketTTL is how long a ticket can be used.
+	TicketTTL time.Duration
+	// CallerAddr is the first VM's callers' listener; empty for any port.
+	CallerAddr string
+}
+
+// Site is a running installation.
+type Site struct {
+	cfg   Config
+	kv    *emul.KV
+	vms   *emul.VMs
+	fleet *emul.Fleet
+	nodes []*node.Node
+	boots uint64
+}
+
+// Start starts platform, upstreams and VMs, with the team's configuration in
+// the key-value service.
+func Start(cfg Config) (*Site, error) {
+	st := &Site{
+		cfg: cfg,
+		kv:  emul.NewKV(emul.KVConfig{}),
+		vms: emul.NewVMs(emul.VMsConfig{}),
+	}
+	if err := st.start(); err != nil {
+		st.Close()
+		return nil, errors.Wrap(err, "site.Start")
+	}
+	return st, nil
+}
+
+func (st *Site) start() error {
+	if err := st.kv.Start(); err != nil {
+		return err
+	}
+	if err := st.vms.Start(); err != nil {
+		return err
+	}
+	fleet, err := emul.NewFleet(emul.FleetConfig{
+		Seed:        1,
+		Register:    st.cfg.Register,
+		Services:    st.cfg.Services,
+		DataCentres: st.cfg.DataCentres,
+		Slots:       st.cfg.Slots,
+		Connections: st.cfg.Connections,
+		Setup:       st.cfg.ConnectTime,
+		Service:     st.cfg.ServiceTime,
+	})
+	if err != nil {
+		return err
+	}
+	st.fleet = fleet
+	if err := st.writeConfig(); err != nil {
+		return err
+	}
+	for i := range st.cfg.VMs {
+		if _, err := st.Boot(st.cfg.DataCentres[i%len(st.cfg.DataCentres)]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Document is the team's first configuration.
+func (st *Site) Document() team.Document {
+	searches := make(map[string]team.Search, len(st.cfg.Searches))
+	for name, se := range st.cfg.Searches {
+		se.Register = st.cfg.Register.Name
+		searches[name] = se
+	}
+	services := make(map[string]team.Service)
+	for _, sv := range st.fleet.Servers() {
+		sc := services[sv.Service]
+		sc.SlotsPerServer = st.cfg.Slots
+		sc.ConnectionsPerServer = st.cfg.Connections
+		sc.Servers = append(sc.Servers, team.Server{Addr: sv.Addr, DataCentre: sv.DataCentre})
+		services[sv.Service] = sc
+	}
+	return team.Document{
+		Version:   team.FormatVersion,
+		Team:      st.cfg.Team,
+		Limits:    st.cfg.Limits,
+		Searches:  searches,
+		Registers: map[string]team.Register{st.cfg.Register.Name: {Services: services}},
+	}
+}
+
+// writeConfig puts the first configuration where operators' changes go too.
+func (st *Site) writeConfig() error {
+	raw, err := json.Marshal(st.Document())
+	if err != nil {
+		return err
+	}
+	en := change.Envelope{}.WithChange(change.Entry{ID: "first", UnixMs: time.Now().UnixMilli(), Document: raw}, 0)
+	value, err := en.Encode()
+	if err != nil {
+		return err
+	}
+	return st.put(change.KeyOf(st.cfg.Team), value)
+}
+
+// Boot starts one more VM in a data centre and puts it on the VM list.
+func (st *Site) Boot(dataCentre string) (*node.Node, error) {
+	set := setup.Defaults()
+	set.CallerAddr = "127.0.0.1:0"
+	if st.boots == 0 && st.cfg.CallerAddr != "" {
+		set.CallerAddr = st.cfg.CallerAddr
+	}
+	set.OperatorAddr = "127.0.0.1:0"
+	set.InnerAddr = "127.0.0.1:0"
+	set.DataCentre = dataCentre
+	set.Region = st.cfg.Region
+	set.KV = []string{st.kv.Addr()}
+	set.VMList = st.vms.Addr()
+	set.BalancerLag = st.cfg.BalancerLag
+	if st.cfg.TicketTTL > 0 {
+		set.TicketTTL = st.cfg.TicketTTL
+	}
+	st.boots++
+	set = set.WithIncarnation(time.Now().Add(time.Duration(st.boots) * time.Microsecond))
+	nd, err := node.Start(node.Config{Settings: set, Log: st.cfg.Log, Version: "site"})
+	if err != nil {
+		return nil, err
+	}
+	st.nodes = append(st.nodes, nd)
+	st.vms.Set(wire.VM{Addr: nd.Addrs().Inner, DataCentre: dataCentre, Region: st.cfg.Region, State: wire.VMLive})
+	return nd, nil
+}
+
+// Nodes lists the VMs in the order of their boot.
+func (st *Site) Nodes() []*node.Node { return st.nodes }
+
+// KV is the stand-in of the key-value service.
+func (st *Site) KV() *emul.KV { return st.kv }
+
+// VMs is the stand-in of the VM list.
+func (st *Site) VMs() *emul.VMs { return st.vms }
+
+// Fleet is the upstreams.
+func (st *Site) Fleet() *emul.Fleet { return st.fleet }
+
+// WaitReady returns when every VM has the configuration and has seen a whole
+// snapshot of the register.
+func (st *Site) WaitReady(ctx context.Context) error {
+	for _, nd := range st.nodes {
+		for !ready(nd) {
+			if err := sleep(ctx, 10*time.Millisecond); err != nil {
+				return errors.Wrap(err, "site.WaitReady")
+			}
+		}
+	}
+	return nil
+}
+
+func ready(nd *node.Node) bool {
+	registers := nd.Status().Registers
+	return len(registers) > 0 && registers[0].Shards > 0 && registers[0].Live == registers[0].Shards
+}
+
+// Close stops everything, VMs first.
+func (st *Site) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	done := make(chan struct{}, len(st.nodes))
+	for _, nd := range st.nodes {
+		go func() {
+			// What could not be stopped in time ends with the process.
+			_ = nd.Stop(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range st.nodes {
+		<-done
+	}
+	if st.fleet != nil {
+		st.fleet.Close()
+	}
+	st.vms.Close()
+	st.kv.Close()
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/io/upst/conn.go
+++ b/io/upst/conn.go
@@ -40,16 +40,18 @@
 	return &conn{net: nc, addr: addr, idle: time.Now()}, nil
 }
 
-// exchange posts body to path and decodes the reply into out. After an error
+// exchange sends body to path and decodes the reply into out. After an error
 // the connection must be closed.
-func (cn *conn) exchange(ctx context.Context, path string, body []byte, out any) error {
+func (cn *conn) exchange(ctx context.Context, method, path string, body []byte, out any) error {
 	rq := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(rq)
-	rq.SetMethod(consts.MethodPost)
+	rq.SetMethod(method)
 	rq.SetRequestURI(path)
 	rq.Header.SetHost(cn.addr)
-	rq.Header.SetContentTypeBytes([]byte(consts.MIMEApplicationJSON))
-	rq.SetBody(body)
+	if body != nil {
+		rq.Header.SetContentTypeBytes([]byte(consts.MIMEApplicationJSON))
+		rq.SetBody(body)
+	}
 	if err := cn.write(ctx, rq); err != nil {
 		return err
 	}
--- a/io/upst/server.go
+++ b/io/upst/server.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
 	"laburnumvane/io/wire"
 )
 
@@ -48,20 +50,20 @@
 // Search sends one sub-request. The error, where there is one, is an *Error.
 func (sv *Server) Search(ctx context.Context, rq wire.ShardRequest) (wire.ShardReply, error) {
 	var rp wire.ShardReply
-	err := sv.call(ctx, wire.RouteShardSearch, rq, &rp)
+	err := sv.post(ctx, wire.RouteShardSearch, rq, &rp)
 	return rp, err
 }
 
 // Cancel asks the server to give up a sub-request.
 func (sv *Server) Cancel(ctx context.Context, id string) error {
 	var rp struct{}
-	return sv.call(ctx, wire.RouteShardCancel, wire.CancelRequest{ID: id}, &rp)
+	return sv.post(ctx, wire.RouteShardCancel, wire.CancelRequest{ID: id}, &rp)
 }
 
 // Load asks for the server's own account of itself.
 func (sv *Server) Load(ctx context.Context) (wire.UpstreamStatus, error) {
 	var rp wire.UpstreamStatus
-	err := sv.call(ctx, wire.RouteUpLoad, struct{}{}, &rp)
+	err := sv.call(ctx, consts.MethodGet, wire.RouteUpLoad, nil, &rp)
 	return rp, err
 }
 
@@ -76,11 +78,15 @@
 	sv.idle = nil
 }
 
-func (sv *Server) call(ctx context.Context, path string, in, out any) error {
+func (sv *Server) post(ctx context.Context, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
-		return &Error{Op: "upst.call", Kind: KindDecode, Addr: sv.cfg.Addr, Err: err}
+		return &Error{Op: "upst.post", Kind: KindDecode, Addr: sv.cfg.Addr, Err: err}
 	}
+	return sv.call(ctx, consts.MethodPost, path, body, out)
+}
+
+func (sv *Server) call(ctx context.Context, method, path string, body []byte, out any) error {
 	if err := sv.acquire(ctx); err != nil {
 		return err
 	}
@@ -89,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	err = cn.exchange(ctx, path, body, out)
+	err = cn.exchange(ctx, method, path, body, out)
 	if errors.Is(err, errClose) {
 		sv.drop(cn)
 		return nil
