search: counters and a line in place of scans; free and paid retries

Change: counts per shard and search, an intrusive line of the shards to hedge, the chain of attempts per shard. A shed also takes a hedge token. A restart needs a token, owes one for each shard asked again, keeps what it has under the newer version, and comes at once where a shard cannot be had under a pin that is dying. Merging keeps one hit for each member whatever its key, and drops hits beyond a full list without sorting them.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -28,7 +28,7 @@
 }
 
 // Budget is a bucket of tokens. The work it allows over any time is at most
-// Share times the primaries of that time, plus Burst.
+// Share times the primaries of that time, plus Burst, plus one Charge.
 type Budget struct {
 	earn  int64
 	most  int64
@@ -47,29 +47,45 @@
 
 // Earn credits n primaries.
 func (bu *Budget) Earn(n int) {
-	after := bu.units.Add(bu.earn * int64(n))
+	bu.credit(bu.earn * int64(n))
+}
+
+// Refund returns the token of an extra request that was not sent after all.
+func (bu *Budget) Refund() {
+	bu.credit(scale)
+}
+
+func (bu *Budget) credit(units int64) {
+	after := bu.units.Add(units)
 	if after > bu.most {
-		// Another goroutine may spend in between; taking off only the
-		// surplus seen here never takes a token that was spent.
-		bu.units.Add(bu.most - after)
+		// Another goroutine may spend in between; taking off no more than
+		// was just put in never takes a token that was there before.
+		bu.units.Add(-min(after-bu.most, units))
 	}
 }
 
 // Spend takes one token and tells whether there was one.
 func (bu *Budget) Spend() bool {
-	if bu.units.Add(-scale) >= 0 {
-		return true
+	for {
+		have := bu.units.Load()
+		if have < scale {
+			return false
+		}
+		// Taking first and putting back where there was none would for a
+		// moment hide tokens from others.
+		if bu.units.CompareAndSwap(have, have-scale) {
+			return true
+		}
 	}
-	bu.units.Add(scale)
-	return false
 }
 
-// Refund returns the token of an extra request that cost nobody any work.
-func (bu *Budget) Refund() {
-	bu.units.Add(scale)
+// Charge takes n tokens, also where that leaves a debt that later primaries
+// have to earn back.
+func (bu *Budget) Charge(n int) {
+	bu.units.Add(-int64(n) * scale)
 }
 
-// Tokens is the number of whole tokens left.
+// Tokens is the number of whole tokens left, below 0 in debt.
 func (bu *Budget) Tokens() int {
 	return int(bu.units.Load() / scale)
 }
--- /dev/null
+++ b/core/search/bench_test.go
@@ -0,0 +1,96 @@
+package search_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"laburnumvane/core/budget"
+	"laburnumvane/core/search"
+	"laburnumvane/core/view"
+)
+
+// firstFree picks the first server that was not tried.
+type firstFree struct{}
+
+func (firstFree) Pick(replicas, tried []view.ServerID) (view.ServerID, bool) {
+	for _, id := range replicas {
+		if !among(tried, id) {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
+func among(ids []view.ServerID, id view.ServerID) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// snapshotOf makes a map of n shards with three servers each.
+func snapshotOf(version uint64, n int) view.Snapshot {
+	replicas := make([][]view.ServerID, n)
+	for i := range replicas {
+		for k := range 3 {
+			replicas[i] = append(replicas[i], view.ServerID(3*i+k))
+		}
+	}
+	return view.Snapshot{Version: version, Replicas: replicas}
+}
+
+// BenchmarkMachine is the cost of one whole search by its number of shards; the
+// last tenth of the shards is hedged and answered late.
+func BenchmarkMachine(b *testing.B) {
+	for _, n := range []int{10, 30, 90, 270} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			benchMachine(b, n)
+		})
+	}
+}
+
+func benchMachine(b *testing.B, n int) {
+	sn := snapshotOf(7, n)
+	hedges := budget.New(budget.Config{Share: 1, Burst: 1000})
+	retries := budget.New(budget.Config{Share: 1, Burst: 1000})
+	subs := 0
+	b.ReportAllocs()
+	for num := uint64(0); b.Loop(); num++ {
+		mc := search.New(search.Config{
+			Number:        num,
+			Snapshot:      sn,
+			Soft:          time.Second,
+			Hard:          2 * time.Second,
+			MinCoverage:   1,
+			HitLimit:      100,
+			Chooser:       firstFree{},
+			HedgeDelay:    10 * time.Millisecond,
+			HedgeLast:     max(2, n/10),
+			HedgeBudget:   hedges,
+			RetryBudget:   retries,
+			RetryPerShard: 2,
+		})
+		mc.Start(0)
+		fast := n - n/10
+		for i := range n {
+			if i == fast {
+				mc.Step(20*time.Millisecond, search.Event{Kind: search.EvWake})
+			}
+			mc.Step(time.Millisecond*time.Duration(1+20*(i/fast)), search.Event{
+				Kind:     search.EvReply,
+				Sub:      search.SubID{Search: num, Attempt: uint32(i)},
+				Shard:    i,
+				Snapshot: 7,
+				Shards:   n,
+			})
+		}
+		if !mc.Settled() {
+			b.Fatal("not settled")
+		}
+		subs += n + n/10
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(subs), "ns/sub")
+}
--- a/core/search/config.go
+++ b/core/search/config.go
@@ -6,19 +6,25 @@
 	"laburnumvane/core/view"
 )
 
-// Chooser picks a server for a shard, none of tried.
+// Chooser picks a server for a shard, none of tried. It must not keep tried.
 type Chooser interface {
 	Pick(replicas, tried []view.ServerID) (view.ServerID, bool)
 }
 
 // Budget allows or denies extra work.
 type Budget interface {
+	// Earn credits n primaries.
 	Earn(n int)
+	// Spend takes one token and tells whether there was one.
 	Spend() bool
+	// Refund returns the token of work that was not sent after all.
 	Refund()
+	// Charge takes n tokens, also where that leaves a debt.
+	Charge(n int)
 }
 
-// Config sets one search. All fields are required but Newer.
+// Config sets one search. All fields are required but Newer and those that
+// name a value which turns them off.
 type Config struct {
 	// Number is unique over the life of the process.
 	Number uint64
@@ -35,14 +41,20 @@
 	Once     bool
 	HitLimit int
 	Chooser  Chooser
-	// HedgeDelay is how long an attempt may take before it is hedged; 0 turns
-	// hedging off.
+	// HedgeDelay is how long an attempt may take before it is hedged, once no
+	// more than HedgeLast shards are missing; 0 turns hedging off.
 	HedgeDelay time.Duration
 	// HedgeLast is the number of shards still missing at which hedging begins.
-	HedgeLast   int
+	HedgeLast int
+	// LostDelay is how long an attempt may take before it is hedged however
+	// many shards are missing; 0 means never. It is meant for a server that
+	// went silent and takes a large part of the shards with it.
+	LostDelay   time.Duration
 	HedgeBudget Budget
 	RetryBudget Budget
-	// RetryPerShard bounds the attempts after the first on one shard.
+	// RetryPerShard bounds the attempts on one shard that follow one which
+	// may have cost a server work. Attempts after one that cost nothing are
+	// bounded by the number of replicas.
 	RetryPerShard int
 	// LeastTime is the time below which nothing is sent any more: a reply
 	// could not be back before the deadline.
--- a/core/search/event.go
+++ b/core/search/event.go
@@ -56,6 +56,13 @@
 	// SnapshotGone is set on EvRefused if the server no longer holds the
 	// snapshot asked for.
 	SnapshotGone bool
+	// Elsewhere is set on EvRefused if the server is leaving or does not hold
+	// the shard: it had room, so that another try adds no load to a service
+	// that has none.
+	Elsewhere bool
+	// RetryAfter is when a server that refused wants to be asked again; 0 if
+	// it gave no hint.
+	RetryAfter time.Duration
 }
 
 // ActionKind tells the kinds of actions apart.
@@ -93,8 +100,10 @@
 	// Deadline is when the reply is of no use any more.
 	Deadline time.Duration
 	Attempt  Attempt
-	At       time.Duration
-	Answer   *Answer
+	// Reason of a retry: what became of the attempt before.
+	Reason string
+	At     time.Duration
+	Answer *Answer
 }
 
 // Outcome says what became of a search.
@@ -111,11 +120,13 @@
 // Reasons of an answer that is not complete, beside those of refusals and
 // failures.
 const (
-	ReasonDeadline   = "deadline"
-	ReasonSoft       = "softDeadline"
-	ReasonCancelled  = "cancelled"
-	ReasonNoReplica  = "noReplica"
-	ReasonNoSnapshot = "noSnapshot"
+	ReasonDeadline      = "deadline"
+	ReasonSoft          = "softDeadline"
+	ReasonCancelled     = "cancelled"
+	ReasonNoReplica     = "noReplica"
+	ReasonRetryBudget   = "retryBudget"
+	ReasonOtherSnapshot = "otherSnapshot"
+	ReasonWrongReply    = "wrongReply"
 )
 
 // Answer is the final answer of a search.
@@ -132,4 +143,7 @@
 	Retries   int
 	// Restarted is set where the search began anew on a newer snapshot.
 	Restarted bool
+	// RetryAfter is when the servers that refused want to be asked again,
+	// counted from the answer; 0 where the answer is complete or none said.
+	RetryAfter time.Duration
 }
--- a/io/drive/event.go
+++ b/io/drive/event.go
@@ -1,6 +1,8 @@
 package drive
 
 import (
+	"time"
+
 	"github.com/go-faster/errors"
 
 	"laburnumvane/core/search"
@@ -28,6 +30,8 @@
 			Sub:          ac.Sub,
 			Reason:       string(rp.Refusal),
 			SnapshotGone: rp.Refusal == wire.RefusalSnapshotGone,
+			Elsewhere:    elsewhere(rp.Refusal),
+			RetryAfter:   time.Duration(rp.RetryAfterMs) * time.Millisecond,
 		}
 	}
 	return search.Event{
--- a/io/drive/search.go
+++ b/io/drive/search.go
@@ -26,7 +26,10 @@
 	hedgeLastShare = 0.05
 	hedgeLastLeast = 2
 	leastSendTime  = time.Millisecond
-	defaultHits    = 100
+	// defaultRetryAfter is what a caller whose search did not run is told
+	// where no server gave a hint of its own.
+	defaultRetryAfter = time.Second
+	defaultHits       = 100
 )
 
 // Search takes one search of a caller to its answer.
@@ -166,12 +169,28 @@
 		Coverage:  wire.Coverage{Shards: an.Shards, Answered: an.Answered},
 		Work:      wire.Work{Primaries: an.Primaries, Hedges: an.Hedges, Retries: an.Retries},
 	}
+	if an.Outcome != search.OutcomeComplete {
+		out.RetryAfterMs = retryAfter(an).Milliseconds()
+	}
 	if an.Shards > 0 {
 		out.Coverage.Share = float64(an.Answered) / float64(an.Shards)
 	}
 	return out
 }
 
+func retryAfter(an *search.Answer) time.Duration {
+	if an.RetryAfter == 0 && an.Outcome == search.OutcomeNotRun {
+		return defaultRetryAfter
+	}
+	return an.RetryAfter
+}
+
+// elsewhere tells whether a refusal says that the server is leaving or does not
+// hold the shard, and nothing of a lack of room.
+func elsewhere(rf wire.Refusal) bool {
+	return rf == wire.RefusalDraining || rf == wire.RefusalNotHeld || rf == wire.RefusalCold
+}
+
 func outcomeName(oc search.Outcome) wire.Outcome {
 	switch oc {
 	case search.OutcomeComplete:
