--- a/core/search/restart.go
+++ b/core/search/restart.go
@@ -21,14 +21,15 @@
 	if !mc.gone || mc.restarted || mc.cfg.Once || mc.cfg.Newer == nil {
 		return false
 	}
-	sn, ok := mc.cfg.Newer(mc.snapshot.Version)
-	if !ok || sn.Version <= mc.snapshot.Version {
-		return false
-	}
 	if !mc.cfg.RetryBudget.Spend() {
 		mc.excuse(ReasonRetryBudget)
 		return false
 	}
+	sn, ok := mc.cfg.Newer(mc.snapshot.Version)
+	if !ok || sn.Version <= mc.snapshot.Version {
+		mc.cfg.RetryBudget.Refund()
+		return false
+	}
 	sent := mc.retries
 	mc.restarted = true
 	mc.startOver(now, sn)
--- a/core/search/retry.go
+++ b/core/search/retry.go
@@ -75,6 +75,15 @@
 	if free(ev) {
 		return mc.send(now, i, AttemptRetry, ev.Reason)
 	}
+	if mc.restarted && !mc.subs[sh.last].again {
+		// The attempt was kept over the restart and brought nothing: the
+		// first one under the new snapshot is still due, and owed for.
+		if !mc.send(now, i, AttemptRetry, ev.Reason) {
+			return false
+		}
+		mc.cfg.RetryBudget.Charge(1)
+		return true
+	}
 	if int(sh.retries) >= mc.cfg.RetryPerShard {
 		return false
 	}
