--- /dev/null
+++ b/core/budget/budget_test.go
@@ -0,0 +1,71 @@
+package budget_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"laburnumvane/core/budget"
+)
+
+// However primaries and extra work interleave, the extra work stays within its
+// share of the primaries so far, plus the burst.
+func TestBudgetBoundsExtraWork(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		share := rapid.SampledFrom([]float64{0, 0.03, 0.1, 1}).Draw(rt, "share")
+		burst := float64(rapid.IntRange(0, 20).Draw(rt, "burst"))
+		bu := budget.New(budget.Config{Share: share, Burst: burst})
+		primaries, extra := 0, 0
+		for range rapid.IntRange(0, 200).Draw(rt, "steps") {
+			if rapid.Bool().Draw(rt, "earn") {
+				n := rapid.IntRange(1, 30).Draw(rt, "n")
+				primaries += n
+				bu.Earn(n)
+				continue
+			}
+			if bu.Spend() {
+				extra++
+			}
+			if float64(extra) > share*float64(primaries)+burst {
+				rt.Fatalf("%d extra for %d primaries", extra, primaries)
+			}
+		}
+	})
+}
+
+func TestBudgetDebt(t *testing.T) {
+	is := is.New(t)
+	bu := budget.New(budget.Config{Share: 0.5, Burst: 2})
+	bu.Charge(4)
+	is.Equal(bu.Tokens(), -2)
+	bu.Earn(4)
+	is.Equal(bu.Spend(), false) // the debt is paid, but nothing is left
+	bu.Earn(2)
+	is.Equal(bu.Spend(), true)
+	bu.Refund()
+	is.Equal(bu.Tokens(), 1)
+}
+
+// Many goroutines spend at once: no token is given out twice, and none is lost.
+func TestBudgetFromManyGoroutines(t *testing.T) {
+	is := is.New(t)
+	const tokens, workers = 1000, 8
+	bu := budget.New(budget.Config{Share: 1, Burst: tokens})
+	var got atomic.Int64
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for range tokens {
+				if bu.Spend() {
+					got.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(got.Load(), int64(tokens))
+	is.Equal(bu.Tokens(), 0)
+}
--- a/core/search/retry.go
+++ b/core/search/retry.go
@@ -55,10 +55,10 @@
 	if sh.done || sh.open > 0 {
 		return
 	}
-	mc.fail(ev.Reason)
 	if mc.again(now, i, ev) {
 		return
 	}
+	mc.fail(ev.Reason)
 	if mc.early(now) {
 		mc.restart(now)
 	}
