hedge: HdrHistogram in place of own buckets

Cause: the tracker's own logarithmic buckets were 9% wide and nothing spoke for them but that they need no lock.

Change: windows of 8,192 observations, quantiles read every 256, those of the last window until a new one has 512. Least tells the fifth percentile. A sub-request given up is to be observed as well; ActCancel tells since when it ran.

--- a/core/hedge/hedge.go
+++ b/core/hedge/hedge.go
@@ -1,70 +1,92 @@
 // Package hedge decides when a straggling sub-request deserves a second try: it
-// keeps a decaying picture of latency and tells the delay at a quantile.
+// keeps the latencies of the last few thousand and tells the delay at a quantile.
 //
 // # Usage
 //
-//	tr := hedge.New(hedge.Config{Quantile: 0.99, Floor: 2 * time.Millisecond})
+//	tr := hedge.New(hedge.Config{Quantile: 0.98, Floor: 2 * time.Millisecond, Ceiling: time.Second})
 //	tr.Observe(latency)
 //	delay := tr.Delay()
 //
+// A sub-request that is given up has to be observed too, with the time that it
+// had taken so far. Without these the slowest never show, the quantile falls,
+// more are given up, and so on down to the floor.
+//
 // A Tracker may be used from many goroutines.
 package hedge
 
 import (
-	"math"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 const (
-	// bucketsPerDoubling gives a resolution of about 9% of the latency.
-	bucketsPerDoubling = 8
-	// leastLatency is the upper edge of the first bucket.
-	leastLatency = 50 * time.Microsecond
-	doublings    = 22
-	bucketCount  = bucketsPerDoubling * doublings
-	// decayEvery is the number of observations after which all counts halve,
-	// so that a change of load shows within a few thousand replies.
-	decayEvery = 8192
-	// leastSamples is the number of observations below which Delay keeps to
-	// its ceiling: a quantile of a handful says nothing.
-	leastSamples = 64
+	// window is the number of observations after which the histogram starts
+	// empty, so that a change of load shows within a few thousand replies.
+	window = 8192
+	// leastSamples is the number of observations in a window below which the
+	// quantiles of the last one stay: those of a handful say nothing.
+	leastSamples = 512
+	// refreshEvery is the number of observations after which the quantiles
+	// are read anew.
+	refreshEvery = 256
+	// leastQuantile is the one that Least tells.
+	leastQuantile = 5
+
+	resolution    = int64(time.Microsecond)
+	longest       = int64(20 * time.Second)
+	digits        = 2
+	percentPerOne = 100
 )
 
 // Config sets a tracker.
 type Config struct {
 	// Quantile of the latency after which to hedge, between 0 and 1.
 	Quantile float64
-	// Floor and Ceiling bound the delay.
+	// Floor and Ceiling bound the delay. The delay is the ceiling until there
+	// are enough observations.
 	Floor   time.Duration
 	Ceiling time.Duration
 }
 
-// Tracker holds the counts of one kind of search.
+// Tracker holds the latencies of one kind of search.
 type Tracker struct {
-	cfg     Config
-	buckets [bucketCount]atomic.Uint32
-	seen    atomic.Uint32
-	delay   atomic.Int64
+	cfg   Config
+	delay atomic.Int64
+	least atomic.Int64
+
+	mu   sync.Mutex
+	hist *hdrhistogram.Histogram
+	seen int
 }
 
 // New makes a tracker that knows nothing yet.
 func New(cfg Config) *Tracker {
-	tr := &Tracker{cfg: cfg}
+	tr := &Tracker{
+		cfg:  cfg,
+		hist: hdrhistogram.New(1, longest/resolution, digits),
+	}
 	tr.delay.Store(int64(cfg.Ceiling))
 	return tr
 }
 
-// Observe adds the latency of one reply.
+// Observe adds the latency of one reply, or the time that a sub-request had
+// taken when it was given up.
 func (tr *Tracker) Observe(latency time.Duration) {
-	tr.buckets[bucketOf(latency)].Add(1)
-	n := tr.seen.Add(1)
-	if n%leastSamples != 0 {
-		return
+	value := min(max(int64(latency), 0), longest) / resolution
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	// The value lies within the histogram's range: there is no error.
+	_ = tr.hist.RecordValue(value)
+	tr.seen++
+	if tr.seen >= leastSamples && tr.seen%refreshEvery == 0 {
+		tr.refresh()
 	}
-	tr.refresh()
-	if n%decayEvery == 0 {
-		tr.decay()
+	if tr.seen == window {
+		tr.hist.Reset()
+		tr.seen = 0
 	}
 }
 
@@ -73,43 +95,13 @@
 	return time.Duration(tr.delay.Load())
 }
 
-func (tr *Tracker) refresh() {
-	var counts [bucketCount]uint32
-	total := uint32(0)
-	for i := range tr.buckets {
-		counts[i] = tr.buckets[i].Load()
-		total += counts[i]
-	}
-	want := uint32(math.Ceil(tr.cfg.Quantile * float64(total)))
-	sum := uint32(0)
-	for i, n := range counts {
-		sum += n
-		if sum >= want {
-			tr.delay.Store(int64(tr.clamp(edgeOf(i))))
-			return
-		}
-	}
+// Least is the time within which hardly any reply comes; 0 while unknown.
+func (tr *Tracker) Least() time.Duration {
+	return time.Duration(tr.least.Load())
 }
 
-func (tr *Tracker) decay() {
-	for i := range tr.buckets {
-		n := tr.buckets[i].Load()
-		tr.buckets[i].Add(-(n / 2))
-	}
-}
-
-func (tr *Tracker) clamp(d time.Duration) time.Duration {
-	return min(max(d, tr.cfg.Floor), tr.cfg.Ceiling)
-}
-
-func bucketOf(d time.Duration) int {
-	if d <= leastLatency {
-		return 0
-	}
-	i := int(math.Log2(float64(d)/float64(leastLatency)) * bucketsPerDoubling)
-	return min(i+1, bucketCount-1)
-}
-
-func edgeOf(i int) time.Duration {
-	return time.Duration(float64(leastLatency) * math.Exp2(float64(i)/bucketsPerDoubling))
+func (tr *Tracker) refresh() {
+	delay := time.Duration(tr.hist.ValueAtQuantile(tr.cfg.Quantile*percentPerOne) * resolution)
+	tr.delay.Store(int64(min(max(delay, tr.cfg.Floor), tr.cfg.Ceiling)))
+	tr.least.Store(tr.hist.ValueAtQuantile(leastQuantile) * resolution)
 }
--- a/core/search/event.go
+++ b/core/search/event.go
@@ -102,8 +102,11 @@
 	Attempt  Attempt
 	// Reason of a retry: what became of the attempt before.
 	Reason string
-	At     time.Duration
-	Answer *Answer
+	// Started is when a sub-request that is given up was sent: what it took
+	// so far is a latency that would otherwise never show.
+	Started time.Duration
+	At      time.Duration
+	Answer  *Answer
 }
 
 // Outcome says what became of a search.
--- a/core/search/sub.go
+++ b/core/search/sub.go
@@ -25,8 +25,9 @@
 
 // sub is one sub-request.
 type sub struct {
-	server view.ServerID
-	shard  int32
+	started time.Duration
+	server  view.ServerID
+	shard   int32
 	// before is the attempt before it on the same shard, or none.
 	before int32
 	state  subState
@@ -106,11 +107,12 @@
 		before = sh.last
 	}
 	mc.subs = append(mc.subs, sub{
-		server: server,
-		shard:  int32(i),
-		before: before,
-		state:  subOpen,
-		again:  mc.restarted,
+		started: now,
+		server:  server,
+		shard:   int32(i),
+		before:  before,
+		state:   subOpen,
+		again:   mc.restarted,
 	})
 	sh.last = int32(len(mc.subs) - 1)
 	sh.tries++
@@ -190,9 +192,10 @@
 	}
 	mc.shut(sb, subDoubtful)
 	mc.actions = append(mc.actions, Action{
-		Kind:   ActCancel,
-		Sub:    SubID{Search: mc.cfg.Number, Attempt: uint32(k)},
-		Server: sb.server,
-		Shard:  int(sb.shard),
+		Kind:    ActCancel,
+		Sub:     SubID{Search: mc.cfg.Number, Attempt: uint32(k)},
+		Server:  sb.server,
+		Shard:   int(sb.shard),
+		Started: sb.started,
 	})
 }
