search: a queueing model to measure policies in virtual time

Cause: hedging, budgets and retries were set by guess. Change: core/search/internal/qsim drives the machine against queues with slots, sheds, cancellation and the faults to be measured; benchmarks report latency, coverage and extra work beside no hedging and a fixed 10 ms in the same run.

--- /dev/null
+++ b/core/search/measure_test.go
@@ -0,0 +1,81 @@
+package search_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"laburnumvane/core/search/internal/qsim"
+)
+
+// BenchmarkPolicy sets the product's policy beside two baselines in one run, in
+// virtual time: the time per operation is that of the simulation and says
+// nothing, the metrics do. Figures go into docs/measures/search.md.
+func BenchmarkPolicy(b *testing.B) {
+	plants := []struct {
+		name     string
+		plant    qsim.Plant
+		searches int
+	}{
+		{"pettigrew", qsim.Pettigrew(), 20000},
+		{"kalimba", qsim.Kalimba(), 20000},
+	}
+	for _, pl := range plants {
+		for _, fault := range qsim.Faults() {
+			for _, load := range []float64{0.3, 0.6, 0.85, 1.2} {
+				name := fmt.Sprintf("%s/%s/load%.0f", pl.name, fault.Name, 100*load)
+				benchPolicies(b, name, qsim.Config{Plant: pl.plant, Fault: fault, Load: load, Searches: pl.searches})
+			}
+		}
+	}
+}
+
+// BenchmarkWide is a search over 270 shards.
+func BenchmarkWide(b *testing.B) {
+	for _, fault := range qsim.Faults() {
+		for _, load := range []float64{0.3, 0.6} {
+			name := fmt.Sprintf("%s/load%.0f", fault.Name, 100*load)
+			benchPolicies(b, name, qsim.Config{Plant: qsim.Wide(), Fault: fault, Load: load, Searches: 4000})
+		}
+	}
+}
+
+// BenchmarkOverload compares goodput at 1.0 and 1.2 of the capacity, with and
+// without a bound on searches in flight such as admission sets.
+func BenchmarkOverload(b *testing.B) {
+	for _, inFlight := range []int{0, 12} {
+		for _, load := range []float64{1, 1.2, 2} {
+			name := fmt.Sprintf("inFlight%d/load%.0f", inFlight, 100*load)
+			benchPolicies(b, name, qsim.Config{
+				Plant: qsim.Pettigrew(), Load: load, Searches: 20000, MaxInFlight: inFlight,
+			})
+		}
+	}
+}
+
+func benchPolicies(b *testing.B, name string, cfg qsim.Config) {
+	cfg.Seed = 1
+	cfg.Soft, cfg.Hard = time.Second, time.Second
+	cfg.MinCoverage = 1
+	for _, policy := range []qsim.Policy{qsim.NoHedge(), qsim.Fixed10(), qsim.Tracked()} {
+		cfg.Policy = policy
+		b.Run(name+"/"+policy.Name, func(b *testing.B) {
+			var rs qsim.Result
+			for b.Loop() {
+				rs = qsim.Run(cfg)
+			}
+			report(b, rs)
+		})
+	}
+}
+
+func report(b *testing.B, rs qsim.Result) {
+	b.ReportMetric(rs.Quantile(50), "p50ms")
+	b.ReportMetric(rs.Quantile(99), "p99ms")
+	b.ReportMetric(rs.Quantile(99.9), "p99.9ms")
+	b.ReportMetric(100*rs.Coverage(), "coverage%")
+	b.ReportMetric(100*float64(rs.Whole)/float64(rs.Admitted), "whole%")
+	b.ReportMetric(100*rs.Hedged(), "hedges%")
+	b.ReportMetric(100*rs.Extra(), "extra%")
+	b.ReportMetric(rs.Goodput(), "good/s")
+}
