view, search: pin what can carry the load; hedge again when a token is there

A straggler waits another delay when there is no token; one three times overdue may use a retry's token. A restart may go by the replies' version if the map has the same size.

--- a/core/search/internal/qsim/result.go
+++ b/core/search/internal/qsim/result.go
@@ -20,8 +20,11 @@
 	// server that took connections; Ran those that took a slot.
 	Primaries, Hedges, Retries, Ran int
 	// Span is the time of the last arrival.
-	Span  time.Duration
-	share float64
+	Span time.Duration
+	// Reasons counts the answers that are not complete.
+	Reasons map[string]int
+	share   float64
+	shards  int
 }
 
 func (rs *Result) add(took time.Duration, an *search.Answer, least float64) {
@@ -37,6 +40,8 @@
 	}
 	if an.Outcome == search.OutcomeComplete {
 		rs.Whole++
+	} else {
+		rs.Reasons[an.Reason]++
 	}
 	if an.Outcome == search.OutcomeNotRun {
 		rs.NotRun++
@@ -62,14 +67,19 @@
 	return rs.share / float64(rs.Admitted)
 }
 
-// Extra is the sub-requests sent over those of the first round, as a share.
+// Extra is the sub-requests that reached a server over the one for each shard
+// that an answer needs, as a share of these.
 func (rs *Result) Extra() float64 {
-	return float64(rs.Hedges+rs.Retries) / float64(rs.Primaries)
+	return float64(rs.Primaries+rs.Hedges+rs.Retries)/rs.needed() - 1
 }
 
 // Hedged is the share of hedges alone.
 func (rs *Result) Hedged() float64 {
-	return float64(rs.Hedges) / float64(rs.Primaries)
+	return float64(rs.Hedges) / rs.needed()
+}
+
+func (rs *Result) needed() float64 {
+	return float64(rs.Admitted * rs.shards)
 }
 
 // Goodput is the searches per second answered with the coverage asked for.
--- a/core/search/internal/qsim/sim.go
+++ b/core/search/internal/qsim/sim.go
@@ -78,7 +78,11 @@
 		}),
 		hedges:  budget.New(budget.Config{Share: po.Share, Burst: po.Burst}),
 		retries: budget.New(budget.Config{Share: po.RetryShare, Burst: po.RetryBurst}),
-		res:     Result{Latency: hdrhistogram.New(1, longest, digits)},
+		res: Result{
+			Latency: hdrhistogram.New(1, longest, digits),
+			Reasons: map[string]int{},
+			shards:  cfg.Plant.Shards,
+		},
 	}
 	sm.build()
 	sm.plan()
--- a/core/search/judge_test.go
+++ b/core/search/judge_test.go
@@ -107,7 +107,7 @@
 	for _, fl := range wd.flights {
 		if fl.open() {
 			open++
-			wd.must(!wd.used[wd.force][fl.ac.Shard], "shard %d is there, and another attempt goes on", fl.ac.Shard)
+			wd.must(wd.missing(fl.ac.Shard), "shard %d is there, and another attempt goes on", fl.ac.Shard)
 		}
 	}
 	wd.must(wd.mc.Settled() == (open == 0), "Settled is %v with %d open", wd.mc.Settled(), open)
@@ -124,6 +124,20 @@
 	wd.must(wd.now < wd.cfg.Soft || !wd.coveredEnough(), "no answer at the soft deadline")
 }
 
+// missing tells whether a shard is missing under a version that the search may
+// be after: the one it began with, or a newer one that it knows of.
+func (wd *world) missing(shard int) bool {
+	if !wd.used[firstVersion][shard] || wd.force > firstVersion && !wd.used[wd.force][shard] {
+		return true
+	}
+	for version := range wd.used {
+		if version > firstVersion && !wd.used[version][shard] {
+			return true
+		}
+	}
+	return false
+}
+
 func (wd *world) coveredEnough() bool {
 	for version, shards := range wd.used {
 		if float64(len(shards))/float64(wd.maps[version]) >= wd.cfg.MinCoverage {
--- a/core/search/line.go
+++ b/core/search/line.go
@@ -57,7 +57,8 @@
 	return mc.cfg.LostDelay
 }
 
-// hedge sends a second attempt for the shards that straggle.
+// hedge sends a second attempt for the shards that straggle. One that no token is
+// left for waits as long again.
 func (mc *Machine) hedge(now time.Duration) {
 	wait := mc.patience()
 	if wait == 0 {
@@ -70,16 +71,32 @@
 			return
 		}
 		mc.dequeue(i)
-		sh.hedged = true
-		if !mc.cfg.HedgeBudget.Spend() {
+		bu, ok := mc.allow(now, sh)
+		if !ok {
+			sh.started = now
+			mc.enqueue(i)
 			continue
 		}
+		sh.hedged = true
 		if !mc.send(now, i, AttemptHedge, "") {
-			mc.cfg.HedgeBudget.Refund()
+			bu.Refund()
 		}
 	}
 }
 
+// allow takes a token for a second attempt and tells from where. An attempt that
+// has taken so long that it counts as lost may use a retry's.
+func (mc *Machine) allow(now time.Duration, sh *shard) (Budget, bool) {
+	if mc.cfg.HedgeBudget.Spend() {
+		return mc.cfg.HedgeBudget, true
+	}
+	lost := mc.cfg.LostDelay > 0 && now-mc.subs[sh.last].started >= mc.cfg.LostDelay
+	if lost && mc.cfg.RetryBudget.Spend() {
+		return mc.cfg.RetryBudget, true
+	}
+	return nil, false
+}
+
 // sleep asks to be woken at the next time at which something could change.
 func (mc *Machine) sleep(now time.Duration) {
 	at := mc.cfg.Hard
--- a/core/search/measure_test.go
+++ b/core/search/measure_test.go
@@ -78,4 +78,7 @@
 	b.ReportMetric(100*rs.Hedged(), "hedges%")
 	b.ReportMetric(100*rs.Extra(), "extra%")
 	b.ReportMetric(rs.Goodput(), "good/s")
+	if testing.Verbose() {
+		b.Log(rs.Reasons, "restarted", rs.Restarted)
+	}
 }
--- a/core/search/model_test.go
+++ b/core/search/model_test.go
@@ -163,8 +163,11 @@
 	wd.must(!fl.told && !fl.cancelled, "cancels %v, which is settled", ac.Sub)
 	wd.must(fl.ac.Server == ac.Server, "cancels %v at another server", ac.Sub)
 	fl.cancelled = true
-	missing := !wd.used[fl.ac.Snapshot][ac.Shard] && !wd.used[wd.force][ac.Shard]
-	wd.dropped = wd.dropped || missing
+	there := false
+	for _, shards := range wd.used {
+		there = there || shards[ac.Shard]
+	}
+	wd.dropped = wd.dropped || !there
 }
 
 func (fl *flight) open() bool {
--- a/core/search/restart.go
+++ b/core/search/restart.go
@@ -25,8 +25,8 @@
 		mc.excuse(ReasonRetryBudget)
 		return false
 	}
-	sn, ok := mc.cfg.Newer(mc.snapshot.Version)
-	if !ok || sn.Version <= mc.snapshot.Version {
+	sn, ok := mc.successor()
+	if !ok {
 		mc.cfg.RetryBudget.Refund()
 		return false
 	}
@@ -37,6 +37,21 @@
 	return true
 }
 
+// successor is the snapshot to start over on. Where the view does not know of a
+// newer one yet, replies may: a version that covers more than the pin does, with
+// a map of the same size, is asked for on the replicas of the pin.
+func (mc *Machine) successor() (view.Snapshot, bool) {
+	sn, ok := mc.cfg.Newer(mc.snapshot.Version)
+	if ok && sn.Version > mc.snapshot.Version {
+		return sn, true
+	}
+	gr := mc.best()
+	if gr.version <= mc.snapshot.Version || gr.shards != len(mc.shards) {
+		return view.Snapshot{}, false
+	}
+	return view.Snapshot{Version: gr.version, Replicas: mc.snapshot.Replicas}, true
+}
+
 // startOver turns to another snapshot. Replies that came under it already stay.
 // So do attempts under way if the shard map is the same size: they were sent to
 // servers that answer what they have, which is likely the newer one.
--- a/core/view/snapshot.go
+++ b/core/view/snapshot.go
@@ -18,18 +18,34 @@
 	Snapshots []Snapshot
 }
 
-// Pin returns the snapshot that a new search asks for: the newest that has a
-// live replica on every shard. Where no snapshot is whole it returns the one
-// that covers the largest share, so that a caller still gets what there is.
+// Pin returns the snapshot that a new search asks for: the newest that has, on
+// its worst shard, at least half as many live replicas as any snapshot has on
+// its own. While a new snapshot is being rolled out its first holders would else
+// get the whole load of their shards, and shed it. Where no snapshot is whole Pin
+// returns the one that covers the largest share, so that a caller still gets
+// what there is.
 func (rg Register) Pin(live func(ServerID) bool) (Snapshot, bool) {
+	most := 0
+	for _, sn := range rg.Snapshots {
+		most = max(most, sn.leastLive(live))
+	}
+	if most == 0 {
+		return rg.widest(live)
+	}
+	for _, sn := range rg.Snapshots {
+		if 2*sn.leastLive(live) >= most {
+			return sn, true
+		}
+	}
+	return Snapshot{}, false
+}
+
+// widest returns the snapshot that covers the largest share, the newest such.
+func (rg Register) widest(live func(ServerID) bool) (Snapshot, bool) {
 	best := -1
 	bestShare := -1.0
 	for i, sn := range rg.Snapshots {
-		share := sn.liveShare(live)
-		if share == 1 {
-			return sn, true
-		}
-		if share > bestShare {
+		if share := sn.liveShare(live); share > bestShare {
 			best, bestShare = i, share
 		}
 	}
@@ -65,6 +81,23 @@
 	return float64(covered) / float64(len(sn.Replicas))
 }
 
+// leastLive is the number of live replicas of the shard that has the fewest.
+func (sn Snapshot) leastLive(live func(ServerID) bool) int {
+	least := 0
+	for i, servers := range sn.Replicas {
+		count := 0
+		for _, id := range servers {
+			if live(id) {
+				count++
+			}
+		}
+		if i == 0 || count < least {
+			least = count
+		}
+	}
+	return least
+}
+
 func anyLive(servers []ServerID, live func(ServerID) bool) bool {
 	for _, id := range servers {
 		if live(id) {
--- /dev/null
+++ b/core/view/snapshot_test.go
@@ -0,0 +1,60 @@
+package view_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/core/view"
+)
+
+// replicas makes a map of which each shard has so many servers; server ids run
+// from 0 within each shard.
+func replicas(counts ...int) [][]view.ServerID {
+	out := make([][]view.ServerID, len(counts))
+	for i, n := range counts {
+		for id := range n {
+			out[i] = append(out[i], view.ServerID(id))
+		}
+	}
+	return out
+}
+
+func TestRegisterPin(t *testing.T) {
+	tests := []struct {
+		name string
+		new  [][]view.ServerID
+		old  [][]view.ServerID
+		// dead servers have ids from this one on.
+		dead view.ServerID
+		want uint64
+	}{
+		{"both everywhere", replicas(3, 3), replicas(3, 3), 9, 8},
+		{"rollout has begun: one holder would get all the load", replicas(3, 1), replicas(3, 3), 9, 7},
+		{"rollout is over half", replicas(2, 3), replicas(3, 3), 9, 8},
+		{"the old one is going", replicas(2, 2), replicas(1, 1), 9, 8},
+		{"the new one misses a shard", replicas(3, 0), replicas(1, 1), 9, 7},
+		{"only one replica left of either", replicas(3, 3), replicas(3, 3), 1, 8},
+		{"neither is whole: the wider", replicas(1, 0), replicas(1, 0, 1), 9, 7},
+		{"neither is whole: the newer", replicas(1, 0), replicas(1, 0), 9, 8},
+		{"repartition", replicas(3, 3, 3), replicas(3, 3), 9, 8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			rg := view.Register{Snapshots: []view.Snapshot{
+				{Version: 8, Replicas: tt.new},
+				{Version: 7, Replicas: tt.old},
+			}}
+			sn, ok := rg.Pin(func(id view.ServerID) bool { return id < tt.dead })
+			is.True(ok)
+			is.Equal(sn.Version, tt.want)
+		})
+	}
+}
+
+func TestRegisterPinOfNothing(t *testing.T) {
+	is := is.New(t)
+	_, ok := view.Register{}.Pin(func(view.ServerID) bool { return true })
+	is.True(!ok)
+}
