search: hedge by quantile and budget alone; LeastTime from what replies take

Cause: hedging began only when no more than a twentieth of the shards (at least two) were missing, for fear of doubling the work of a slow moment. The 98th percentile and the budget keep hedges few by themselves. The gate is gone.

The driver: LostDelay at three hedge delays; LeastTime from the fifth percentile of latency, at most a quarter of the search's time.

--- a/core/search/config.go
+++ b/core/search/config.go
@@ -41,14 +41,12 @@
 	Once     bool
 	HitLimit int
 	Chooser  Chooser
-	// HedgeDelay is how long an attempt may take before it is hedged, once no
-	// more than HedgeLast shards are missing; 0 turns hedging off.
+	// HedgeDelay is how long an attempt may take before it is hedged; 0 turns
+	// hedging off.
 	HedgeDelay time.Duration
-	// HedgeLast is the number of shards still missing at which hedging begins.
-	HedgeLast int
-	// LostDelay is how long an attempt may take before it is hedged however
-	// many shards are missing; 0 means never. It is meant for a server that
-	// went silent and takes a large part of the shards with it.
+	// LostDelay is how long an attempt may take before a hedge may use a
+	// retry's token; 0 means never. It is meant for a server that went silent
+	// and takes a large part of the shards with it.
 	LostDelay   time.Duration
 	HedgeBudget Budget
 	RetryBudget Budget
--- a/core/search/line.go
+++ b/core/search/line.go
@@ -48,26 +48,13 @@
 	}
 }
 
-// patience is how long the longest waiting shard may take before it is hedged;
-// 0 means that it is not hedged as things stand.
-func (mc *Machine) patience() time.Duration {
-	if mc.pinned.shards-mc.pinned.answered <= mc.cfg.HedgeLast {
-		return mc.cfg.HedgeDelay
-	}
-	return mc.cfg.LostDelay
-}
-
 // hedge sends a second attempt for the shards that straggle. One that no token is
 // left for waits as long again.
 func (mc *Machine) hedge(now time.Duration) {
-	wait := mc.patience()
-	if wait == 0 {
-		return
-	}
 	for mc.line.size > 0 {
 		i := int(mc.line.first)
 		sh := &mc.shards[i]
-		if now-sh.started < wait {
+		if now-sh.started < mc.cfg.HedgeDelay {
 			return
 		}
 		mc.dequeue(i)
@@ -103,8 +90,8 @@
 	if now < mc.cfg.Soft {
 		at = min(at, mc.cfg.Soft)
 	}
-	if wait := mc.patience(); wait > 0 && mc.line.size > 0 {
-		at = min(at, mc.shards[mc.line.first].started+wait)
+	if mc.line.size > 0 {
+		at = min(at, mc.shards[mc.line.first].started+mc.cfg.HedgeDelay)
 	}
 	if at == mc.wake {
 		return
--- a/io/drive/search.go
+++ b/io/drive/search.go
@@ -21,11 +21,13 @@
 )
 
 const (
-	// hedgeLastShare is the share of shards still missing at which hedging
-	// begins: hedging earlier would double the work of a slow moment.
-	hedgeLastShare = 0.05
-	hedgeLastLeast = 2
-	leastSendTime  = time.Millisecond
+	// lostTimes the hedge delay, an attempt counts as lost.
+	lostTimes = 3
+	// leastShare of the time that a search has is the most that a reply is
+	// taken to need. Else a spell of slow replies could stop all sending, and
+	// with it the replies that show its end.
+	leastShare    = 4
+	leastSendTime = time.Millisecond
 	// defaultRetryAfter is what a caller whose search did not run is told
 	// where no server gave a hint of its own.
 	defaultRetryAfter = time.Second
@@ -128,11 +130,11 @@
 		HitLimit:      kd.conf.HitLimit,
 		Chooser:       dr.cfg.Table.Chooser(vw, dr.random(number)),
 		HedgeDelay:    delay,
-		HedgeLast:     max(hedgeLastLeast, int(hedgeLastShare*float64(sn.Shards()))),
+		LostDelay:     lostTimes * delay,
 		HedgeBudget:   kd.hedges,
 		RetryBudget:   kd.retries,
 		RetryPerShard: kd.conf.Retry.PerShard,
-		LeastTime:     leastSendTime,
+		LeastTime:     max(leastSendTime, min(kd.tracker.Least(), hard/leastShare)),
 	}
 }
 
