search, budget: a hedge may be hedged; bursts grow with the round

Change: a hedged shard goes back into the line and may be hedged once more on the third server; the budget holds two (hedges) or five (retries) tokens for each primary of a round, if that is more than the burst.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -25,6 +25,11 @@
 	// Burst is the most tokens kept, so that a quiet hour does not pay for a
 	// storm.
 	Burst float64
+	// Rounds raises that bound with the size of what is sent at once: to so
+	// many tokens for each primary of the round that earned last. A server
+	// that is lost takes a part of many rounds with it, however large they
+	// are.
+	Rounds float64
 }
 
 // Budget is a bucket of tokens. The work it allows over any time is at most
@@ -32,38 +37,38 @@
 type Budget struct {
 	earn  int64
 	most  int64
+	round int64
 	units atomic.Int64
 }
 
 // New makes a budget with a full bucket.
 func New(cfg Config) *Budget {
 	bu := &Budget{
-		earn: int64(cfg.Share * scale),
-		most: int64(cfg.Burst * scale),
+		earn:  int64(cfg.Share * scale),
+		most:  int64(cfg.Burst * scale),
+		round: int64(cfg.Rounds * scale),
 	}
 	bu.units.Store(bu.most)
 	return bu
 }
 
-// Earn credits n primaries.
+// Earn credits n primaries, which are sent as one round.
 func (bu *Budget) Earn(n int) {
-	bu.credit(bu.earn * int64(n))
-}
-
-// Refund returns the token of an extra request that was not sent after all.
-func (bu *Budget) Refund() {
-	bu.credit(scale)
-}
-
-func (bu *Budget) credit(units int64) {
+	units := bu.earn * int64(n)
+	most := max(bu.most, bu.round*int64(n))
 	after := bu.units.Add(units)
-	if after > bu.most {
+	if after > most {
 		// Another goroutine may spend in between; taking off no more than
 		// was just put in never takes a token that was there before.
-		bu.units.Add(-min(after-bu.most, units))
+		bu.units.Add(-min(after-most, units))
 	}
 }
 
+// Refund returns the token of an extra request that was not sent after all.
+func (bu *Budget) Refund() {
+	bu.units.Add(scale)
+}
+
 // Spend takes one token and tells whether there was one.
 func (bu *Budget) Spend() bool {
 	for {
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -69,3 +69,18 @@
 	is.Equal(got.Load(), int64(tokens))
 	is.Equal(bu.Tokens(), 0)
 }
+
+// A round of 270 sub-requests needs more room than one of ten: the bucket grows
+// with it, but only as primaries earn.
+func TestBudgetGrowsWithTheRound(t *testing.T) {
+	is := is.New(t)
+	bu := budget.New(budget.Config{Share: 0.1, Burst: 50, Rounds: 5})
+	bu.Earn(10)
+	is.Equal(bu.Tokens(), 50)
+	for range 100 {
+		bu.Earn(270)
+	}
+	is.Equal(bu.Tokens(), 1350)
+	bu.Earn(10)
+	is.Equal(bu.Tokens(), 1350) // a small round adds nothing above its own bound, and takes nothing
+}
--- a/core/search/internal/qsim/config.go
+++ b/core/search/internal/qsim/config.go
@@ -104,13 +104,20 @@
 	// RetryShare and RetryBurst make the budget of retries.
 	RetryShare float64
 	RetryBurst float64
+	// HedgeRounds and RetryRounds let the bursts grow with the shards.
+	HedgeRounds float64
+	RetryRounds float64
 }
 
 const (
 	retryShare = 0.04
 	retryBurst = 50
-	perShard   = 2
-	unbounded  = 1e6
+	// hedgeRounds and retryRounds are the same bursts for ten shards, counted
+	// in searches.
+	hedgeRounds = 2
+	retryRounds = 5
+	perShard    = 2
+	unbounded   = 1e6
 )
 
 // NoHedge is a baseline: no hedging at all.
@@ -131,7 +138,7 @@
 func Tracked() Policy {
 	return Policy{
 		Name: "tracked", Quantile: 0.98, Share: 0.03, Burst: 20, LostTimes: 3,
-		RetryShare: retryShare, RetryBurst: retryBurst,
+		RetryShare: retryShare, RetryBurst: retryBurst, HedgeRounds: hedgeRounds, RetryRounds: retryRounds,
 	}
 }
 
--- a/core/search/internal/qsim/sim.go
+++ b/core/search/internal/qsim/sim.go
@@ -76,8 +76,8 @@
 			Floor:    hedgeMin,
 			Ceiling:  cfg.Hard / 2,
 		}),
-		hedges:  budget.New(budget.Config{Share: po.Share, Burst: po.Burst}),
-		retries: budget.New(budget.Config{Share: po.RetryShare, Burst: po.RetryBurst}),
+		hedges:  budget.New(budget.Config{Share: po.Share, Burst: po.Burst, Rounds: po.HedgeRounds}),
+		retries: budget.New(budget.Config{Share: po.RetryShare, Burst: po.RetryBurst, Rounds: po.RetryRounds}),
 		res: Result{
 			Latency: hdrhistogram.New(1, longest, digits),
 			Reasons: map[string]int{},
--- a/core/search/line.go
+++ b/core/search/line.go
@@ -14,7 +14,7 @@
 // line stays in order.
 func (mc *Machine) enqueue(i int) {
 	sh := &mc.shards[i]
-	if mc.cfg.Once || mc.cfg.HedgeDelay <= 0 || sh.hedged || sh.lined {
+	if mc.cfg.Once || mc.cfg.HedgeDelay <= 0 || sh.exhausted || sh.lined {
 		return
 	}
 	sh.lined = true
@@ -64,10 +64,15 @@
 			mc.enqueue(i)
 			continue
 		}
-		sh.hedged = true
 		if !mc.send(now, i, AttemptHedge, "") {
 			bu.Refund()
+			sh.exhausted = true
+			continue
 		}
+		// The hedge may straggle as well: with many shards that is what
+		// the slowest answers are made of.
+		sh.started = now
+		mc.enqueue(i)
 	}
 }
 
