upst, stall, warm: connections that are proved, kept warm and given up when silent

Cause: a pooled connection was used without a look at it.

Change: core/stall finds silent connections from exchanges overtaken on the same server; core/warm bounds openings (ramp, jittered backoff, a ceiling after a refusal, a floor that follows use). The pool proves each connection by a ping when it is opened, looks for its end before each use, pings idle ones, waits for overdue replies rather than closing, tells the server the time left after queueing, and sends cancellations only over connections that are free. The bytes that the kernel took decide whether a failed write was sent.

--- a/io/drive/driver.go
+++ b/io/drive/driver.go
@@ -22,7 +22,11 @@
 // Upstream is what a driver asks of one server.
 type Upstream interface {
 	Search(ctx context.Context, rq wire.ShardRequest) (wire.ShardReply, error)
-	Cancel(ctx context.Context, id string) error
+	// SearchOnce is Search for what must not be repeated: it avoids whatever
+	// could lose the request after it was sent.
+	SearchOnce(ctx context.Context, rq wire.ShardRequest) (wire.ShardReply, error)
+	// Cancel gives up a sub-request; it does not wait.
+	Cancel(id string)
 }
 
 // Forwarder runs a search on the VM that issued its ticket.
--- a/io/drive/search.go
+++ b/io/drive/search.go
@@ -91,6 +91,7 @@
 		rq:       rq,
 		kd:       kd,
 		register: conf.Register,
+		once:     once,
 		box:      newMailbox(sn.Shards()),
 		timer:    time.NewTimer(time.Hour),
 		sent:     make([]view.ServerID, 0, sn.Shards()),
--- a/io/drive/session.go
+++ b/io/drive/session.go
@@ -11,9 +11,6 @@
 	"laburnumvane/io/wire"
 )
 
-// cancelTimeout bounds the message that gives up a sub-request.
-const cancelTimeout = time.Second
-
 // session performs the actions of one search.
 type session struct {
 	dr       *Driver
@@ -21,6 +18,7 @@
 	rq       wire.SearchRequest
 	kd       *kind
 	register string
+	once     bool
 	machine  *search.Machine
 	box      *mailbox
 	timer    *time.Timer
@@ -101,7 +99,7 @@
 		Limit:      se.kd.conf.HitLimit,
 	}
 	begun := time.Now()
-	rp, err := se.dr.cfg.Upstream(ac.Server).Search(ctx, rq)
+	rp, err := se.ask(ctx, ac.Server, rq)
 	took := time.Since(begun)
 	ev := se.dr.eventOf(ac, rq.ID, rp, err)
 	if ev.Kind != search.EvReply {
@@ -117,22 +115,17 @@
 	}
 }
 
+func (se *session) ask(ctx context.Context, id view.ServerID, rq wire.ShardRequest) (wire.ShardReply, error) {
+	up := se.dr.cfg.Upstream(id)
+	if se.once {
+		return up.SearchOnce(ctx, rq)
+	}
+	return up.Search(ctx, rq)
+}
+
 func (se *session) cancel(ac search.Action) {
 	up := se.dr.cfg.Upstream(se.sent[ac.Sub.Attempt])
-	name := se.dr.subName(ac.Sub)
-	se.dr.active.Add(1)
-	err := se.dr.cfg.Workers.Submit(func() {
-		defer se.dr.active.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		defer cancel()
-		if err := up.Cancel(ctx, name); err != nil {
-			se.dr.cfg.Meter.Count(meter.Upstream, "cancelFailed")
-		}
-	})
-	if err != nil {
-		// Without a worker the sub-request runs into its deadline instead.
-		se.dr.active.Done()
-	}
+	up.Cancel(se.dr.subName(ac.Sub))
 }
 
 func (dr *Driver) subName(id search.SubID) string {
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -32,6 +32,8 @@
 	Sent = "sent"
 	// Platform counts calls to the platform, by operation.
 	Platform = "platform"
+	// Connection counts what happened to connections to upstreams, by event.
+	Connection = "connection"
 	// Change counts operators' changes by result.
 	Change = "change"
 )
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -203,6 +203,7 @@
 	nd.run("oper", nd.oper.Serve)
 	nd.run("config", func() error { nd.watchConfig(nd.stopping); return nil })
 	nd.run("vms", func() error { nd.pollVMs(nd.stopping); return nil })
+	nd.run("connections", func() error { nd.keepConnections(nd.stopping); return nil })
 	nd.run("loads", func() error { nd.pollLoads(nd.stopping); return nil })
 }
 
--- a/io/upst/conn.go
+++ b/io/upst/conn.go
@@ -1,102 +1,152 @@
 package upst
 
 import (
-	"context"
 	"encoding/json"
 	"net"
+	"os"
+	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/go-faster/errors"
+
+	"laburnumvane/io/wire"
 )
 
 // maxReplyBytes bounds a reply; a server that sends more is broken.
 const maxReplyBytes = 8 << 20
 
+// ending says what an exchange leaves of its connection.
+type ending uint8
+
+const (
+	// endUsable: the reply was read whole.
+	endUsable ending = iota + 1
+	// endOverdue: not a byte of the reply came before the deadline. It may
+	// still come, and the connection be used again after it.
+	endOverdue
+	// endBroken: the connection must be closed.
+	endBroken
+)
+
 // conn is one connection; it carries one exchange at a time.
 type conn struct {
-	net  network.Conn
+	link *link
 	addr string
-	// idle is when the last exchange ended.
-	idle time.Time
+	// proved is when the last reply came, on the server's clock.
+	proved time.Duration
+	// used is when a request last went out on it.
+	used time.Duration
+	// silent is set before the connection is closed under an exchange.
+	silent atomic.Bool
 }
 
-func dial(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
-	if at, ok := ctx.Deadline(); ok {
-		timeout = min(timeout, time.Until(at))
+// message is one request of an exchange.
+type message struct {
+	method string
+	path   string
+	body   []byte
+}
+
+var pingMessage = message{method: consts.MethodGet, path: wire.RoutePing}
+
+// exchange sends a message and decodes the reply into out before the deadline.
+func (cn *conn) exchange(at time.Time, ms message, out any) (ending, error) {
+	if err := cn.link.setDeadline(at); err != nil {
+		return endBroken, &Error{Op: "upst.write", Kind: KindWrite, Addr: cn.addr, Err: err}
 	}
-	if timeout <= 0 {
-		return nil, &Error{Op: "upst.dial", Kind: KindTimeout, Addr: addr, Err: context.DeadlineExceeded}
+	if err := cn.write(ms); err != nil {
+		return endBroken, err
 	}
-	nc, err := standard.NewDialer().DialConnection("tcp", addr, timeout, nil)
-	if err != nil {
-		return nil, &Error{Op: "upst.dial", Kind: KindDial, Addr: addr, Err: err}
+	if _, err := cn.link.Peek(1); err != nil {
+		return cn.noReply(err)
 	}
-	return &conn{net: nc, addr: addr, idle: time.Now()}, nil
+	return cn.read(out)
 }
 
-// exchange sends body to path and decodes the reply into out. After an error
-// the connection must be closed.
-func (cn *conn) exchange(ctx context.Context, method, path string, body []byte, out any) error {
+func (cn *conn) write(ms message) error {
 	rq := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(rq)
-	rq.SetMethod(method)
-	rq.SetRequestURI(path)
+	rq.SetMethod(ms.method)
+	rq.SetRequestURI(ms.path)
 	rq.Header.SetHost(cn.addr)
-	if body != nil {
-		rq.Header.SetContentTypeBytes([]byte(consts.MIMEApplicationJSON))
-		rq.SetBody(body)
+	if ms.body != nil {
+		rq.Header.SetContentTypeBytes(contentJSON)
+		rq.SetBodyRaw(ms.body)
 	}
-	if err := cn.write(ctx, rq); err != nil {
-		return err
+	before := cn.link.written
+	err := req.Write(rq, cn.link)
+	if err == nil {
+		err = cn.link.Flush()
+	}
+	if err == nil {
+		return nil
+	}
+	// A write that the kernel took no byte of has not left this VM. One that
+	// took some may have, even if the server cannot use half a request.
+	return cn.fail("upst.write", KindWrite, cn.link.written > before, err)
+}
+
+var contentJSON = []byte(consts.MIMEApplicationJSON)
+
+// noReply judges an exchange that ended before the first byte of its reply.
+func (cn *conn) noReply(err error) (ending, error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !cn.silent.Load() {
+		return endOverdue, cn.fail("upst.read", KindTimeout, true, err)
 	}
+	return endBroken, cn.fail("upst.read", kindOf(err), true, err)
+}
+
+// read takes a reply whose first byte is there.
+func (cn *conn) read(out any) (ending, error) {
 	rs := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(rs)
-	if err := resp.ReadHeaderAndLimitBody(rs, cn.net, maxReplyBytes); err != nil {
-		return cn.fail("upst.read", kindOf(err), err)
+	if err := resp.ReadHeaderAndLimitBody(rs, cn.link, maxReplyBytes); err != nil {
+		return endBroken, cn.fail("upst.read", kindOf(err), true, err)
+	}
+	end := endUsable
+	if rs.ConnectionClose() {
+		end = endBroken
 	}
 	if rs.StatusCode() != consts.StatusOK {
-		return cn.fail("upst.read", KindStatus, errors.Errorf("status %d", rs.StatusCode()))
+		return end, cn.fail("upst.read", KindStatus, true, errors.Errorf("status %d", rs.StatusCode()))
+	}
+	if out == nil {
+		return end, nil
 	}
 	// Decoding copies what it keeps, so the buffer may be recycled.
 	if err := json.Unmarshal(rs.Body(), out); err != nil {
-		return cn.fail("upst.read", KindDecode, err)
-	}
-	if rs.ConnectionClose() {
-		return errClose
+		return end, cn.fail("upst.read", KindDecode, true, err)
 	}
-	cn.idle = time.Now()
-	return nil
+	return end, nil
 }
 
-// errClose tells that the exchange went well but the server wants the
-// connection closed.
-var errClose = errors.New("connection closed by server after reply")
-
-func (cn *conn) write(ctx context.Context, rq *protocol.Request) error {
-	if at, ok := ctx.Deadline(); ok {
-		if err := cn.net.SetDeadline(at); err != nil {
-			return &Error{Op: "upst.write", Kind: KindWrite, Addr: cn.addr, Err: err}
-		}
+// late waits for a reply after its deadline and drops it.
+func (cn *conn) late(until time.Time) ending {
+	if err := cn.link.setDeadline(until); err != nil {
+		return endBroken
 	}
-	err := req.Write(rq, cn.net)
-	if err == nil {
-		err = cn.net.Flush()
+	if _, err := cn.link.Peek(1); err != nil {
+		return endBroken
 	}
-	if err != nil {
-		return cn.fail("upst.write", KindWrite, err)
+	end, _ := cn.read(nil) // what it says is of no use to anybody any more
+	return end
+}
+
+func (cn *conn) fail(op string, kind Kind, sent bool, err error) error {
+	if cn.silent.Load() {
+		kind = KindSilent
 	}
-	return nil
+	return &Error{Op: op, Kind: kind, Addr: cn.addr, Sent: sent, Err: err}
 }
 
-// fail makes the error of an exchange that had begun: bytes may be out.
-func (cn *conn) fail(op string, kind Kind, err error) error {
-	return &Error{Op: op, Kind: kind, Addr: cn.addr, Sent: true, Err: err}
+// cut closes a connection under the exchange that waits on it.
+func (cn *conn) cut() {
+	cn.silent.Store(true)
+	cn.link.close()
 }
 
 func kindOf(err error) Kind {
@@ -106,8 +156,3 @@
 	}
 	return KindReset
 }
-
-func (cn *conn) close() {
-	// The connection is given up; there is nothing to do about an error.
-	_ = cn.net.Close()
-}
--- /dev/null
+++ b/io/upst/keep.go
@@ -0,0 +1,175 @@
+package upst
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// tickEvery is short against the second or two within which a silent
+	// connection must be found.
+	tickEvery = 250 * time.Millisecond
+	// fillsPerTick bounds the connections opened without demand, over all
+	// servers, so that a VM's cold start is no storm of its own.
+	fillsPerTick = 16
+	// pingsPerTick bounds the background pings to one server.
+	pingsPerTick = 2
+)
+
+// KeepConfig sets the upkeep of all servers' connections.
+type KeepConfig struct {
+	// Servers lists the servers of the moment.
+	Servers func() []*Server
+	// Count is told what happened to connections since the last time.
+	Count func(reason string, n int64)
+}
+
+// Keep looks after the connections of all servers until the context ends.
+func Keep(ctx context.Context, cfg KeepConfig) {
+	tk := time.NewTicker(tickEvery)
+	defer tk.Stop()
+	for {
+		select {
+		case <-tk.C:
+			keepAll(cfg)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func keepAll(cfg KeepConfig) {
+	servers := cfg.Servers()
+	if len(servers) == 0 {
+		return
+	}
+	fills := fillsPerTick
+	// Another server first each time: the bound must starve none.
+	first := rand.IntN(len(servers))
+	for i := range servers {
+		sv := servers[(first+i)%len(servers)]
+		if sv.Tick(fills > 0) {
+			fills--
+		}
+		sv.Harvest(cfg.Count)
+	}
+}
+
+// Tick looks after the connections once: it closes silent ones, pings and
+// closes idle ones, and with fill opens one where too few are open. It tells
+// whether it opened one.
+func (sv *Server) Tick(fill bool) bool {
+	return sv.pool.tick(fill)
+}
+
+// Harvest reports what happened to connections since the last call, by reason.
+func (sv *Server) Harvest(count func(reason string, n int64)) {
+	sv.pool.stats.harvest(count)
+}
+
+func (po *pool) tick(fill bool) bool {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if po.shut {
+		return false
+	}
+	now := po.cfg.Clock()
+	for _, cn := range po.track.Silent(now, nil) {
+		// Its exchange sees the end of the connection and gives it back.
+		if !cn.silent.Load() {
+			po.stats.count(evSilent)
+			cn.cut()
+		}
+	}
+	po.dropDead()
+	po.pingIdle(now)
+	po.closeUnneeded(now)
+	po.feed()
+	if po.track.Doubt(now) {
+		po.seekProof(now)
+	}
+	if fill && po.gate.Fill(now) {
+		po.open()
+		return true
+	}
+	return false
+}
+
+// dropDead drops idle connections that the server has closed, so that they are
+// replaced before a request needs one.
+func (po *pool) dropDead() {
+	kept := po.idle[:0]
+	for _, cn := range po.idle {
+		if cn.link.alive() {
+			kept = append(kept, cn)
+			continue
+		}
+		po.stats.count(evStale)
+		po.drop(cn)
+	}
+	clear(po.idle[len(kept):])
+	po.idle = kept
+}
+
+// pingIdle proves the connections that were not answered on for long.
+func (po *pool) pingIdle(now time.Duration) {
+	for range pingsPerTick {
+		i := po.leastProved()
+		if i < 0 || now-po.idle[i].proved < po.cfg.ProveIdle {
+			return
+		}
+		po.pingInBackground(po.takeIdle(i))
+	}
+}
+
+// seekProof pings to learn whether the server answers at all while an exchange
+// is in doubt; a new connection, which is proved by a ping, does as well.
+func (po *pool) seekProof(now time.Duration) {
+	if n := len(po.idle); n > 0 {
+		po.pingInBackground(po.takeIdle(n - 1))
+		return
+	}
+	if po.gate.MayOpen(now) {
+		po.open()
+	}
+}
+
+func (po *pool) pingInBackground(cn *conn) {
+	// A ping is no use of the connection: it must not keep it from being
+	// closed as unneeded.
+	po.inUse++
+	go func() {
+		if po.ping(cn, po.cfg.DialTimeout/2) {
+			po.put(cn)
+		}
+	}()
+}
+
+func (po *pool) closeUnneeded(now time.Duration) {
+	if len(po.idle) == 0 || po.gate.Open() <= po.gate.Want() {
+		return
+	}
+	if now-po.idle[0].used >= po.cfg.IdleClose {
+		po.stats.count(evIdleClosed)
+		po.drop(po.takeIdle(0))
+	}
+}
+
+func (po *pool) leastProved() int {
+	least := -1
+	for i, cn := range po.idle {
+		if least < 0 || cn.proved < po.idle[least].proved {
+			least = i
+		}
+	}
+	return least
+}
+
+func (po *pool) takeIdle(i int) *conn {
+	cn := po.idle[i]
+	copy(po.idle[i:], po.idle[i+1:])
+	po.idle[len(po.idle)-1] = nil
+	po.idle = po.idle[:len(po.idle)-1]
+	return cn
+}
