view: replace one server without copying all

Cause: each change of a server's state copied the list of all servers. Change: the list is kept in chunks of 32 that views share; WithServer copies one chunk and the directory. Server carries a weight for ramps and sheds. Also core/server, the machine that decides an upstream's state, not yet wired.

--- /dev/null
+++ b/core/server/table.go
@@ -0,0 +1,160 @@
+package server
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"laburnumvane/core/view"
+)
+
+const (
+	// spreadFor is how long a sign rides on heartbeats: ten rounds of a slow
+	// heartbeat, so that a lost one does not lose the sign.
+	spreadFor = 10 * time.Second
+	// maxSigns bounds what one heartbeat carries to about 3 KB.
+	maxSigns = 64
+)
+
+// Config sets a table.
+type Config struct {
+	// Rand gives jitter.
+	Rand *rand.Rand
+	// Last tells whether a server is the last live replica of some shard. It
+	// is asked only before a server would become gone.
+	Last func(view.ServerID) bool
+}
+
+// Table holds the machines of all servers that this VM knows.
+type Table struct {
+	cfg      Config
+	machines []machine
+	addrs    []string
+	ids      map[string]view.ServerID
+	queue    wakes
+	signs    []spread
+	actions  []Action
+}
+
+type spread struct {
+	sign  Sign
+	until time.Duration
+}
+
+// New makes an empty table.
+func New(cfg Config) *Table {
+	return &Table{cfg: cfg, ids: make(map[string]view.ServerID)}
+}
+
+// Add takes a server; ids are given in order from 0.
+func (tb *Table) Add(id view.ServerID, addr string) {
+	if int(id) != len(tb.machines) {
+		panic("server.Table.Add: ids must be given in order")
+	}
+	tb.machines = append(tb.machines, newMachine())
+	tb.addrs = append(tb.addrs, addr)
+	tb.ids[addr] = id
+}
+
+// Len is the number of servers.
+func (tb *Table) Len() int { return len(tb.machines) }
+
+// Status is what was decided of a server.
+func (tb *Table) Status(id view.ServerID) Status {
+	return tb.machines[id].Status
+}
+
+// Step takes one event of a server. The actions are valid until the next call.
+func (tb *Table) Step(now time.Duration, id view.ServerID, ev Event) []Action {
+	tb.actions = tb.actions[:0]
+	tb.step(now, id, ev)
+	return tb.actions
+}
+
+// Wake takes the time to every server that is due.
+func (tb *Table) Wake(now time.Duration) []Action {
+	tb.actions = tb.actions[:0]
+	for len(tb.queue) > 0 && tb.queue[0].at <= now {
+		wk := tb.queue.pop()
+		mc := &tb.machines[wk.id]
+		if wk.at != mc.queued {
+			continue
+		}
+		mc.queued = never
+		if mc.wake() > now {
+			tb.enqueue(wk.id)
+			continue
+		}
+		tb.step(now, wk.id, Event{Kind: Wake})
+	}
+	return tb.actions
+}
+
+// Next is when Wake is due; false where nothing waits.
+func (tb *Table) Next() (time.Duration, bool) {
+	if len(tb.queue) == 0 {
+		return 0, false
+	}
+	return tb.queue[0].at, true
+}
+
+// Learn takes another VM's sign. Signs of servers that the configuration does
+// not know here are dropped: the sender's document is newer, and the server's
+// own refusal tells the same once this VM has it.
+func (tb *Table) Learn(now time.Duration, sg Sign) []Action {
+	tb.actions = tb.actions[:0]
+	id, ok := tb.ids[sg.Addr]
+	if !ok {
+		return nil
+	}
+	tb.step(now, id, Event{Kind: Told, Incarnation: sg.Incarnation, Sign: sg.Kind})
+	return tb.actions
+}
+
+// Signs lists the signs that still have to ride, newest first.
+func (tb *Table) Signs(now time.Duration) []Sign {
+	tb.signs = slices.DeleteFunc(tb.signs, func(sp spread) bool { return sp.until <= now })
+	out := make([]Sign, 0, min(len(tb.signs), maxSigns))
+	for i := len(tb.signs) - 1; i >= 0 && len(out) < maxSigns; i-- {
+		out = append(out, tb.signs[i].sign)
+	}
+	return out
+}
+
+func (tb *Table) step(now time.Duration, id view.ServerID, ev Event) {
+	mc := &tb.machines[id]
+	before := mc.Status
+	if ev.Kind == Failure && mc.State == view.StateSuspect && tb.cfg.Last != nil {
+		ev.last = tb.cfg.Last(id)
+	}
+	ef := mc.handle(now, ev, tb.cfg.Rand)
+	if mc.Status != before {
+		tb.actions = append(tb.actions, Action{Kind: Publish, ID: id})
+	}
+	if ef.probe {
+		tb.actions = append(tb.actions, Action{Kind: Probe, ID: id})
+	}
+	if ef.sign != 0 {
+		tb.spread(now, id, Sign{Addr: tb.addrs[id], Incarnation: mc.Incarnation, Kind: ef.sign})
+	}
+	if mc.wake() < mc.queued {
+		tb.enqueue(id)
+	}
+}
+
+// spread keeps one sign for each server, the newest.
+func (tb *Table) spread(now time.Duration, id view.ServerID, sg Sign) {
+	tb.signs = slices.DeleteFunc(tb.signs, func(sp spread) bool {
+		return sp.sign.Addr == sg.Addr || sp.until <= now
+	})
+	tb.signs = append(tb.signs, spread{sign: sg, until: now + spreadFor})
+	tb.actions = append(tb.actions, Action{Kind: Spread, ID: id, Sign: sg})
+}
+
+func (tb *Table) enqueue(id view.ServerID) {
+	mc := &tb.machines[id]
+	mc.queued = mc.wake()
+	if mc.queued != never {
+		tb.queue.push(wake{at: mc.queued, id: id})
+	}
+}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -63,6 +63,9 @@
 	Incarnation uint64
 	Slots       int
 	Connections int
+	// Weight is the share of a full server's work to send, 0 to 1; low while
+	// the server ramps, sheds or is suspect.
+	Weight float32
 }
 
 // Team is a team's configuration in force.
@@ -82,7 +85,7 @@
 type View struct {
 	teams     map[string]Team
 	registers map[RegisterKey]Register
-	servers   []Server
+	servers   chunks
 }
 
 // Team returns the configuration in force of a team.
@@ -118,12 +121,23 @@
 // Server returns a server by its id; the id must come from this view or an
 // earlier one.
 func (vw View) Server(id ServerID) Server {
-	return vw.servers[id]
+	return *vw.servers.at(id)
 }
 
-// Servers lists all servers, indexed by id. The caller must not change it.
+// ServerRef returns a server without copying it. The caller must not change it.
+func (vw View) ServerRef(id ServerID) *Server {
+	return vw.servers.at(id)
+}
+
+// Len is the number of servers; their ids go from 0.
+func (vw View) Len() int {
+	return vw.servers.n
+}
+
+// Servers lists all servers, indexed by id. It copies them: it is for status
+// replies and not for every event.
 func (vw View) Servers() []Server {
-	return vw.servers
+	return vw.servers.list()
 }
 
 // WithTeam returns a view in which the team's configuration is replaced.
@@ -137,10 +151,17 @@
 	return vw
 }
 
-// WithServers returns a view with another list of servers. The list is taken
-// over and must not be changed afterwards.
+// WithServers returns a view with another list of servers.
 func (vw View) WithServers(servers []Server) View {
-	vw.servers = servers
+	vw.servers = chunksOf(servers)
+	return vw
+}
+
+// WithServer returns a view in which one server is replaced, or added where its
+// id is Len. The cost does not grow with the number of servers, but for the
+// directory of chunks.
+func (vw View) WithServer(sv Server) View {
+	vw.servers = vw.servers.with(sv)
 	return vw
 }
 
