tools: pinned linter, formatter and generators

The linter and the generators are tools of modules of their own, so that the product's go.mod stays short. inner.pb.go is now made by buf instead of protoc, which no Go module brings: but for the compiler's version in the header the generated files came out the same. buf stands apart, as it requires a newer protobuf than protoc-gen-go is pinned to.

--- a/io/inner/doc.go
+++ b/io/inner/doc.go
@@ -1,5 +1,5 @@
 // Package inner is the protocol between the VMs of laburnumvane: messages and
-// stubs generated from inner.proto by protoc, protoc-gen-go and
+// stubs generated from inner.proto by buf, protoc-gen-go and
 // protoc-gen-twirp. The generated files are committed, so that the build needs
 // no generator.
 //
@@ -10,7 +10,7 @@
 // a VM refuses versions it cannot read and keeps fields it does not know.
 package inner
 
-//go:generate protoc --go_out=../.. --go_opt=module=laburnumvane --twirp_out=../.. --twirp_opt=module=laburnumvane --proto_path=../.. io/inner/inner.proto
+//go:generate go -C ../.. tool -modfile=tools/buf/go.mod buf generate --template tools/buf.gen.yaml --path io/inner
 
 // Version is the protocol version that this build speaks.
 const Version = 1
