--- /dev/null
+++ b/tools/tally/main_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestTally(t *testing.T) {
+	tests := []struct {
+		name   string
+		events []string
+		want   string
+	}{
+		{"nothing", nil, "0 passed, 0 failed\n"},
+		{
+			"output of a passing test is left out",
+			[]string{
+				`{"Action":"run","Package":"p","Test":"A"}`,
+				`{"Action":"output","Package":"p","Test":"A","Output":"noise\n"}`,
+				`{"Action":"pass","Package":"p","Test":"A"}`,
+				`{"Action":"output","Package":"p","Output":"ok p\n"}`,
+				`{"Action":"pass","Package":"p"}`,
+			},
+			"ok p\n1 passed, 0 failed\n",
+		},
+		{
+			"output of a failing test is shown, its package not counted",
+			[]string{
+				`{"Action":"output","Package":"p","Test":"A/b","Output":"cause\n"}`,
+				`{"Action":"fail","Package":"p","Test":"A/b"}`,
+				`{"Action":"fail","Package":"p","Test":"A"}`,
+				`{"Action":"skip","Package":"p","Test":"C"}`,
+				`{"Action":"fail","Package":"p"}`,
+			},
+			"cause\n0 passed, 2 failed, 1 skipped\n",
+		},
+		{
+			"a panic leaves its test without an end",
+			[]string{
+				`{"Action":"pass","Package":"p","Test":"A"}`,
+				`{"Action":"output","Package":"p","Test":"B","Output":"panic: B\n"}`,
+				`{"Action":"output","Package":"q","Test":"C","Output":"goes on\n"}`,
+				`{"Action":"fail","Package":"p"}`,
+				`{"Action":"pass","Package":"q","Test":"C"}`,
+			},
+			"panic: B\n2 passed, 1 failed\n",
+		},
+		{
+			"a package that does not build",
+			[]string{
+				`{"ImportPath":"p","Action":"build-output","Output":"syntax error\n"}`,
+				`{"ImportPath":"p","Action":"build-fail"}`,
+				`{"Action":"fail","Package":"p","FailedBuild":"p"}`,
+			},
+			"syntax error\n0 passed, 1 failed\n",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var out strings.Builder
+			ta := newTally(&out)
+			err := ta.read(strings.NewReader(strings.Join(tt.events, "\n")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			ta.close()
+			if out.String() != tt.want {
+				t.Errorf("got %q, want %q", out.String(), tt.want)
+			}
+		})
+	}
+}
+
+func TestTallyRefusesOtherInput(t *testing.T) {
+	ta := newTally(&strings.Builder{})
+	err := ta.read(strings.NewReader("FAIL p"))
+	if err == nil {
+		t.Error("read took text for events")
+	}
+}
