--- a/core/team/error.go
+++ b/core/team/error.go
@@ -30,7 +30,7 @@
 
 // Faults gives every *Error within err, in the order of the document.
 func Faults(err error) []*Error {
-	switch ev := err.(type) {
+	switch ev := err.(type) { //nolint:errorlint // walks the tree of errors itself
 	case nil:
 		return nil
 	case *Error:
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -18,13 +18,12 @@
 
 // control owns all state that is not a search's. Only its goroutine touches it.
 type control struct {
-	nd        *Node
-	view      view.View
-	ids       map[string]view.ServerID
-	holdings  map[view.ServerID][]wire.ShardHolding
-	vms       []wire.VM
-	alarms    []string
-	published int
+	nd       *Node
+	view     view.View
+	ids      map[string]view.ServerID
+	holdings map[view.ServerID][]wire.ShardHolding
+	vms      []wire.VM
+	alarms   []string
 }
 
 func newControl(nd *Node) *control {
@@ -59,15 +58,14 @@
 	}
 }
 
-// ask runs f on the control goroutine and waits for it; false if the VM stopped.
-func (nd *Node) ask(f func(ct *control)) bool {
+// ask runs f on the control goroutine and waits for it; it does not run if the
+// VM stops first.
+func (nd *Node) ask(f func(ct *control)) {
 	done := make(chan struct{})
 	nd.post(asked{f: f, done: done})
 	select {
 	case <-done:
-		return true
 	case <-nd.stopping.Done():
-		return false
 	}
 }
 
--- a/io/node/service.go
+++ b/io/node/service.go
@@ -39,6 +39,7 @@
 	}
 	rp, err := se.nd.peers.To(rq.GetTarget().GetAddr()).Beat(ctx, &inner.BeatRequest{Version: inner.Version, From: se.nd.self()})
 	if err != nil {
+		//nolint:nilerr // a VM that cannot be reached is the answer, not a failure
 		return &inner.ProbeReply{Version: inner.Version}, nil
 	}
 	return &inner.ProbeReply{Version: inner.Version, Reached: true, Incarnation: rp.GetFrom().GetIncarnation()}, nil
