pick, drive: replicas by cost with sick ones left out; one context per search

Each sub-request made a context, a timer, three strings and several look-ups in the meter's registry.

Change: pick weighs failures and refusals, leaves sick servers out (never more than half of a shard's), probes them with a bounded share, spills to other data centres at twice the cost, thins by weight, and forgets what is old. The driver keeps one context and deadline for all sub-requests of a search, makes their records in one piece, and looks counters up once. A failure after this VM's own cancellation is not held against the server.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// window bounds the replicas looked at for one pick, from a random one on.
-	window = 16
+	// window bounds the replicas looked at for one pick: of a longer list so
+	// many are taken, evenly spaced, from a random one on.
+	window = 8
 	// probeShare is one in how many picks may probe a sick replica.
 	probeShare = 16
 	// draws is the number of replicas compared; wideDraws where more than half
@@ -20,6 +21,9 @@
 	// spillFactor is how many times more the own data centre's best must cost
 	// than the best elsewhere before work leaves it.
 	spillFactor = 2
+	// likeShare of a cost, one fifth, is no difference: without it the whole
+	// work would follow the smallest change of latency.
+	likeShare = 5
 	// hop is added to an unknown latency elsewhere.
 	hop = 2 * time.Millisecond
 	// failurePenalty and refusalPenalty multiply the cost of a server that
@@ -65,6 +69,7 @@
 	ld    *load
 	near  bool
 	sick  bool
+	probe bool
 	thin  bool
 	taken bool
 }
@@ -74,6 +79,8 @@
 	all  [window]candidate
 	n    int
 	sick int
+	// probes counts those that are sick or were until lately.
+	probes int
 }
 
 // Pick returns a replica that is not leaving and not in tried; false if there
@@ -87,44 +94,58 @@
 	if open == 1 {
 		return fd.only(), true
 	}
-	if fd.sick > 0 {
+	if fd.probes > 0 {
 		if id, ok := ch.probe(&fd); ok {
 			return id, true
 		}
 	}
-	most := fd.sick > fd.n/2
-	near, nearCost := ch.best(&fd, true, most)
-	far, farCost := ch.best(&fd, false, most)
-	switch {
-	case near == nil && far == nil:
-		return ch.any(&fd), true
-	case near == nil:
-		return far.id, true
-	case far == nil:
-		return near.id, true
-	case nearCost > spillFactor*farCost:
+	// Where more than half look sick, none is left out for it.
+	rule := wellOnly
+	if fd.sick > fd.n/2 {
+		rule = sickToo
+	}
+	near, nearCost := ch.best(&fd, true, rule)
+	far, farCost := ch.best(&fd, false, rule)
+	if near == nil && far == nil {
+		// Weights and sickness left none: a poor replica is better than an
+		// uncovered shard.
+		near, nearCost = ch.best(&fd, true, anyOpen)
+		far, farCost = ch.best(&fd, false, anyOpen)
+	}
+	if near == nil || far != nil && nearCost > spillFactor*farCost {
 		return far.id, true
-	default:
-		return near.id, true
 	}
+	return near.id, true
 }
 
 // gather fills the field and tells how many of it were not tried yet.
 func (ch Chooser) gather(fd *field, replicas, tried []view.ServerID) int {
-	if len(replicas) == 0 {
-		return 0
+	if len(replicas) <= window {
+		return ch.add(fd, replicas, tried)
 	}
-	start := 0
-	if len(replicas) > window {
-		start = ch.rnd.IntN(len(replicas))
+	var sample [window]view.ServerID
+	at := ch.rnd.IntN(len(replicas))
+	// Spaced evenly: a list may be sorted by data centre.
+	step := len(replicas) / window
+	for i := range sample {
+		sample[i] = replicas[at%len(replicas)]
+		at += step
+	}
+	if open := ch.add(fd, sample[:], tried); open > 0 {
+		return open
 	}
-	open := 0
 	for i := range replicas {
-		at := start + i
-		if at >= len(replicas) {
-			at -= len(replicas)
+		*fd = field{}
+		if open := ch.add(fd, replicas[i:i+1], tried); open > 0 {
+			return open
 		}
-		id := replicas[at]
+	}
+	return 0
+}
+
+func (ch Chooser) add(fd *field, replicas, tried []view.ServerID) int {
+	open := 0
+	for _, id := range replicas {
 		sv := ch.vw.ServerRef(id)
 		if sv.State.Leaving() {
 			continue
@@ -134,22 +155,19 @@
 		cd.ld = ch.servers[id]
 		cd.near = sv.DataCentre == ch.tb.cfg.DataCentre
 		cd.sick = cd.ld.sick()
+		cd.probe = cd.ld.healing.Load()
 		cd.thin = ch.thinned(sv)
 		cd.taken = contains(tried, id)
 		if cd.sick {
 			fd.sick++
 		}
+		if cd.probe {
+			fd.probes++
+		}
 		if !cd.taken {
 			open++
 		}
 		fd.n++
-		if fd.n == window {
-			if open > 0 {
-				return open
-			}
-			// All of the window were tried; look on beyond it.
-			fd.n, fd.sick = 0, 0
-		}
 	}
 	return open
 }
@@ -185,7 +203,8 @@
 	panic("pick: an open candidate was counted and is not there")
 }
 
-// probe lets one sub-request through to a sick server now and then. The server
+// probe lets one sub-request through to a server that is or was sick now and
+// then. The server
 // is probed by real work, since one that answers pings may fail searches.
 func (ch Chooser) probe(fd *field) (view.ServerID, bool) {
 	if ch.careful || ch.rnd.IntN(probeShare) != 0 {
@@ -193,21 +212,40 @@
 	}
 	for i := range fd.n {
 		cd := &fd.all[i]
-		if cd.sick && !cd.taken && cd.ld.probe(ch.now) {
+		if cd.probe && !cd.taken && cd.ld.probe(ch.now) {
 			return cd.id, true
 		}
 	}
 	return 0, false
 }
 
-// best compares a few candidates drawn at random, near or far ones. Sick ones
-// are left out unless most are sick.
-func (ch Chooser) best(fd *field, near, most bool) (*candidate, int64) {
+// rule says which candidates may be drawn.
+type rule uint8
+
+const (
+	wellOnly rule = iota
+	sickToo
+	anyOpen
+)
+
+func (ru rule) allows(cd *candidate) bool {
+	switch ru {
+	case wellOnly:
+		return !cd.taken && !cd.thin && !cd.sick
+	case sickToo:
+		return !cd.taken && !cd.thin
+	default:
+		return !cd.taken
+	}
+}
+
+// best compares a few candidates drawn at random, near or far ones.
+func (ch Chooser) best(fd *field, near bool, ru rule) (*candidate, int64) {
 	var list [window]uint8
 	n := 0
 	for i := range fd.n {
 		cd := &fd.all[i]
-		if cd.near == near && !cd.taken && !cd.thin && (most || !cd.sick) {
+		if cd.near == near && ru.allows(cd) {
 			list[n] = uint8(i)
 			n++
 		}
@@ -216,69 +254,60 @@
 		return nil, 0
 	}
 	count := draws
-	if most {
+	if ru != wellOnly {
 		count = wideDraws
 	}
 	var won *candidate
-	cost := int64(math.MaxInt64)
+	cost := int64(0)
 	for range min(count, n) {
 		at := ch.rnd.IntN(n)
 		cd := &fd.all[list[at]]
 		n--
 		list[at] = list[n]
-		if co := ch.cost(fd, cd); co < cost {
+		if co := ch.cost(fd, cd); won == nil || co < cost-cost/likeShare {
 			won, cost = cd, co
 		}
 	}
 	return won, cost
 }
 
-// any picks the cheapest of all that are open, where weights and sickness left
-// none: a poor replica is better than an uncovered shard.
-func (ch Chooser) any(fd *field) view.ServerID {
-	var won *candidate
-	cost := int64(math.MaxInt64)
-	for i := range fd.n {
-		cd := &fd.all[i]
-		if cd.taken {
-			continue
-		}
-		if co := ch.cost(fd, cd); won == nil || co < cost {
-			won, cost = cd, co
-		}
-	}
-	return won.id
-}
-
 // cost is the wait that a new sub-request would see, in nanoseconds.
 func (ch Chooser) cost(fd *field, cd *candidate) int64 {
-	latency := cd.ld.latency.Load()
+	ld := cd.ld
+	latency := ld.latency.Load()
+	failures := ld.failures.Load()
+	refusals := ld.refusals.Load()
+	if halvings := ld.stale(ch.now); halvings > 0 {
+		failures >>= halvings
+		refusals >>= halvings
+		if best := fd.guess(cd.near); latency > best {
+			latency = best + (latency-best)>>halvings
+		}
+	}
 	if latency == 0 {
 		latency = fd.guess(cd.near)
 	}
-	penalty := whole + failurePenalty*cd.ld.failures.Load() + refusalPenalty*cd.ld.refusals.Load()
-	wait := (cd.ld.inFlight.Load() + 1) * latency
+	penalty := whole + failurePenalty*failures + refusalPenalty*refusals
+	wait := (ld.inFlight.Load() + 1) * latency
 	return min(wait, mostWait) * penalty / whole
 }
 
-// guess is the latency taken for a server that has not answered yet: the mean of
-// the others, so that a new server is neither shunned nor flooded.
+// guess is the latency taken for a server that has not answered yet, or not for
+// long: that of the best of the others, since only its own replies can tell.
 func (fd *field) guess(near bool) int64 {
-	sum, n := int64(0), int64(0)
+	least := int64(math.MaxInt64)
 	for i := range fd.n {
 		if latency := fd.all[i].ld.latency.Load(); latency > 0 {
-			sum += latency
-			n++
+			least = min(least, latency)
 		}
 	}
-	mean := int64(time.Millisecond)
-	if n > 0 {
-		mean = sum / n
+	if least == math.MaxInt64 {
+		least = int64(time.Millisecond)
 	}
 	if near {
-		return mean
+		return least
 	}
-	return mean + int64(hop)
+	return least + int64(hop)
 }
 
 func contains(ids []view.ServerID, id view.ServerID) bool {
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -9,17 +9,23 @@
 
 const (
 	// averageWeight is the weight of the newest value in moving averages.
-	averageWeight = 8
+	averageWeight int64 = 8
 	// whole is the share 1 as a whole number.
 	whole = 1 << 16
 	// sickShare of failures makes a server sick: six failures in a row, or a
 	// larger number among successes.
 	sickShare = whole / 2
-	// healFactor divides the share of failures of a sick server with each
-	// success, so that two probes bring it back and its cost falls on.
-	healFactor = 2
+	// healFactor divides the share of failures of a server that was sick with
+	// each success, until it is below healedShare: some three probes, less
+	// than a second, after it is well it has its work again.
+	healFactor  = 4
+	healedShare = whole / 64
 	// probeEvery is the least time between probes of a sick server.
 	probeEvery = 250 * time.Millisecond
+	// forgetEvery is the time in which what is held against a server that gets
+	// no work is halved.
+	forgetEvery  = time.Second
+	mostHalvings = 32
 )
 
 // Config sets a table.
@@ -57,8 +63,12 @@
 	failures atomic.Int64
 	refusals atomic.Int64
 	probeAt  atomic.Int64
+	// ended is when a sub-request last ended.
+	ended atomic.Int64
+	// healing is set from the time it was sick until it is well.
+	healing atomic.Bool
 	// The rest keeps two servers' counters off one cache line.
-	_ [24]byte
+	_ [12]byte
 }
 
 // New makes a table without servers.
@@ -91,42 +101,54 @@
 func (tb *Table) End(now time.Duration, id view.ServerID, rs Result, latency time.Duration) {
 	ld := tb.of(id)
 	ld.inFlight.Add(-1)
+	halvings := ld.stale(now)
+	ld.ended.Store(int64(now))
 	switch rs {
 	case Replied:
-		ld.replied(latency)
+		ld.replied(latency, max(1, averageWeight>>halvings))
 	case Refused:
-		average(&ld.refusals, whole)
+		average(&ld.refusals, whole, averageWeight)
 	case Failed:
 		ld.failed(now)
 	case Nothing:
 	}
 }
 
-func (ld *load) replied(latency time.Duration) {
-	if ld.sick() {
-		ld.failures.Store(ld.failures.Load() / healFactor)
+// replied takes a reply; weight is 1 where nothing was heard for long, so that
+// what is old counts for nothing.
+func (ld *load) replied(latency time.Duration, weight int64) {
+	if ld.healing.Load() {
+		ld.heal()
 	} else {
-		average(&ld.failures, 0)
+		average(&ld.failures, 0, weight)
 	}
-	average(&ld.refusals, 0)
+	average(&ld.refusals, 0, weight)
 	if ld.latency.Load() == 0 {
-		ld.latency.Store(max(1, int64(latency)))
-		return
+		weight = 1
+	}
+	average(&ld.latency, max(1, int64(latency)), weight)
+}
+
+func (ld *load) heal() {
+	left := ld.failures.Load() / healFactor
+	ld.failures.Store(left)
+	if left < healedShare {
+		ld.healing.Store(false)
 	}
-	average(&ld.latency, max(1, int64(latency)))
 }
 
 func (ld *load) failed(now time.Duration) {
-	average(&ld.failures, whole)
+	average(&ld.failures, whole, averageWeight)
 	if ld.sick() {
+		ld.healing.Store(true)
 		ld.probeAt.Store(int64(now + probeEvery))
 	}
 }
 
 // average moves a value towards the newest one.
-func average(val *atomic.Int64, newest int64) {
+func average(val *atomic.Int64, newest, weight int64) {
 	old := val.Load()
-	val.Store(old + (newest-old)/averageWeight)
+	val.Store(old + (newest-old)/weight)
 }
 
 func (ld *load) sick() bool {
@@ -139,6 +161,14 @@
 	return int64(now) >= at && ld.probeAt.CompareAndSwap(at, int64(now+probeEvery))
 }
 
+// stale is how often what is bad about a server is to be halved because nothing
+// was heard from it lately. Without it one that looked a little worse than the
+// others once would never be drawn again, and so never look better.
+func (ld *load) stale(now time.Duration) int64 {
+	quiet := int64(now) - ld.ended.Load()
+	return min(max(0, quiet/int64(forgetEvery)), mostHalvings)
+}
+
 // InFlight is the number of sub-requests in flight on a server from this VM.
 func (tb *Table) InFlight(id view.ServerID) int {
 	return int(tb.of(id).inFlight.Load())
--- /dev/null
+++ b/io/drive/bench_test.go
@@ -0,0 +1,29 @@
+package drive_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"laburnumvane/io/wire"
+)
+
+// The whole cost of a search in this VM, but for HTTP on both sides: upstreams
+// in memory answer at once.
+func BenchmarkSearch(b *testing.B) {
+	for _, shards := range []int{10, 270} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			up := &upstream{answer: func(rq wire.ShardRequest) (wire.ShardReply, error) { return reply(rq, shards), nil }}
+			ri := newRig(b, rigConfig{shards: shards, workers: 4096, up: up, search: kiosk()})
+			ctx := context.Background()
+			b.ReportAllocs()
+			for b.Loop() {
+				if an := ri.dr.Search(ctx, searchRequest()); an.Outcome != wire.OutcomeComplete {
+					b.Fatal(an.Outcome, an.Reason)
+				}
+			}
+			perShard := float64(b.Elapsed().Nanoseconds()) / float64(b.N) / float64(shards)
+			b.ReportMetric(perShard, "ns/shard")
+		})
+	}
+}
--- a/io/drive/driver.go
+++ b/io/drive/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,12 +68,17 @@
 	flight  atomic.Int64
 	kinds   sync.Map
 	tickets *gate
+	counts  counts
+	// prefix begins the ids of all sub-requests of this process.
+	prefix string
 }
 
 // New makes a driver.
 func New(cfg Config) *Driver {
 	dr := &Driver{cfg: cfg, start: time.Now()}
 	dr.tickets = newGate(cfg.Tickets)
+	dr.counts = newCounts(cfg.Meter)
+	dr.prefix = strconv.FormatUint(cfg.Incarnation, 36) + "."
 	return dr
 }
 
@@ -129,3 +135,12 @@
 func (dr *Driver) random(number uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(dr.cfg.Seed, number))
 }
+
+// chooser makes the chooser of one search.
+func (dr *Driver) chooser(now time.Duration, vw *view.View, number uint64, once bool) pick.Chooser {
+	ch := dr.cfg.Table.Chooser(now, vw, dr.random(number))
+	if once {
+		return ch.WithoutProbes()
+	}
+	return ch
+}
--- a/io/drive/event.go
+++ b/io/drive/event.go
@@ -11,10 +11,12 @@
 	"laburnumvane/io/wire"
 )
 
-// eventOf turns the end of an exchange into the search's event.
-func (dr *Driver) eventOf(ac search.Action, name string, rp wire.ShardReply, err error) search.Event {
+// eventOf turns the end of an exchange into the search's event. The name is
+// that of the request.
+func (dr *Driver) eventOf(at *attempt, name string, rp *wire.ShardReply, err error) search.Event {
+	ac := &at.ac
 	if err != nil {
-		return dr.failed(ac, err)
+		return dr.failed(at, err)
 	}
 	if rp.ID != name {
 		// Two exchanges got mixed up on the way: the reply belongs to
@@ -45,7 +47,7 @@
 	}
 }
 
-func (dr *Driver) failed(ac search.Action, err error) search.Event {
+func (dr *Driver) failed(at *attempt, err error) search.Event {
 	reason := "internal"
 	sent := true
 	var ue *upst.Error
@@ -53,7 +55,24 @@
 		reason = string(ue.Kind)
 		sent = ue.Sent
 	}
+	if at.cancelled.Load() {
+		// This VM gave it up itself; its end says nothing of the server.
+		return search.Event{Kind: search.EvFailed, Sub: at.ac.Sub, Reason: search.ReasonCancelled, Sent: sent}
+	}
 	dr.cfg.Meter.Count(meter.Upstream, reason)
-	dr.cfg.Observe.Failed(ac.Server, reason)
-	return search.Event{Kind: search.EvFailed, Sub: ac.Sub, Reason: reason, Sent: sent}
+	if !ours(reason) {
+		dr.cfg.Observe.Failed(at.ac.Server, reason)
+	}
+	return search.Event{Kind: search.EvFailed, Sub: at.ac.Sub, Reason: reason, Sent: sent}
+}
+
+// ours tells whether a failure is a shortage of this VM and says nothing of the
+// server.
+func ours(reason string) bool {
+	switch reason {
+	case ReasonWorkers, string(upst.KindNoConn), string(upst.KindExpired), string(upst.KindClosed):
+		return true
+	default:
+		return false
+	}
 }
--- a/io/drive/mailbox.go
+++ b/io/drive/mailbox.go
@@ -37,13 +37,14 @@
 	return true
 }
 
-// drain appends all waiting events to buf.
-func (mb *mailbox) drain(buf []search.Event) []search.Event {
+// swap takes all waiting events and leaves buf, which was read, for the next.
+func (mb *mailbox) swap(buf []search.Event) []search.Event {
+	clear(buf)
 	mb.mu.Lock()
 	defer mb.mu.Unlock()
-	buf = append(buf, mb.events...)
-	mb.events = mb.events[:0]
-	return buf
+	events := mb.events
+	mb.events = buf[:0]
+	return events
 }
 
 func (mb *mailbox) close() {
--- a/io/drive/search.go
+++ b/io/drive/search.go
@@ -95,11 +95,10 @@
 		kd:       kd,
 		register: conf.Register,
 		once:     once,
-		box:      newMailbox(sn.Shards()),
-		timer:    time.NewTimer(time.Hour),
-		sent:     make([]view.ServerID, 0, sn.Shards()),
 	}
-	se.machine = search.New(dr.planOf(vw, rq, kd, sn, once))
+	cf := dr.planOf(vw, rq, kd, sn, once)
+	se.open(cf.Number, cf.Hard, sn.Shards())
+	se.machine = search.New(cf)
 	return answerOf(se.run(ctx))
 }
 
@@ -127,7 +126,7 @@
 		MinCoverage:   least,
 		Once:          once,
 		HitLimit:      kd.conf.HitLimit,
-		Chooser:       dr.cfg.Table.Chooser(vw, dr.random(number)),
+		Chooser:       dr.chooser(now, vw, number, once),
 		HedgeDelay:    delay,
 		HedgeLast:     max(hedgeLastLeast, int(hedgeLastShare*float64(sn.Shards()))),
 		HedgeBudget:   kd.hedges,
--- a/io/drive/session.go
+++ b/io/drive/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"laburnumvane/core/search"
@@ -11,6 +12,9 @@
 	"laburnumvane/io/wire"
 )
 
+// spareAttempts is the room for hedges and retries made ahead for each search.
+const spareAttempts = 4
+
 // session performs the actions of one search.
 type session struct {
 	dr       *Driver
@@ -22,13 +26,49 @@
 	machine  *search.Machine
 	box      *mailbox
 	timer    *time.Timer
-	// sent finds the server of a sub-request that has to be cancelled.
-	sent   []view.ServerID
-	answer *search.Answer
+	// name is what the ids of its sub-requests begin with.
+	name string
+	// hard is the deadline of its sub-requests, and work their context. One
+	// for all of them: a timer for each costs more than the rest of a send.
+	hard time.Duration
+	work context.Context
+	done context.CancelFunc
+	// live counts the search itself and its exchanges under way. Some of them
+	// outlive the answer, and need the context until they end.
+	live atomic.Int32
+	// attempts are indexed by the attempt's number.
+	attempts []*attempt
+	room     []attempt
+	answer   *search.Answer
+}
+
+// open prepares what the exchanges share.
+func (se *session) open(number uint64, hard time.Duration, shards int) {
+	se.name = se.dr.prefix + strconv.FormatUint(number, 10) + "."
+	se.hard = hard
+	se.work, se.done = context.WithDeadline(context.Background(), se.dr.start.Add(hard))
+	se.attempts = make([]*attempt, 0, shards+spareAttempts)
+	se.room = make([]attempt, shards+spareAttempts)
+	se.box = newMailbox(shards + spareAttempts)
+	se.timer = time.NewTimer(hard - se.dr.now())
+	se.hold()
+}
+
+func (se *session) hold() {
+	se.live.Add(1)
+	se.dr.active.Add(1)
+}
+
+func (se *session) release() {
+	if se.live.Add(-1) == 0 {
+		se.done()
+	}
+	se.dr.active.Done()
 }
 
 // run takes the search to its answer.
 func (se *session) run(ctx context.Context) *search.Answer {
+	defer se.release()
 	defer se.box.close()
 	defer se.timer.Stop()
 	se.perform(se.machine.Start(se.dr.now()))
@@ -36,25 +76,26 @@
 	for se.answer == nil {
 		select {
 		case <-se.box.signal:
-			events = se.box.drain(events[:0])
-			se.step(events)
+			events = se.box.swap(events)
+			for i := range events {
+				se.step(events[i])
+			}
 		case <-se.timer.C:
-			se.step([]search.Event{{Kind: search.EvWake}})
+			se.step(search.Event{Kind: search.EvWake})
 		case <-ctx.Done():
-			se.step([]search.Event{{Kind: search.EvCancel}})
+			se.step(search.Event{Kind: search.EvCancel})
 		}
 	}
 	return se.answer
 }
 
-func (se *session) step(events []search.Event) {
-	for _, ev := range events {
-		se.perform(se.machine.Step(se.dr.now(), ev))
-	}
+func (se *session) step(ev search.Event) {
+	se.perform(se.machine.Step(se.dr.now(), ev))
 }
 
 func (se *session) perform(actions []search.Action) {
-	for _, ac := range actions {
+	for i := range actions {
+		ac := &actions[i]
 		switch ac.Kind {
 		case search.ActSend:
 			se.send(ac)
@@ -68,77 +109,36 @@
 	}
 }
 
-func (se *session) send(ac search.Action) {
-	se.sent = append(se.sent, ac.Server)
-	se.dr.cfg.Meter.Count(meter.Sent, attemptName(ac.Attempt))
-	se.dr.active.Add(1)
+func (se *session) send(ac *search.Action) {
+	at := se.attempt(ac)
+	se.dr.counts.sent(ac.Attempt)
 	se.dr.cfg.Table.Begin(ac.Server)
-	err := se.dr.cfg.Workers.Submit(func() {
-		defer se.dr.active.Done()
-		se.exchange(ac)
-	})
-	if err != nil {
-		se.dr.active.Done()
-		se.dr.cfg.Table.End(ac.Server, 0)
-		se.box.post(search.Event{Kind: search.EvFailed, Sub: ac.Sub, Reason: "workers"})
+	se.hold()
+	if se.dr.cfg.Workers.Submit(at.run) == nil {
+		return
 	}
+	// No worker is free, so nothing left this VM: the search may try again or
+	// answer that it did not run.
+	se.dr.cfg.Meter.Count(meter.Upstream, ReasonWorkers)
+	at.finish(search.Event{Kind: search.EvFailed, Sub: ac.Sub, Reason: ReasonWorkers}, wire.ShardReply{}, 0)
 }
 
-// exchange runs on a worker: one sub-request, one event.
-func (se *session) exchange(ac search.Action) {
-	left := ac.Deadline - se.dr.now()
-	ctx, cancel := context.WithTimeout(context.Background(), left)
-	defer cancel()
-	rq := wire.ShardRequest{
-		ID:         se.dr.subName(ac.Sub),
-		Register:   se.register,
-		Shard:      ac.Shard,
-		Snapshot:   ac.Snapshot,
-		DeadlineMs: left.Milliseconds(),
-		Query:      se.rq.Query,
-		Limit:      se.kd.conf.HitLimit,
+// attempt makes the record of a sub-request. Records are made ahead in one
+// piece; they never move, since exchanges hold on to them.
+func (se *session) attempt(ac *search.Action) *attempt {
+	if len(se.room) == 0 {
+		se.room = make([]attempt, spareAttempts)
 	}
-	begun := time.Now()
-	rp, err := se.ask(ctx, ac.Server, rq)
-	took := time.Since(begun)
-	ev := se.dr.eventOf(ac, rq.ID, rp, err)
-	if ev.Kind != search.EvReply {
-		took = 0
-	}
-	se.dr.cfg.Table.End(ac.Server, took)
-	if ev.Kind == search.EvReply {
-		se.kd.tracker.Observe(took)
-		se.dr.cfg.Meter.Observe(meter.SubLatency, took)
-	}
-	if !se.box.post(ev) {
-		se.dr.cfg.Meter.Count(meter.Dropped, "afterAnswer")
-	}
-}
-
-func (se *session) ask(ctx context.Context, id view.ServerID, rq wire.ShardRequest) (wire.ShardReply, error) {
-	up := se.dr.cfg.Upstream(id)
-	if se.once {
-		return up.SearchOnce(ctx, rq)
-	}
-	return up.Search(ctx, rq)
+	at := &se.room[0]
+	se.room = se.room[1:]
+	at.se = se
+	at.ac = *ac
+	se.attempts = append(se.attempts, at)
+	return at
 }
 
-func (se *session) cancel(ac search.Action) {
-	up := se.dr.cfg.Upstream(se.sent[ac.Sub.Attempt])
-	up.Cancel(se.dr.subName(ac.Sub))
-}
-
-func (dr *Driver) subName(id search.SubID) string {
-	return strconv.FormatUint(dr.cfg.Incarnation, 36) + "." + id.String()
-}
-
-func attemptName(at search.Attempt) string {
-	switch at {
-	case search.AttemptHedge:
-		return "hedge"
-	case search.AttemptRetry:
-		return "retry"
-	default:
-		return "primary"
-	}
+func (se *session) cancel(ac *search.Action) {
+	at := se.attempts[ac.Sub.Attempt]
+	at.cancelled.Store(true)
+	se.dr.cfg.Upstream(at.ac.Server).Cancel(at.name())
 }
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -88,6 +88,16 @@
 	hi.(metrics.Histogram).Update(d.Microseconds())
 }
 
+// Counter is a family's counter for a reason, for callers that count often.
+func (mt *Meter) Counter(family, reason string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(family+"."+reason, mt.reg)
+}
+
+// Histogram is a histogram by name, in microseconds.
+func (mt *Meter) Histogram(name string) metrics.Histogram {
+	return mt.reg.GetOrRegister(name, newHistogram).(metrics.Histogram)
+}
+
 // Set sets a gauge.
 func (mt *Meter) Set(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, mt.reg).Update(value)
