ticket: expiry by a heap, answers bounded in bytes, a team's share, release

Cause: used tickets were forgotten in the order of their use, so that an old ticket used late kept younger ones; answers had no bound in bytes; one team could fill the table; a search that did certainly not run used its ticket up.

Change: a heap by expiry; answers over MaxBytes are dropped and their tickets stay marked as used; a team has at most half; Release takes a use back that did not run.

--- a/core/ticket/table.go
+++ b/core/ticket/table.go
@@ -2,10 +2,22 @@
 
 import (
 	"crypto/hmac"
+	"slices"
 	"time"
 )
 
-// Config sets a table.
+// Defaults of a Config.
+const (
+	// DefaultMaxBytes bounds the answers kept.
+	DefaultMaxBytes = 16 << 20
+	// teamShare is the part of the table that one team may fill.
+	teamShare = 2
+	// listSlack is how many entries of tickets that are gone the lists may
+	// hold beside as many as there are tickets.
+	listSlack = 64
+)
+
+// Config sets a table. All fields but MaxBytes are required.
 type Config struct {
 	// Addr and Incarnation name this process to other VMs.
 	Addr        string
@@ -14,8 +26,10 @@
 	Secret []byte
 	// TTL is how long a ticket may be used, counted from its issue.
 	TTL time.Duration
-	// Cap bounds the used tickets remembered.
+	// Cap bounds the used tickets remembered. One team has at most half.
 	Cap int
+	// MaxBytes bounds the answers kept, by the sizes given to Finish.
+	MaxBytes int
 }
 
 // VerdictKind says what to do with a request that carries a ticket.
@@ -23,12 +37,14 @@
 
 // Verdicts.
 const (
-	// VerdictRun: first use; run it, then call Finish.
+	// VerdictRun: first use; run it, then call Finish or Release.
 	VerdictRun VerdictKind = iota + 1
 	// VerdictWait: the first use is still running.
 	VerdictWait
 	// VerdictAnswered: Answer holds the first use's answer.
 	VerdictAnswered
+	// VerdictForgotten: it ran, and its answer was dropped to save memory.
+	VerdictForgotten
 	// VerdictElsewhere: Issuer must be asked.
 	VerdictElsewhere
 	// VerdictVoid: issued by an earlier process at this address.
@@ -58,24 +74,37 @@
 	cfg    Config
 	issued uint64
 	used   map[uint64]*use[A]
-	// byExpiry lists used tickets, oldest use first.
-	byExpiry []expiry
+	teams  map[string]int
+	// ends orders the used tickets by expiry: they are not used in the order
+	// of their issue.
+	ends expiries
+	// finished lists tickets with a kept answer, the oldest first.
+	finished []uint64
+	bytes    int
 }
 
 type use[A any] struct {
+	team   string
 	body   uint64
-	done   bool
+	state  useState
 	answer A
+	size   int
 }
 
-type expiry struct {
-	number uint64
-	at     time.Duration
-}
+type useState uint8
+
+const (
+	useRunning useState = iota
+	useAnswered
+	useForgotten
+)
 
 // New makes an empty table.
 func New[A any](cfg Config) *Table[A] {
-	return &Table[A]{cfg: cfg, used: make(map[uint64]*use[A])}
+	if cfg.MaxBytes == 0 {
+		cfg.MaxBytes = DefaultMaxBytes
+	}
+	return &Table[A]{cfg: cfg, used: make(map[uint64]*use[A]), teams: make(map[string]int)}
 }
 
 // Issue makes a ticket for a team. It costs no memory until it is used.
@@ -125,30 +154,77 @@
 	if us.body != body {
 		return Verdict[A]{Kind: VerdictOtherBody}
 	}
-	if !us.done {
+	switch us.state {
+	case useRunning:
 		return Verdict[A]{Kind: VerdictWait, Number: tk.Number}
+	case useForgotten:
+		return Verdict[A]{Kind: VerdictForgotten, Number: tk.Number}
+	default:
+		return Verdict[A]{Kind: VerdictAnswered, Number: tk.Number, Answer: us.answer}
 	}
-	return Verdict[A]{Kind: VerdictAnswered, Number: tk.Number, Answer: us.answer}
 }
 
 func (tb *Table[A]) first(tk token, body uint64) Verdict[A] {
-	if len(tb.used) >= tb.cfg.Cap {
+	if tb.full(tk.Team) {
 		return Verdict[A]{Kind: VerdictFull}
 	}
-	tb.used[tk.Number] = &use[A]{body: body}
-	tb.byExpiry = append(tb.byExpiry, expiry{number: tk.Number, at: tk.Expires})
+	tb.used[tk.Number] = &use[A]{team: tk.Team, body: body}
+	tb.teams[tk.Team]++
+	tb.ends.push(expiry{number: tk.Number, at: tk.Expires})
+	tb.compact()
 	return Verdict[A]{Kind: VerdictRun, Number: tk.Number}
 }
 
-// Finish keeps the answer of a ticket's first use.
-func (tb *Table[A]) Finish(number uint64, answer A) {
+// full keeps one team from taking the whole table: a team that uses up tickets
+// at a hundred times its rate must not stop those of the others.
+func (tb *Table[A]) full(team string) bool {
+	share := max(1, tb.cfg.Cap/teamShare)
+	return len(tb.used) >= tb.cfg.Cap || tb.teams[team] >= share
+}
+
+// Finish keeps the answer of a ticket's first use. The size is in bytes; where
+// there is no more room, older answers are dropped, and their tickets stay used.
+func (tb *Table[A]) Finish(number uint64, answer A, size int) {
 	us, ok := tb.used[number]
-	if !ok {
+	if !ok || us.state != useRunning {
 		// It ran on beyond its expiry; nobody may ask for it any more.
 		return
 	}
-	us.done = true
-	us.answer = answer
+	if size > tb.cfg.MaxBytes {
+		us.state = useForgotten
+		return
+	}
+	us.state, us.answer, us.size = useAnswered, answer, size
+	tb.bytes += size
+	tb.finished = append(tb.finished, number)
+	for tb.bytes > tb.cfg.MaxBytes {
+		tb.dropOldest()
+	}
+}
+
+func (tb *Table[A]) dropOldest() {
+	number := tb.finished[0]
+	tb.finished = tb.finished[1:]
+	// Those that expired have given their bytes back already.
+	if us, ok := tb.used[number]; ok && us.state == useAnswered {
+		tb.forget(us)
+	}
+}
+
+func (tb *Table[A]) forget(us *use[A]) {
+	var none A
+	tb.bytes -= us.size
+	us.state, us.answer, us.size = useForgotten, none, 0
+}
+
+// Release takes back a first use that did certainly not run, so that the same
+// ticket can be used again.
+func (tb *Table[A]) Release(number uint64) {
+	us, ok := tb.used[number]
+	if !ok || us.state != useRunning {
+		return
+	}
+	tb.remove(number, us)
 }
 
 // Len is the number of used tickets remembered.
@@ -156,10 +232,47 @@
 	return len(tb.used)
 }
 
+// Bytes is the size of the answers kept.
+func (tb *Table[A]) Bytes() int {
+	return tb.bytes
+}
+
 // expire forgets tickets that Begin would refuse as expired anyway.
 func (tb *Table[A]) expire(now time.Duration) {
-	for len(tb.byExpiry) > 0 && tb.byExpiry[0].at <= now {
-		delete(tb.used, tb.byExpiry[0].number)
-		tb.byExpiry = tb.byExpiry[1:]
+	for len(tb.ends) > 0 && tb.ends[0].at <= now {
+		number := tb.ends.pop().number
+		if us, ok := tb.used[number]; ok {
+			tb.remove(number, us)
+		}
+	}
+}
+
+func (tb *Table[A]) remove(number uint64, us *use[A]) {
+	tb.bytes -= us.size
+	delete(tb.used, number)
+	if tb.teams[us.team]--; tb.teams[us.team] == 0 {
+		delete(tb.teams, us.team)
+	}
+}
+
+// compact rebuilds the lists that still name tickets which are gone, so that a
+// ticket released and used again for ever does not fill the memory.
+func (tb *Table[A]) compact() {
+	most := 2*len(tb.used) + listSlack
+	if len(tb.ends) > most {
+		seen := make(map[uint64]bool, len(tb.used))
+		tb.ends.keep(func(ex expiry) bool {
+			if _, ok := tb.used[ex.number]; !ok || seen[ex.number] {
+				return false
+			}
+			seen[ex.number] = true
+			return true
+		})
+	}
+	if len(tb.finished) > most {
+		tb.finished = slices.DeleteFunc(tb.finished, func(number uint64) bool {
+			us, ok := tb.used[number]
+			return !ok || us.state != useAnswered
+		})
 	}
 }
--- a/core/ticket/token.go
+++ b/core/ticket/token.go
@@ -51,7 +51,7 @@
 	if len(text) > maxTokenLen {
 		return token{}, false
 	}
-	raw, err := base64.RawURLEncoding.DecodeString(text)
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
 	if err != nil {
 		return token{}, false
 	}
--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -34,7 +34,7 @@
 const (
 	DefaultFloor      = 1
 	DefaultPace       = 20 * time.Millisecond
-	DefaultLeastWait  = 25 * time.Millisecond
+	DefaultLeastWait  = 5 * time.Millisecond
 	DefaultMostWait   = 2 * time.Second
 	DefaultMostAtOnce = 4
 	DefaultMemory     = 30 * time.Second
