drive: tickets waited for within the caller's deadline, given back when nothing ran

Cause: an attempt that waited for another with the same ticket outlasted its own deadline; a forwarded search was given the caller's whole deadline; a search that did not run used its ticket up; an issuer that could not be reached and one that did not answer looked the same.

Change: those who wait do so until their own deadline; the issuer is told a shorter one; a ticket whose search did certainly not run may be used again; the two failures of forwarding have reasons of their own. A panic in a first run wakes those who wait.

Conclusion: not run is said only where nothing ran.

--- a/io/drive/help_test.go
+++ b/io/drive/help_test.go
@@ -80,8 +80,10 @@
 
 // rig is a driver over upstreams in memory.
 type rig struct {
-	dr *drive.Driver
-	mt *meter.Meter
+	tb      testing.TB
+	dr      *drive.Driver
+	mt      *meter.Meter
+	workers *ants.Pool
 }
 
 type rigConfig struct {
@@ -105,7 +107,7 @@
 	if cfg.forward == nil {
 		cfg.forward = noForward{}
 	}
-	ri := &rig{mt: meter.New()}
+	ri := &rig{tb: tb, mt: meter.New(), workers: workers}
 	ri.dr = drive.New(drive.Config{
 		View:        func() *view.View { return &vw },
 		Upstream:    func(view.ServerID) drive.Upstream { return cfg.up },
@@ -115,7 +117,7 @@
 		Observe:     nobody{},
 		Meter:       ri.mt,
 		Tickets:     cfg.tickets,
-		Incarnation: 1,
+		Incarnation: max(1, cfg.tickets.Incarnation),
 		MaxDeadline: time.Minute,
 	})
 	return ri
--- a/io/drive/search.go
+++ b/io/drive/search.go
@@ -104,10 +104,7 @@
 
 func (dr *Driver) planOf(vw *view.View, rq wire.SearchRequest, kd *kind, sn view.Snapshot, once bool) search.Config {
 	now := dr.now()
-	hard := min(kd.conf.HardDeadline(), dr.cfg.MaxDeadline)
-	if rq.DeadlineMs > 0 {
-		hard = min(hard, time.Duration(rq.DeadlineMs)*time.Millisecond)
-	}
+	hard := dr.budgetOf(rq, kd.conf)
 	least := kd.conf.MinCoverage
 	if rq.MinCoverage != nil {
 		least = *rq.MinCoverage
--- a/io/drive/ticket.go
+++ b/io/drive/ticket.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
-	"sync"
+	"net"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
 
 	"laburnumvane/core/team"
 	"laburnumvane/core/ticket"
@@ -15,109 +17,119 @@
 
 // Reasons of answers to searches with tickets.
 const (
-	ReasonTicketForged   = "ticketForged"
-	ReasonTicketTeam     = "ticketOfOtherTeam"
-	ReasonTicketBody     = "ticketOfOtherRequest"
-	ReasonTicketFull     = "ticketTableFull"
-	ReasonTicketExpired  = "ticketExpired"
-	ReasonTicketVoid     = "ticketVoid"
-	ReasonTicketRunning  = "ticketRunning"
-	ReasonIssuerSilent   = "ticketIssuerUnreachable"
-	ReasonForwardedTwice = "ticketForwardedTwice"
+	ReasonTicketForged    = "ticketForged"
+	ReasonTicketTeam      = "ticketOfOtherTeam"
+	ReasonTicketBody      = "ticketOfOtherRequest"
+	ReasonTicketFull      = "ticketTableFull"
+	ReasonTicketExpired   = "ticketExpired"
+	ReasonTicketVoid      = "ticketVoid"
+	ReasonTicketRunning   = "ticketRunning"
+	ReasonTicketForgotten = "ticketAnswerForgotten"
+	// ReasonIssuerGone: the issuer could not be reached, so this attempt did
+	// not run.
+	ReasonIssuerGone = "ticketIssuerUnreachable"
+	// ReasonIssuerSilent: the issuer was asked and did not answer.
+	ReasonIssuerSilent = "ticketIssuerSilent"
 )
 
-// gate guards the ticket table and wakes those who wait for a first run.
-type gate struct {
-	mu      sync.Mutex
-	table   *ticket.Table[wire.SearchAnswer]
-	waiting map[uint64]chan struct{}
-}
+// forwardShare of the time left is kept back for the way to the issuer and
+// back, up to forwardMost, so that its answer comes before the caller's
+// deadline.
+const (
+	forwardShare = 10
+	forwardMost  = 20 * time.Millisecond
+)
 
-func newGate(cfg ticket.Config) *gate {
-	return &gate{
-		table:   ticket.New[wire.SearchAnswer](cfg),
-		waiting: make(map[uint64]chan struct{}),
-	}
-}
+// ticketRetryAfter is when a caller that met a full table may come back.
+const ticketRetryAfter = time.Second
 
 // Tickets issues n tickets for a team.
 func (dr *Driver) Tickets(teamName string, n int) []string {
-	ga := dr.tickets
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	out := make([]string, n)
-	for i := range out {
-		out[i] = ga.table.Issue(dr.now(), teamName)
-	}
-	return out
+	return dr.tickets.issue(dr.now(), teamName, n)
 }
 
 func (dr *Driver) withTicket(ctx context.Context, vw *view.View, rq wire.SearchRequest, conf team.Search) wire.SearchAnswer {
-	ga := dr.tickets
-	ga.mu.Lock()
-	vd := ga.table.Begin(dr.now(), rq.Ticket, rq.Team, bodyHash(rq))
-	var done chan struct{}
+	due := dr.now() + dr.budgetOf(rq, conf)
+	vd, fr := dr.tickets.begin(dr.now(), rq)
 	switch vd.Kind {
 	case ticket.VerdictRun:
-		ga.waiting[vd.Number] = make(chan struct{})
+		return dr.firstRun(ctx, vw, rq, conf, vd.Number, fr)
 	case ticket.VerdictWait:
-		done = ga.waiting[vd.Number]
-	}
-	ga.mu.Unlock()
-	switch vd.Kind {
-	case ticket.VerdictRun:
-		return dr.firstRun(ctx, vw, rq, conf, vd.Number)
-	case ticket.VerdictWait:
-		return dr.await(ctx, rq, done)
+		return dr.await(ctx, due, fr)
 	case ticket.VerdictAnswered:
 		return vd.Answer
 	case ticket.VerdictElsewhere:
-		return dr.forward(ctx, vd.Issuer, rq)
+		return dr.forward(ctx, due, vd.Issuer, rq)
 	default:
 		return dr.ticketRefusal(vd.Kind)
 	}
 }
 
-func (dr *Driver) firstRun(ctx context.Context, vw *view.View, rq wire.SearchRequest, conf team.Search, number uint64) wire.SearchAnswer {
+// budgetOf is the time that a caller gives its search.
+func (dr *Driver) budgetOf(rq wire.SearchRequest, conf team.Search) time.Duration {
+	budget := min(conf.HardDeadline(), dr.cfg.MaxDeadline)
+	if rq.DeadlineMs > 0 {
+		budget = min(budget, time.Duration(rq.DeadlineMs)*time.Millisecond)
+	}
+	return budget
+}
+
+func (dr *Driver) firstRun(ctx context.Context, vw *view.View, rq wire.SearchRequest, conf team.Search, number uint64, fr *firstRun) wire.SearchAnswer {
+	// Should the run end in a panic, those who wait must still be woken, and
+	// nobody may run it again.
+	an := unknown("internal", "the search ended without an answer")
+	defer func() { dr.tickets.finish(number, fr, an) }()
 	// The caller may go away and come back with the same ticket: the run
 	// goes on for the answer it will then be given.
-	an := dr.execute(context.WithoutCancel(ctx), vw, rq, conf, true)
-	ga := dr.tickets
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	ga.table.Finish(number, an)
-	close(ga.waiting[number])
-	delete(ga.waiting, number)
+	an = dr.execute(context.WithoutCancel(ctx), vw, rq, conf, true)
 	return an
 }
 
-func (dr *Driver) await(ctx context.Context, rq wire.SearchRequest, done chan struct{}) wire.SearchAnswer {
+// await waits for the first run's answer, but no longer than its own caller.
+func (dr *Driver) await(ctx context.Context, due time.Duration, fr *firstRun) wire.SearchAnswer {
+	tm := time.NewTimer(due - dr.now())
+	defer tm.Stop()
 	select {
-	case <-done:
-		return dr.replay(rq)
+	case <-fr.done:
+		return fr.answer
+	case <-tm.C:
 	case <-ctx.Done():
-		return unknown(ReasonTicketRunning, "an earlier attempt with this ticket is still running")
 	}
+	return unknown(ReasonTicketRunning, "an earlier attempt with this ticket is still running")
 }
 
-func (dr *Driver) replay(rq wire.SearchRequest) wire.SearchAnswer {
-	ga := dr.tickets
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	vd := ga.table.Begin(dr.now(), rq.Ticket, rq.Team, bodyHash(rq))
-	if vd.Kind == ticket.VerdictAnswered {
-		return vd.Answer
+// forward asks the VM that issued the ticket.
+func (dr *Driver) forward(ctx context.Context, due time.Duration, to ticket.Issuer, rq wire.SearchRequest) wire.SearchAnswer {
+	ctx, cancel := context.WithDeadline(ctx, dr.start.Add(due))
+	defer cancel()
+	left := due - dr.now()
+	left -= min(left/forwardShare, forwardMost)
+	if left < leastSendTime {
+		return dr.issuerGone()
 	}
-	return unknown(ReasonTicketExpired, "the ticket expired while its search ran")
-}
-
-func (dr *Driver) forward(ctx context.Context, to ticket.Issuer, rq wire.SearchRequest) wire.SearchAnswer {
+	rq.DeadlineMs = left.Milliseconds()
 	an, err := dr.cfg.Forward.Run(ctx, to, rq)
-	if err != nil {
+	switch {
+	case err == nil:
+		return an
+	case notSent(err):
+		return dr.issuerGone()
+	default:
 		dr.cfg.Meter.Count(meter.Refusal, ReasonIssuerSilent)
-		return unknown(ReasonIssuerSilent, "the VM that issued the ticket could not be asked; an earlier attempt may have run")
+		return unknown(ReasonIssuerSilent, "the VM that issued the ticket was asked and did not answer: this attempt, or an earlier one, may have run")
 	}
-	return an
+}
+
+func (dr *Driver) issuerGone() wire.SearchAnswer {
+	dr.cfg.Meter.Count(meter.Refusal, ReasonIssuerGone)
+	return unknown(ReasonIssuerGone, "the VM that issued the ticket cannot be reached: this attempt did not run, an earlier one may have")
+}
+
+// notSent tells whether a forwarded search certainly never left: no connection
+// to the issuer came about.
+func notSent(err error) bool {
+	var oe *net.OpError
+	return errors.As(err, &oe) && oe.Op == "dial"
 }
 
 // RunForwarded takes a search that another VM forwarded; it is never passed on
@@ -139,16 +151,23 @@
 	case ticket.VerdictOtherBody:
 		return dr.refuse(ReasonTicketBody, "the ticket was used before with another request")
 	case ticket.VerdictFull:
-		return dr.refuse(ReasonTicketFull, "this VM remembers as many tickets as it may; come back later")
+		an := dr.refuse(ReasonTicketFull, "this VM remembers as many tickets as it may; come back later")
+		an.RetryAfterMs = ticketRetryAfter.Milliseconds()
+		return an
+	case ticket.VerdictForgotten:
+		return dr.doubt(ReasonTicketForgotten, "an earlier attempt ran; its answer is no longer kept")
 	case ticket.VerdictExpired:
-		dr.cfg.Meter.Count(meter.Refusal, ReasonTicketExpired)
-		return unknown(ReasonTicketExpired, "the ticket has expired: this attempt did not run, an earlier one may have")
+		return dr.doubt(ReasonTicketExpired, "the ticket has expired: this attempt did not run, an earlier one may have")
 	default:
-		dr.cfg.Meter.Count(meter.Refusal, ReasonTicketVoid)
-		return unknown(ReasonTicketVoid, "the process that issued the ticket is gone: this attempt did not run, an earlier one may have")
+		return dr.doubt(ReasonTicketVoid, "the process that issued the ticket is gone: this attempt did not run, an earlier one may have")
 	}
 }
 
+func (dr *Driver) doubt(reason, message string) wire.SearchAnswer {
+	dr.cfg.Meter.Count(meter.Refusal, reason)
+	return unknown(reason, message)
+}
+
 // unknown is the answer where an earlier attempt may have run: to say notRun
 // would invite the caller to run it twice.
 func unknown(reason, message string) wire.SearchAnswer {
