accept, front, oper, peer: a planned stop no longer waits for idle clients

Cause: hertz's standard transport counts a connection as active from accept to close, so Shutdown waited for clients with idle keep-alive connections until the library's own bound of 5 s, once for callers and once for operators after it. The same bound would have cut off a search with a longer deadline. net/http waits 5 s in the same way for connections that carried nothing yet. Ruled out: searches in flight (none were), the balancer lag (100 ms).

Change: io/accept wraps the three listeners. It knows whether a request is being read, run or answered; Drain closes idle connections and each other one once it would wait for its next request. Bytes that have arrived but were not read keep a connection open. The library's bound is out of the way, callers and operators are shut down at the same time.

--- /dev/null
+++ b/io/accept/conn.go
@@ -0,0 +1,97 @@
+package accept
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// interim begins the reply that asks for a request's body; it ends no request.
+const interim = "HTTP/1.1 100"
+
+// Conn is a connection that knows whether a request is under way.
+type Conn struct {
+	net.Conn
+	ln *Listener
+
+	mu sync.Mutex
+	// begun is set by the first byte of a request.
+	begun bool
+	// answered is set once a reply is written, until the next request.
+	answered bool
+	// running counts handlers: a request that came in one packet with the one
+	// before needs no further read to begin.
+	running int
+}
+
+// Read reads from the connection. A server that reads after it has answered
+// waits for the next request.
+func (cn *Conn) Read(p []byte) (int, error) {
+	if cn.becomesIdle() && cn.ln.isDraining() && !cn.pending() {
+		return 0, io.EOF
+	}
+	n, err := cn.Conn.Read(p)
+	if n > 0 {
+		cn.mu.Lock()
+		cn.begun, cn.answered = true, false
+		cn.mu.Unlock()
+	}
+	return n, err
+}
+
+func (cn *Conn) becomesIdle() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if cn.answered && cn.running == 0 {
+		cn.begun = false
+	}
+	return !cn.begun
+}
+
+// Write writes to the connection.
+func (cn *Conn) Write(p []byte) (int, error) {
+	if !bytes.HasPrefix(p, []byte(interim)) {
+		cn.mu.Lock()
+		cn.answered = true
+		cn.mu.Unlock()
+	}
+	return cn.Conn.Write(p)
+}
+
+// Close closes the connection.
+func (cn *Conn) Close() error {
+	cn.ln.forget(cn)
+	return cn.Conn.Close()
+}
+
+func (cn *Conn) closeIfIdle() {
+	cn.mu.Lock()
+	idle := !cn.begun && cn.running == 0
+	cn.mu.Unlock()
+	if idle && !cn.pending() {
+		// The server's read fails and it closes its side too.
+		_ = cn.Conn.Close()
+	}
+}
+
+// pending tells whether bytes have arrived that the server has not read yet.
+// Without this look a request that is in the kernel's buffer at the moment of
+// the close would be answered by a reset.
+func (cn *Conn) pending() bool {
+	sc, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = rc.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
--- /dev/null
+++ b/io/accept/doc.go
@@ -0,0 +1,24 @@
+// Package accept wraps a listener so that a server can be stopped without
+// cutting off a request and without waiting for clients that keep idle
+// connections open.
+//
+// # Usage
+//
+//	ln := accept.New(inner)
+//	srv := server.New(server.WithListener(ln), server.WithOnAccept(accept.Context))
+//	srv.Use(func(ctx context.Context, rc *app.RequestContext) {
+//		defer accept.Begin(ctx)()
+//		rc.Next(ctx)
+//	})
+//	...
+//	ln.Drain()
+//	srv.Shutdown(ctx)
+//
+// # Why
+//
+// hertz's standard transport counts a connection as active from its accept to
+// its close. Its Shutdown therefore waits for every client that keeps an idle
+// connection, up to the end of the context, though nothing is under way. A
+// connection on which a request is being read, run or answered is not idle and
+// is left alone; it closes itself once it would wait for the next request.
+package accept
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"laburnumvane/core/fault"
+	"laburnumvane/io/accept"
 	"laburnumvane/io/wire"
 )
 
@@ -53,21 +54,29 @@
 // Front is the callers' listener.
 type Front struct {
 	cfg Config
+	ln  *accept.Listener
 	srv *server.Hertz
 }
 
+// stopBound only keeps the library's own bound, 5 s, from cutting off a search
+// with a longer deadline; what bounds a stop is Shutdown's context.
+const stopBound = time.Hour
+
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Front {
-	fr := &Front{cfg: cfg}
+	fr := &Front{cfg: cfg, ln: accept.New(cfg.Listener)}
 	fr.srv = server.New(
-		server.WithListener(cfg.Listener),
+		server.WithListener(fr.ln),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(cfg.MaxBody),
 		server.WithReadTimeout(cfg.ReadTimeout),
 		server.WithIdleTimeout(cfg.ReadTimeout),
 		server.WithSenseClientDisconnection(true),
 		server.WithDisablePrintRoute(true),
+		server.WithOnAccept(accept.Context),
+		server.WithExitWaitTime(stopBound),
 	)
+	fr.srv.Use(busy)
 	fr.srv.POST(wire.RouteSearch, fr.search)
 	fr.srv.POST(wire.RouteTickets, fr.tickets)
 	fr.srv.GET(wire.RouteHealth, fr.health)
@@ -79,11 +88,24 @@
 	return fault.Wrap(fr.srv.Run(), "front.Serve")
 }
 
-// Shutdown stops listening and waits for requests under way.
+// Shutdown closes idle connections, stops listening and waits for requests
+// under way.
 func (fr *Front) Shutdown(ctx context.Context) error {
+	fr.ln.Drain()
 	return fault.Wrap(fr.srv.Shutdown(ctx), "front.Shutdown")
 }
 
+// Abort cuts off everything, as when the VM dies.
+func (fr *Front) Abort() {
+	fr.ln.Abort()
+}
+
+// busy keeps a connection from being taken for idle while its request runs.
+func busy(ctx context.Context, rc *app.RequestContext) {
+	defer accept.Begin(ctx)()
+	rc.Next(ctx)
+}
+
 func (fr *Front) search(ctx context.Context, rc *app.RequestContext) {
 	rq, fault := fr.decode(rc)
 	if fault != nil {
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -33,10 +33,10 @@
 
 // finish closes the listeners of callers and operators and waits for searches.
 func (nd *Node) finish(ctx context.Context) error {
-	err := nd.front.Shutdown(ctx)
-	if oerr := nd.oper.Shutdown(ctx); err == nil {
-		err = oerr
-	}
+	err := both(
+		func() error { return nd.front.Shutdown(ctx) },
+		func() error { return nd.oper.Shutdown(ctx) },
+	)
 	done := make(chan struct{})
 	go func() {
 		nd.driver.Wait()
@@ -50,6 +50,18 @@
 	}
 }
 
+// both runs two things at once and returns the first's error before the
+// second's.
+func both(first, second func() error) error {
+	done := make(chan error, 1)
+	go func() { done <- second() }()
+	err := first()
+	if serr := <-done; err == nil {
+		err = serr
+	}
+	return err
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	tm := time.NewTimer(d)
 	defer tm.Stop()
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -26,6 +26,7 @@
 	"github.com/go-faster/errors"
 
 	"laburnumvane/core/fault"
+	"laburnumvane/io/accept"
 	"laburnumvane/io/wire"
 )
 
@@ -70,20 +71,28 @@
 // Oper is the operators' listener.
 type Oper struct {
 	cfg Config
+	ln  *accept.Listener
 	srv *server.Hertz
 }
 
+// stopBound only replaces the library's own bound, 5 s; what bounds a stop is
+// Shutdown's context.
+const stopBound = time.Hour
+
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Oper {
-	op := &Oper{cfg: cfg}
+	op := &Oper{cfg: cfg, ln: accept.New(cfg.Listener)}
 	op.srv = server.New(
-		server.WithListener(cfg.Listener),
+		server.WithListener(op.ln),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(cfg.MaxBody),
 		server.WithReadTimeout(cfg.ReadTimeout),
 		server.WithIdleTimeout(cfg.ReadTimeout),
 		server.WithDisablePrintRoute(true),
+		server.WithOnAccept(accept.Context),
+		server.WithExitWaitTime(stopBound),
 	)
+	op.srv.Use(op.busy)
 	op.srv.GET(wire.RouteHealth, op.health)
 	op.srv.Use(op.authorize)
 	op.srv.GET(wire.RouteConfig, op.getConfig)
@@ -101,11 +110,28 @@
 	return fault.Wrap(op.srv.Run(), "oper.Serve")
 }
 
-// Shutdown stops listening and waits for requests under way.
+// Shutdown closes idle connections, stops listening and waits for requests
+// under way.
 func (op *Oper) Shutdown(ctx context.Context) error {
+	op.ln.Drain()
 	return fault.Wrap(op.srv.Shutdown(ctx), "oper.Shutdown")
 }
 
+// Abort cuts off everything, as when the VM dies.
+func (op *Oper) Abort() {
+	op.ln.Abort()
+}
+
+// busy keeps a connection from being taken for idle while its request runs, and
+// closes it with the answer once the VM is leaving.
+func (op *Oper) busy(ctx context.Context, rc *app.RequestContext) {
+	defer accept.Begin(ctx)()
+	rc.Next(ctx)
+	if op.cfg.Operator.Leaving() {
+		rc.SetConnectionClose()
+	}
+}
+
 func (op *Oper) getConfig(_ context.Context, rc *app.RequestContext) {
 	cr, ok := op.cfg.Operator.Config(rc.Param("team"))
 	if !ok {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"laburnumvane/core/fault"
+	"laburnumvane/io/accept"
 	"laburnumvane/io/inner"
 )
 
@@ -27,6 +28,7 @@
 // Server serves the inner protocol.
 type Server struct {
 	cfg  ServerConfig
+	ln   *accept.Listener
 	http *http.Server
 }
 
@@ -37,6 +39,7 @@
 	mux.Handle(tw.PathPrefix(), http.MaxBytesHandler(tw, maxBodyBytes))
 	return &Server{
 		cfg: cfg,
+		ln:  accept.New(cfg.Listener),
 		http: &http.Server{
 			Handler:           mux,
 			ReadHeaderTimeout: headerTimeout,
@@ -47,15 +50,18 @@
 
 // Serve serves until Shutdown or Close.
 func (sr *Server) Serve() error {
-	err := sr.http.Serve(sr.cfg.Listener)
+	err := sr.http.Serve(sr.ln)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return fault.Wrap(err, "peer.Serve")
 }
 
-// Shutdown stops taking requests and waits for those under way.
+// Shutdown stops taking requests and waits for those under way. Idle
+// connections are closed here: net/http waits 5 s for one that was opened and
+// has carried nothing yet, and its own client leaves such ones behind.
 func (sr *Server) Shutdown(ctx context.Context) error {
+	sr.ln.Drain()
 	return fault.Wrap(sr.http.Shutdown(ctx), "peer.Shutdown")
 }
 
