team: strict reading with the path of every fault

Cause: a field misspelt, a duration without its unit or two limits at odds were taken in silence, and the first fault hid the others.

--- a/core/team/document.go
+++ b/core/team/document.go
@@ -100,14 +100,14 @@
 }
 
 // SoftDeadline is SoftDeadlineMs as a duration; without one, the hard deadline.
-func (s Search) SoftDeadline() time.Duration {
-	if s.SoftDeadlineMs == 0 {
-		return s.HardDeadline()
+func (sch Search) SoftDeadline() time.Duration {
+	if sch.SoftDeadlineMs == 0 {
+		return sch.HardDeadline()
 	}
-	return time.Duration(s.SoftDeadlineMs) * time.Millisecond
+	return time.Duration(sch.SoftDeadlineMs) * time.Millisecond
 }
 
 // HardDeadline is HardDeadlineMs as a duration.
-func (s Search) HardDeadline() time.Duration {
-	return time.Duration(s.HardDeadlineMs) * time.Millisecond
+func (sch Search) HardDeadline() time.Duration {
+	return time.Duration(sch.HardDeadlineMs) * time.Millisecond
 }
--- a/core/team/error.go
+++ b/core/team/error.go
@@ -7,8 +7,17 @@
 
 // Kinds of errors.
 const (
-	KindSyntax  Kind = "syntax"
+	// KindSyntax is text that is not one JSON value.
+	KindSyntax Kind = "syntax"
+	// KindTooLarge is a document of more than MaxBytes.
+	KindTooLarge Kind = "tooLarge"
+	// KindUnknown is a field that this version of the format does not have.
 	KindUnknown Kind = "unknownField"
+	// KindMissing is a required field that is not there.
+	KindMissing Kind = "missingField"
+	// KindType is a value of the wrong JSON type.
+	KindType Kind = "wrongType"
+	// KindInvalid is a value out of its bounds, or at odds with another one.
 	KindInvalid Kind = "invalid"
 )
 
@@ -16,6 +25,9 @@
 type Error struct {
 	Op   string
 	Kind Kind
+	// Path leads to the field, as in searches.kiosk.softDeadlineMs or
+	// registers.members.services.desk.servers[2].addr. It is empty where the
+	// fault is in no one field.
 	Path string
 	Msg  string
 }
@@ -28,7 +40,7 @@
 	return fmt.Sprintf("%s: %s: %s: %s", e.Op, e.Kind, e.Path, e.Msg)
 }
 
-// Faults gives every *Error within err, in the order of the document.
+// Faults gives every *Error within err, in the order they were found.
 func Faults(err error) []*Error {
 	switch ev := err.(type) {
 	case nil:
