--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -178,7 +178,7 @@
 // unreadable is the error of a reply that makes no sense.
 func (cl call) unreadable(status int, err error) error {
 	kind := KindReply
-	if cl.effect && (status < 400 || status >= 500) {
+	if cl.inDoubt(status) {
 		kind = KindUnknown
 	}
 	return &Error{Op: cl.op, Kind: kind, Status: status, Msg: "the reply cannot be read", Err: err}
@@ -196,11 +196,17 @@
 	}
 }
 
-// plainRefusal is for replies that something between here and the VM wrote. A
-// status of 500 and above then proves nothing about the VM.
+// inDoubt tells whether a reply without a body from the VM leaves open what the
+// request did. Something between here and the VM may have written it, after
+// passing the request on; only a status of the 400s says that it was refused.
+func (cl call) inDoubt(status int) bool {
+	return cl.effect && (status < 400 || status >= 500)
+}
+
+// plainRefusal is the error of a reply without the VM's usual error body.
 func (cl call) plainRefusal(rep reply) error {
 	kind := kindOfStatus(rep.status)
-	if cl.effect && rep.status >= 500 {
+	if cl.inDoubt(rep.status) {
 		kind = KindUnknown
 	}
 	return &Error{Op: cl.op, Kind: kind, Status: rep.status, Msg: "a reply without the usual error body"}
--- a/io/client/doc.go
+++ b/io/client/doc.go
@@ -13,11 +13,12 @@
 // this process, KindUnknown that some may have and that no reply was
 // understood.
 //
-// Nothing is sent a second time. The package uses net/http rather than the
-// library of the servers, whose client resends a PUT when a pooled connection
-// turns out to be closed: a change that was taken the first time would then
-// come back as a conflict with itself. Redirects are not followed, so a token
-// goes to the configured host alone, and no proxy is read from the environment.
+// Searches and changes are never sent a second time. The package uses net/http
+// rather than the library of the servers, whose client resends a PUT when a
+// pooled connection turns out to be closed: a change that was taken the first
+// time would then come back as a conflict with itself. A read may be resent on
+// such a connection. Redirects are not followed, so a token goes to the
+// configured host alone, and no proxy is read from the environment.
 //
 // A deadline on the context and Config.Timeout both bound a call; the earlier
 // one wins.
