--- a/core/change/envelope.go
+++ b/core/change/envelope.go
@@ -1,20 +1,12 @@
-// Package change is the life of a team's configuration in the key-value
-// service: one key for each team, whose value holds the document in force, its
-// revision and the last changes.
-//
-// # Usage
-//
-//	en, err := change.Decode(pair.Value)
-//	next := en.WithChange(change.Entry{ID: id, Actor: actor, Document: raw})
-//	value, err := next.Encode()
-//
-// The last changes stand in the value itself, so that a compare-and-swap writes
-// a change and the proof of it in one step.
 package change
 
 import (
+	"bytes"
 	"encoding/json"
+	"strconv"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Prefix is the subtree of all teams.
@@ -37,46 +29,84 @@
 	return team, ok && team != "" && !strings.Contains(team, "/")
 }
 
-// historyLimit and historyBytes bound what the value keeps of the past.
+// Bounds of what the value keeps of the past. Ids outlive documents: they are
+// what settles a lost answer, and they are small.
 const (
-	historyLimit = 32
-	historyBytes = 512 << 10
+	documentLimit = 32
+	documentBytes = 512 << 10
+	idLimit       = 512
 )
 
+// MaxDocument is the largest document in bytes. With the bounds above a value
+// stays below the megabyte that the service takes.
+const MaxDocument = 768 << 10
+
 // Entry is one accepted change.
 type Entry struct {
-	ID       string          `json:"id"`
-	Revision uint64          `json:"revision"`
-	Actor    string          `json:"actor,omitempty"`
-	UnixMs   int64           `json:"unixMs"`
-	Document json.RawMessage `json:"document"`
+	ID       string `json:"id"`
+	Revision uint64 `json:"revision"`
+	Actor    string `json:"actor,omitempty"`
+	UnixMs   int64  `json:"unixMs"`
+	// Document is as the operator wrote it, but for white space; it is empty
+	// where the history keeps no more than the id.
+	Document json.RawMessage `json:"document,omitempty"`
+	// Sum is the hash of a document that is no longer kept.
+	Sum string `json:"sum,omitempty"`
+}
+
+// Same tells whether the entry's document is raw, white space aside.
+func (et Entry) Same(raw []byte) bool {
+	sum := et.Sum
+	if len(et.Document) > 0 {
+		sum = sumOf(et.Document)
+	}
+	return sum == sumOf(raw)
+}
+
+// withoutDocument keeps of the document only its hash.
+func (et Entry) withoutDocument() Entry {
+	if len(et.Document) > 0 {
+		et.Sum = sumOf(et.Document)
+		et.Document = nil
+	}
+	return et
+}
+
+func sumOf(raw []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(compact(raw)), 16)
+}
+
+// compact drops white space; what is no JSON stays as it is.
+func compact(raw []byte) []byte {
+	var bu bytes.Buffer
+	if err := json.Compact(&bu, raw); err != nil {
+		return raw
+	}
+	return bu.Bytes()
 }
 
 // Envelope is the value of a team's key: its changes, newest first.
 type Envelope struct {
 	Format  int     `json:"format"`
 	Changes []Entry `json:"changes"`
+	// Cut is the highest revision that the history no longer lists; 0 while
+	// it is whole.
+	Cut uint64 `json:"cut,omitempty"`
 }
 
 const format = 1
 
-// Decode reads a value.
-func Decode(value []byte) (Envelope, error) {
-	var en Envelope
-	if err := json.Unmarshal(value, &en); err != nil {
-		return Envelope{}, &Error{Op: "change.Decode", Kind: KindCorrupt, Err: err}
-	}
-	return en, nil
-}
-
 // Encode writes the value.
 func (en Envelope) Encode() ([]byte, error) {
 	en.Format = format
-	value, err := json.Marshal(en)
-	if err != nil {
+	var bu bytes.Buffer
+	ec := json.NewEncoder(&bu)
+	// Escaping would rewrite what the operator wrote.
+	ec.SetEscapeHTML(false)
+	if err := ec.Encode(en); err != nil {
 		return nil, &Error{Op: "change.Encode", Kind: KindCorrupt, Err: err}
 	}
-	return value, nil
+	return bytes.TrimRight(bu.Bytes(), "\n"), nil
 }
 
 // Current is the change in force; ok is false before the first.
@@ -103,19 +133,40 @@
 	return Entry{}, false
 }
 
+// WholeSince tells whether the history lists every change after a revision. If
+// it does, a change made from that revision that is not listed was never made.
+func (en Envelope) WholeSince(revision uint64) bool {
+	return en.Cut <= revision
+}
+
 // WithChange returns the envelope after one more change, whose revision is one
 // above both the last and floor. Floor is the highest revision known elsewhere:
 // a service that came back from a backup must not hand out a revision twice.
 func (en Envelope) WithChange(et Entry, floor uint64) Envelope {
 	et.Revision = max(en.Revision(), floor) + 1
-	changes := make([]Entry, 0, len(en.Changes)+1)
+	return en.with(et)
+}
+
+// WithRestored returns the envelope with a change that was accepted before and
+// that the service has lost since; it keeps its id and revision.
+func (en Envelope) WithRestored(et Entry) Envelope {
+	return en.with(et)
+}
+
+func (en Envelope) with(et Entry) Envelope {
+	changes := make([]Entry, 0, min(len(en.Changes)+1, idLimit))
 	changes = append(changes, et)
 	size := len(et.Document)
 	for _, old := range en.Changes {
-		size += len(old.Document)
-		if len(changes) >= historyLimit || size > historyBytes {
+		if len(changes) == idLimit {
+			// The list is newest first: this is the highest that is dropped.
+			en.Cut = max(en.Cut, old.Revision)
 			break
 		}
+		size += len(old.Document)
+		if len(changes) >= documentLimit || size > documentBytes {
+			old = old.withoutDocument()
+		}
 		changes = append(changes, old)
 	}
 	en.Changes = changes
--- a/core/change/error.go
+++ b/core/change/error.go
@@ -7,7 +7,12 @@
 
 // Kinds of errors.
 const (
+	// KindCorrupt is a value that cannot be read.
 	KindCorrupt Kind = "corrupt"
+	// KindNewer is a value that a newer build wrote.
+	KindNewer Kind = "newer"
+	// KindInvalid is a proposal that no call is made for.
+	KindInvalid Kind = "invalid"
 )
 
 // Error is a failure of this package.
