spread, rank: distribution of configuration as a machine of its own

Cause: every VM watched the service by itself, which at 4,300 VMs is over twice its reads, and a VM could boot from nothing else. Change: rank tells by rendezvous hashing who watches and how a change travels; spread watches on two VMs of a data centre, pushes down a tree drawn for each change, compares digests and pulls what was lost, boots from peers, notices a service that went back and restores it by CAS.

--- /dev/null
+++ b/core/spread/sim_test.go
@@ -0,0 +1,428 @@
+package spread
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"laburnumvane/core/rank"
+)
+
+// The tests step machines over a queue of messages with virtual time.
+
+type moment struct {
+	at  time.Duration
+	no  int
+	run func()
+}
+
+type moments []moment
+
+func (ms moments) Len() int { return len(ms) }
+func (ms moments) Less(i, j int) bool {
+	return ms[i].at < ms[j].at || ms[i].at == ms[j].at && ms[i].no < ms[j].no
+}
+func (ms moments) Swap(i, j int) { ms[i], ms[j] = ms[j], ms[i] }
+func (ms *moments) Push(x any)   { *ms = append(*ms, x.(moment)) }
+func (ms *moments) Pop() any {
+	old := *ms
+	last := old[len(old)-1]
+	*ms = old[:len(old)-1]
+	return last
+}
+
+// fleet is some VMs, the service and the network between them.
+type fleet struct {
+	now   time.Duration
+	queue moments
+	no    int
+	rnd   *rand.Rand
+	vms   []*vm
+	index map[string]*vm
+	sv    *fakeService
+	pace  Pace
+	// loss is the share of messages that never arrive, each way counted.
+	loss float64
+	// jitter is the largest delay of a message beyond the distance.
+	jitter time.Duration
+	cut    func(a, b string) bool
+	// baseline lets every VM watch by itself.
+	baseline bool
+	bytes    int
+	steps    int
+	busy     time.Duration
+	log      *strings.Builder
+}
+
+// vm is one VM and what is in force on it.
+type vm struct {
+	fl     *fleet
+	self   rank.VM
+	ma     *Machine
+	force  map[string]Revision
+	at     map[string]time.Duration
+	alarms map[AlarmKind]int
+	wake   time.Duration
+	paused bool
+	inbox  []Event
+	life   int
+	fell   string
+}
+
+const (
+	near     = time.Millisecond
+	far      = 1500 * time.Microsecond
+	overhead = 250 // bytes of a request or reply before its payload
+)
+
+func newFleet(seed uint64, centres, each int) *fleet {
+	fl := &fleet{index: map[string]*vm{}, rnd: rand.New(rand.NewPCG(seed, 7)), jitter: time.Millisecond, cut: func(a, b string) bool { return false }}
+	fl.sv = &fakeService{fl: fl, held: map[string]Update{}}
+	for c := range centres {
+		for i := range each {
+			self := rank.VM{Addr: fmt.Sprintf("10.%d.%d.%d:7703", c, i/250, i%250), DataCentre: fmt.Sprint("dc", c)}
+			v := &vm{fl: fl, self: self}
+			fl.vms = append(fl.vms, v)
+			fl.index[self.Addr] = v
+		}
+	}
+	return fl
+}
+
+func (fl *fleet) list() []rank.VM {
+	out := make([]rank.VM, len(fl.vms))
+	for i, v := range fl.vms {
+		out[i] = v.self
+	}
+	return out
+}
+
+func (fl *fleet) start() {
+	for _, v := range fl.vms {
+		v.boot()
+	}
+}
+
+func (fl *fleet) later(d time.Duration, run func()) {
+	fl.no++
+	heap.Push(&fl.queue, moment{at: fl.now + d, no: fl.no, run: run})
+}
+
+func (fl *fleet) run(d time.Duration) {
+	end := fl.now + d
+	for len(fl.queue) > 0 && fl.queue[0].at <= end {
+		mo := heap.Pop(&fl.queue).(moment)
+		fl.now = mo.at
+		mo.run()
+	}
+	fl.now = end
+}
+
+func (fl *fleet) find(addr string) *vm { return fl.index[addr] }
+
+func (fl *fleet) delay(d time.Duration) time.Duration {
+	return d + time.Duration(fl.rnd.Int64N(int64(fl.jitter)+1))
+}
+
+// send carries a message of so many bytes of payload.
+func (fl *fleet) send(from, to *vm, size int, run func()) {
+	fl.bytes += size + overhead
+	if fl.rnd.Float64() < fl.loss || fl.cut(from.self.DataCentre, to.self.DataCentre) {
+		return
+	}
+	dist := near
+	if from.self.DataCentre != to.self.DataCentre {
+		dist = far
+	}
+	life := to.life
+	fl.later(fl.delay(dist), func() {
+		if to.life == life {
+			run()
+		}
+	})
+}
+
+// boot begins a new process that holds nothing.
+func (v *vm) boot() {
+	v.life++
+	v.ma = New(Config{Self: v.self, Rand: rand.New(rand.NewPCG(v.fl.rnd.Uint64(), 1)), Readable: readable, Pace: v.fl.pace})
+	v.force, v.at, v.alarms = map[string]Revision{}, map[string]time.Duration{}, map[AlarmKind]int{}
+	v.inbox, v.paused = nil, false
+	if v.fl.baseline {
+		v.step(Members{})
+		return
+	}
+	v.step(Members{VMs: v.fl.list()})
+}
+
+func readable(up Update) error {
+	if strings.HasPrefix(string(up.Document), "newer") {
+		return errors.New("unknown field")
+	}
+	return nil
+}
+
+func (v *vm) step(ev Event) {
+	if v.paused {
+		v.inbox = append(v.inbox, ev)
+		return
+	}
+	begun := time.Now()
+	acts := v.ma.Step(v.fl.now, ev)
+	v.fl.busy += time.Since(begun)
+	v.fl.steps++
+	for _, ac := range acts {
+		v.do(ac)
+	}
+	v.schedule()
+}
+
+func (v *vm) schedule() {
+	next := v.ma.Next()
+	if next == never || v.wake > v.fl.now && v.wake <= next {
+		return
+	}
+	v.wake = next
+	life := v.life
+	v.fl.later(max(0, next-v.fl.now), func() {
+		if v.life == life && v.wake == next {
+			v.wake = 0
+			v.step(Tick{})
+		}
+	})
+}
+
+func (v *vm) resume() {
+	v.paused = false
+	inbox := v.inbox
+	v.inbox = nil
+	for _, ev := range inbox {
+		v.step(ev)
+	}
+	v.step(Tick{})
+}
+
+func (v *vm) do(ac Action) {
+	switch ac := ac.(type) {
+	case Range:
+		v.fl.sv.call(v, func() { v.fl.sv.ranged(v, ac) })
+	case Watch:
+		v.fl.sv.call(v, func() { v.fl.sv.watch(v, ac) })
+	case Push:
+		v.push(ac)
+	case Compare:
+		v.compare(ac)
+	case Pull:
+		v.pull(ac)
+	case Apply:
+		v.apply(ac.Update)
+	case Restore:
+		v.fl.sv.call(v, func() { v.fl.sv.restore(ac.Update) })
+	case Alarm:
+		if ac.Raised {
+			v.alarms[ac.Kind]++
+		}
+		if v.fl.log != nil {
+			fmt.Fprintf(v.fl.log, "%10s %s alarm %s team=%s raised=%t %s\n", v.fl.now.Round(time.Millisecond), v.self.Addr, ac.Kind, ac.Team, ac.Raised, ac.Text)
+		}
+	}
+}
+
+func (v *vm) apply(up Update) {
+	if old := v.force[up.Team]; up.Revision <= old.Revision && !up.Name().newer(old) {
+		v.fell = fmt.Sprintf("%s: team %s went from %d to %d", v.self.Addr, up.Team, old.Revision, up.Revision)
+	}
+	v.force[up.Team] = up.Name()
+	v.at[up.ChangeID] = v.fl.now
+	if v.fl.log != nil {
+		fmt.Fprintf(v.fl.log, "%10s %s in force %s/%d\n", v.fl.now.Round(time.Millisecond), v.self.Addr, up.Team, up.Revision)
+	}
+}
+
+func (v *vm) push(ac Push) {
+	to := v.fl.find(ac.To.Addr)
+	v.fl.send(v, to, len(ac.Update.Document)+40, func() {
+		to.step(Pushed{From: v.self, Updates: []Update{ac.Update}})
+		if !to.paused {
+			v.fl.send(to, v, 4, func() { v.step(Acked{Call: ac.Call}) })
+		}
+	})
+}
+
+func (v *vm) compare(ac Compare) {
+	to := v.fl.find(ac.To.Addr)
+	v.fl.send(v, to, 60, func() {
+		if to.paused {
+			return
+		}
+		dg := to.ma.Digest()
+		to.step(Beat{From: v.self, Digest: ac.Digest})
+		v.fl.send(to, v, 24, func() { v.step(Compared{Call: ac.Call, Digest: dg}) })
+	})
+}
+
+func (v *vm) pull(ac Pull) {
+	to := v.fl.find(ac.To.Addr)
+	v.fl.send(v, to, 30*len(ac.Held), func() {
+		if to.paused {
+			return
+		}
+		ups, more := to.ma.Answer(ac.Held)
+		size := 0
+		for _, up := range ups {
+			size += len(up.Document) + 40
+		}
+		v.fl.send(to, v, size, func() { v.step(Pulled{Call: ac.Call, Updates: ups, More: more}) })
+	})
+}
+
+// fakeService is the key-value service as the machines see it.
+type fakeService struct {
+	fl       *fleet
+	revision uint64
+	floor    uint64 // events up to it are compacted
+	held     map[string]Update
+	log      []Update
+	logAt    []uint64
+	waiters  []waiter
+	past     *fakeService // reads come from here
+	down     bool
+	silent   bool
+	slow     time.Duration
+	calls    int
+	writes   int
+	perSec   map[int]int
+}
+
+type waiter struct {
+	v    *vm
+	ac   Watch
+	life int
+}
+
+func (sv *fakeService) call(v *vm, run func()) {
+	sv.calls++
+	if sv.perSec == nil {
+		sv.perSec = map[int]int{}
+	}
+	sv.perSec[int(sv.fl.now/time.Second)]++
+	life := v.life
+	sv.fl.later(sv.fl.delay(near)+sv.slow, func() {
+		if v.life == life && !sv.down && !sv.fl.cut(v.self.DataCentre, "service") {
+			run()
+		}
+	})
+}
+
+// answer carries an answer, unless the connection is gone.
+func (sv *fakeService) answer(v *vm, life int, size int, ev Event) {
+	if sv.down || sv.fl.cut(v.self.DataCentre, "service") {
+		return
+	}
+	sv.fl.bytes += size + overhead
+	sv.fl.later(sv.fl.delay(near), func() {
+		if v.life == life {
+			v.step(ev)
+		}
+	})
+}
+
+func (sv *fakeService) readable() *fakeService {
+	if sv.past != nil {
+		return sv.past
+	}
+	return sv
+}
+
+func (sv *fakeService) ranged(v *vm, ac Range) {
+	rd := sv.readable()
+	ups := make([]Update, 0, len(rd.held))
+	for _, team := range slices.Sorted(maps.Keys(rd.held)) {
+		ups = append(ups, rd.held[team])
+	}
+	sv.answer(v, v.life, 100*len(ups), Ranged{Call: ac.Call, Revision: rd.revision, Updates: ups})
+}
+
+func (sv *fakeService) watch(v *vm, ac Watch) {
+	wt := waiter{v: v, ac: ac, life: v.life}
+	if sv.look(wt, false) {
+		return
+	}
+	sv.waiters = append(sv.waiters, wt)
+	sv.fl.later(ac.Wait, func() {
+		sv.waiters = slices.DeleteFunc(sv.waiters, func(other waiter) bool {
+			if other != wt {
+				return false
+			}
+			sv.look(wt, true)
+			return true
+		})
+	})
+}
+
+// look answers a watch if there is something to say, or if its wait is over.
+func (sv *fakeService) look(wt waiter, over bool) bool {
+	if sv.silent {
+		return false
+	}
+	rd := sv.readable()
+	if wt.ac.From < rd.floor {
+		sv.answer(wt.v, wt.life, 0, Watched{Call: wt.ac.Call, Revision: rd.revision, Compacted: true})
+		return true
+	}
+	var ups []Update
+	for i, up := range rd.log {
+		if rd.logAt[i] > wt.ac.From {
+			ups = append(ups, up)
+		}
+	}
+	if len(ups) == 0 && !over {
+		return false
+	}
+	sv.answer(wt.v, wt.life, 100*len(ups), Watched{Call: wt.ac.Call, Revision: rd.revision, Updates: ups})
+	return true
+}
+
+func (sv *fakeService) put(up Update) {
+	sv.revision++
+	sv.writes++
+	sv.held[up.Team] = up
+	sv.log = append(sv.log, up)
+	sv.logAt = append(sv.logAt, sv.revision)
+	sv.waiters = slices.DeleteFunc(sv.waiters, func(wt waiter) bool { return sv.look(wt, false) })
+}
+
+func (sv *fakeService) restore(up Update) {
+	if sv.held[up.Team].Revision < up.Revision {
+		sv.put(up)
+	}
+}
+
+// copy is the service's state as a backup has it.
+func (sv *fakeService) copy() *fakeService {
+	return &fakeService{fl: sv.fl, revision: sv.revision, floor: sv.floor, held: maps.Clone(sv.held), log: slices.Clone(sv.log), logAt: slices.Clone(sv.logAt)}
+}
+
+// back puts the service back to a backup.
+func (sv *fakeService) back(bk *fakeService) {
+	sv.revision, sv.floor, sv.held, sv.log, sv.logAt = bk.revision, bk.floor, maps.Clone(bk.held), slices.Clone(bk.log), slices.Clone(bk.logAt)
+}
+
+func (sv *fakeService) compact() {
+	sv.floor, sv.log, sv.logAt = sv.revision, nil, nil
+}
+
+// change accepts a change through a VM, as the proposer there would.
+func (fl *fleet) change(v *vm, team, id string, size int) Update {
+	revision := max(fl.sv.held[team].Revision, v.force[team].Revision) + 1
+	up := Update{Team: team, Revision: revision, ChangeID: id, Document: []byte(strings.Repeat("x", size))}
+	fl.sv.put(up)
+	v.step(Accepted{Update: up})
+	return up
+}
