node: configuration by the spread and change machines

Cause: every VM watched the service, a lost swap answer ended as unknown, a VM could not boot without the service, the view kept only the parsed document, and the status of a change asked every VM of the fleet from one. Change: the control goroutine steps spread.Machine; its calls come back as events. Pull compares digests, names changes and surveys a data centre, so that a status asks one VM of each. The view keeps the raw document. What is proven not written is refused, not conflict.

--- a/core/view/view.go
+++ b/core/view/view.go
@@ -70,6 +70,8 @@
 	Revision uint64
 	ChangeID string
 	Document team.Document
+	// Raw is the document as its operator wrote it, but for white space.
+	Raw []byte
 }
 
 // RegisterKey names a register within a team.
--- a/io/client/operator.go
+++ b/io/client/operator.go
@@ -36,6 +36,9 @@
 	IfRevision uint64
 	// DryRun checks everything and changes nothing.
 	DryRun bool
+	// ID names the change; empty lets the VM choose. With an id of its own the
+	// caller can ask about a change whose reply was lost, and repeat it.
+	ID string
 	// RequestID is the caller's own id for the request, for the VM's log.
 	RequestID string
 }
@@ -66,6 +69,9 @@
 	if chg.DryRun {
 		cl.query.Set("dryRun", "true")
 	}
+	if chg.ID != "" {
+		cl.query.Set("id", chg.ID)
+	}
 	rep, err := opr.cn.do(ctx, cl)
 	if err != nil {
 		return wire.ChangeReply{}, err
@@ -127,7 +133,7 @@
 
 func isResult(res wire.ChangeResult) bool {
 	switch res {
-	case wire.ChangeAccepted, wire.ChangeConflict, wire.ChangeUnknown, wire.ChangeDryRun:
+	case wire.ChangeAccepted, wire.ChangeConflict, wire.ChangeUnknown, wire.ChangeDryRun, wire.ChangeRefused:
 		return true
 	}
 	return false
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -3,70 +3,207 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
-	"laburnumvane/core/change"
+	"laburnumvane/core/rank"
+	"laburnumvane/core/spread"
+	"laburnumvane/core/team"
+	"laburnumvane/core/view"
+	"laburnumvane/io/meter"
 	"laburnumvane/io/wire"
 )
 
 const (
-	watchWait  = 20 * time.Second
-	watchPause = time.Second
-	vmsEvery   = 2 * time.Second
+	// configPatience bounds a call to the key-value service: one that is slow
+	// by 10 s still counts as up.
+	configPatience = 12 * time.Second
+	vmsEvery       = 2 * time.Second
+	vmsPause       = time.Second
 )
 
-// watchConfig follows the teams' subtree in the key-value service.
-func (nd *Node) watchConfig(ctx context.Context) {
-	from := uint64(0)
-	known := false
-	for ctx.Err() == nil {
-		if !known {
-			rp, err := nd.kv.Range(ctx, change.Prefix)
-			if err != nil {
-				nd.platformFailed(ctx, "range", err)
-				continue
-			}
-			nd.takePairs(rp.Pairs)
-			from, known = rp.Revision, true
-		}
-		rp, err := nd.kv.Watch(ctx, change.Prefix, from, watchWait)
-		switch {
-		case err != nil:
-			nd.platformFailed(ctx, "watch", err)
-		case rp.Compacted:
-			known = false
-		default:
-			nd.takePairs(rp.Events)
-			from = rp.Revision
-		}
+// meterConfig counts what the distribution of configuration does.
+const meterConfig = "config"
+
+// configs runs the distribution of configuration on the control goroutine; its
+// calls run on goroutines of their own and come back as events.
+type configs struct {
+	ct      *control
+	ma      *spread.Machine
+	timer   *time.Timer
+	cancels map[spread.Call]context.CancelFunc
+	alarms  map[spread.AlarmKind]map[string]string
+	peers   []rank.VM
+}
+
+// peerLister tells the VMs that may be asked and relied on.
+type peerLister interface {
+	Peers() []rank.VM
+}
+
+func newConfigs(ct *control) *configs {
+	set := ct.nd.set
+	return &configs{
+		ct: ct,
+		ma: spread.New(spread.Config{
+			Self:     rank.VM{Addr: ct.nd.addr, DataCentre: set.DataCentre},
+			Rand:     rand.New(rand.NewPCG(set.Incarnation, seedOf(ct.nd.addr))),
+			Readable: readable,
+		}),
+		timer:   time.NewTimer(0),
+		cancels: make(map[spread.Call]context.CancelFunc),
+		alarms:  make(map[spread.AlarmKind]map[string]string),
 	}
 }
 
-func (nd *Node) platformFailed(ctx context.Context, op string, err error) {
-	if ctx.Err() != nil {
+// readable tells whether this build can work by a document.
+func readable(up spread.Update) error {
+	_, err := team.Parse(up.Team, up.Document)
+	return err
+}
+
+// configEvent hands an event to the distribution.
+type configEvent struct {
+	ev spread.Event
+}
+
+func (ce configEvent) apply(ct *control) {
+	ct.conf.step(ce.ev)
+}
+
+func (cs *configs) step(ev spread.Event) {
+	cs.settle(ev)
+	for _, ac := range cs.ma.Step(time.Since(cs.ct.nd.started), ev) {
+		cs.do(ac)
+	}
+	cs.ct.nd.publishDigest(cs.ma.Digest())
+	cs.timer.Reset(max(0, cs.ma.Next()-time.Since(cs.ct.nd.started)))
+}
+
+// settle frees what belongs to a call that is over.
+func (cs *configs) settle(ev spread.Event) {
+	switch ev := ev.(type) {
+	case spread.Ranged:
+		cs.release(ev.Call)
+	case spread.Watched:
+		cs.release(ev.Call)
+	case spread.Failed:
+		cs.release(ev.Call)
+	case spread.Acked:
+		cs.release(ev.Call)
+	case spread.Compared:
+		cs.release(ev.Call)
+	case spread.Pulled:
+		cs.release(ev.Call)
+	}
+}
+
+func (cs *configs) release(id spread.Call) {
+	if cancel, ok := cs.cancels[id]; ok {
+		cancel()
+		delete(cs.cancels, id)
+	}
+}
+
+func (cs *configs) do(ac spread.Action) {
+	nd := cs.ct.nd
+	switch ac := ac.(type) {
+	case spread.Range:
+		cs.call(ac.Call, func(ctx context.Context) spread.Event { return nd.rangeConfig(ctx, ac) })
+	case spread.Watch:
+		cs.call(ac.Call, func(ctx context.Context) spread.Event { return nd.watchConfig(ctx, ac) })
+	case spread.Push:
+		cs.call(ac.Call, func(ctx context.Context) spread.Event { return nd.pushConfig(ctx, ac) })
+	case spread.Compare:
+		cs.call(ac.Call, func(ctx context.Context) spread.Event { return nd.compareConfig(ctx, ac) })
+	case spread.Pull:
+		cs.call(ac.Call, func(ctx context.Context) spread.Event { return nd.pullConfig(ctx, ac) })
+	case spread.Abandon:
+		nd.meter.Count(meterConfig, "abandoned")
+		cs.release(ac.Call)
+	case spread.Apply:
+		cs.apply(ac.Update)
+	case spread.Restore:
+		nd.run("restore", func() error { nd.restoreConfig(nd.stopping, ac.Update); return nil })
+	case spread.Alarm:
+		cs.alarm(ac)
+	}
+}
+
+// call runs f until it answers or is abandoned.
+func (cs *configs) call(id spread.Call, f func(ctx context.Context) spread.Event) {
+	nd := cs.ct.nd
+	ctx, cancel := context.WithCancel(nd.stopping)
+	cs.cancels[id] = cancel
+	nd.run("configCall", func() error {
+		nd.post(configEvent{ev: f(ctx)})
+		return nil
+	})
+}
+
+// apply puts an update in force; the machine has made sure that it can be read
+// and that the team's revision rises.
+func (cs *configs) apply(up spread.Update) {
+	ct := cs.ct
+	doc, err := team.Parse(up.Team, up.Document)
+	if err != nil {
+		ct.alarm("configuration of team " + up.Team + " cannot be read: " + err.Error())
 		return
 	}
-	nd.meter.Count("platform", op+"Failed")
-	nd.log.Warn().Str("op", op).Err(err).Msg("platform call failed")
-	// Jitter keeps the VMs from asking all at once when the service is back.
-	pause(ctx, watchPause+rand.N(watchPause))
+	ct.view = ct.view.WithTeam(view.Team{Revision: up.Revision, ChangeID: up.ChangeID, Document: doc, Raw: up.Document})
+	ct.placeServers(doc)
+	ct.mapRegisters()
+	ct.publish()
+	ct.nd.meter.Count(meterConfig, "applied")
+	ct.nd.log.Info().Str("team", up.Team).Uint64("revision", up.Revision).Str("change", up.ChangeID).Msg("configuration in force")
 }
 
-func (nd *Node) takePairs(pairs []wire.KVPair) {
-	for _, pair := range pairs {
-		name, ok := change.TeamOf(pair.Key)
-		if !ok || pair.Deleted {
-			continue
-		}
-		en, err := change.Decode(pair.Value)
-		if err != nil {
-			nd.log.Error().Str("key", pair.Key).Err(err).Msg("value cannot be read")
-			continue
+func (cs *configs) alarm(al spread.Alarm) {
+	nd := cs.ct.nd
+	if !al.Raised {
+		delete(cs.alarms[al.Kind], al.Team)
+		nd.log.Info().Str("kind", string(al.Kind)).Str("team", al.Team).Msg("alarm over")
+		return
+	}
+	if cs.alarms[al.Kind] == nil {
+		cs.alarms[al.Kind] = make(map[string]string)
+	}
+	cs.alarms[al.Kind][al.Team] = al.Text
+	nd.meter.Count(meterConfig, "alarm."+string(al.Kind))
+	nd.log.Error().Str("kind", string(al.Kind)).Str("team", al.Team).Str("alarm", al.Text).Msg("alarm")
+}
+
+// alarmTexts lists the alarms that stand, sorted.
+func (cs *configs) alarmTexts() []string {
+	var out []string
+	for kind, teams := range cs.alarms {
+		for name, text := range teams {
+			out = append(out, "configuration: "+string(kind)+" "+name+": "+text)
 		}
-		if cur, ok := en.Current(); ok {
-			nd.post(configSeen{team: name, entry: cur})
+	}
+	slices.Sort(out)
+	return out
+}
+
+// peersChanged hands on the list of VMs if it is another one.
+func (cs *configs) peersChanged(pl peerLister) {
+	peers := pl.Peers()
+	if cs.peers != nil && slices.Equal(peers, cs.peers) {
+		return
+	}
+	cs.peers = peers
+	cs.step(spread.Members{VMs: peers})
+}
+
+// Peers lists the VMs that are not leaving, as the VM list has them.
+func (ct *control) Peers() []rank.VM {
+	out := make([]rank.VM, 0, len(ct.vms))
+	for _, vm := range ct.vms {
+		if vm.State != wire.VMLeaving {
+			out = append(out, rank.VM{Addr: vm.Addr, DataCentre: vm.DataCentre})
 		}
 	}
+	return out
 }
 
 // pollVMs follows the platform's VM list.
@@ -75,9 +212,18 @@
 		list, err := nd.vms.VMs(ctx)
 		if err != nil {
 			nd.platformFailed(ctx, "vms", err)
+			pause(ctx, vmsPause+rand.N(vmsPause))
 			continue
 		}
 		nd.post(vmsSeen{vms: list.VMs})
 		pause(ctx, vmsEvery)
 	}
 }
+
+func (nd *Node) platformFailed(ctx context.Context, op string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	nd.meter.Count(meter.Platform, op+"Failed")
+	nd.log.Warn().Str("op", op).Err(err).Msg("platform call failed")
+}
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"laburnumvane/core/change"
+	"laburnumvane/core/spread"
 	"laburnumvane/core/team"
 	"laburnumvane/core/view"
 	"laburnumvane/io/upst"
@@ -24,14 +24,17 @@
 	holdings map[view.ServerID][]wire.ShardHolding
 	vms      []wire.VM
 	alarms   []string
+	conf     *configs
 }
 
 func newControl(nd *Node) *control {
-	return &control{
+	ct := &control{
 		nd:       nd,
 		ids:      make(map[string]view.ServerID),
 		holdings: make(map[view.ServerID][]wire.ShardHolding),
 	}
+	ct.conf = newConfigs(ct)
+	return ct
 }
 
 func (ct *control) loop(ctx context.Context) {
@@ -39,6 +42,8 @@
 		select {
 		case ev := <-ct.nd.events:
 			ev.apply(ct)
+		case <-ct.conf.timer.C:
+			ct.conf.step(spread.Tick{})
 		case <-ctx.Done():
 			return
 		}
@@ -79,31 +84,6 @@
 	close(ev.done)
 }
 
-// configSeen brings a team's accepted configuration, from wherever.
-type configSeen struct {
-	team  string
-	entry change.Entry
-}
-
-func (ev configSeen) apply(ct *control) {
-	held, ok := ct.view.Team(ev.team)
-	if ok && ev.entry.Revision <= held.Revision {
-		// Older news, as from a service that answers from the past, must
-		// never put an accepted configuration back.
-		return
-	}
-	doc, err := team.Parse(ev.team, ev.entry.Document)
-	if err != nil {
-		ct.alarm("configuration of team " + ev.team + " cannot be read: " + err.Error())
-		return
-	}
-	ct.view = ct.view.WithTeam(view.Team{Revision: ev.entry.Revision, ChangeID: ev.entry.ID, Document: doc})
-	ct.placeServers(doc)
-	ct.mapRegisters()
-	ct.publish()
-	ct.nd.log.Info().Str("team", ev.team).Uint64("revision", ev.entry.Revision).Str("change", ev.entry.ID).Msg("configuration in force")
-}
-
 func (ct *control) alarm(text string) {
 	ct.alarms = append(ct.alarms, text)
 	ct.nd.log.Error().Str("alarm", text).Msg("alarm")
@@ -116,6 +96,7 @@
 
 func (ev vmsSeen) apply(ct *control) {
 	ct.vms = ev.vms
+	ct.conf.peersChanged(ct)
 }
 
 const dialTimeout = 2 * time.Second
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"laburnumvane/core/pick"
+	"laburnumvane/core/spread"
 	"laburnumvane/core/ticket"
 	"laburnumvane/core/view"
 	"laburnumvane/io/drive"
@@ -69,6 +70,7 @@
 	lns      listeners
 	started  time.Time
 	requests atomic.Uint64
+	digest   atomic.Pointer[spread.Digest]
 }
 
 type listeners struct {
@@ -150,7 +152,7 @@
 		return errors.Wrap(err, "node.Start")
 	}
 	nd.workers = workers
-	nd.kv = plat.New(plat.Config{Addrs: nd.set.KV, Timeout: platformTimeout})
+	nd.kv = plat.New(plat.Config{Addrs: nd.set.KV, Timeout: configPatience})
 	nd.vms = plat.New(plat.Config{Addrs: []string{nd.set.VMList}, Timeout: platformTimeout})
 	nd.peers = peer.NewClient(peer.ClientConfig{Self: nd.self(), Timeout: peerTimeout})
 	nd.driver = drive.New(drive.Config{
@@ -201,7 +203,6 @@
 	nd.run("inner", nd.inner.Serve)
 	nd.run("front", nd.front.Serve)
 	nd.run("oper", nd.oper.Serve)
-	nd.run("config", func() error { nd.watchConfig(nd.stopping); return nil })
 	nd.run("vms", func() error { nd.pollVMs(nd.stopping); return nil })
 	nd.run("loads", func() error { nd.pollLoads(nd.stopping); return nil })
 }
--- a/io/node/service.go
+++ b/io/node/service.go
@@ -6,8 +6,6 @@
 
 	"github.com/twitchtv/twirp"
 
-	"laburnumvane/core/change"
-	"laburnumvane/core/view"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/wire"
 )
@@ -45,47 +43,6 @@
 	return &inner.ProbeReply{Version: inner.Version, Reached: true, Incarnation: rp.GetFrom().GetIncarnation()}, nil
 }
 
-// Push takes configuration from another VM.
-func (se *service) Push(_ context.Context, rq *inner.PushRequest) (*inner.PushReply, error) {
-	if err := se.checkVersion(rq.GetVersion()); err != nil {
-		return nil, err
-	}
-	for _, tc := range rq.GetTeams() {
-		se.nd.post(configSeen{team: tc.GetTeam(), entry: change.Entry{ID: tc.GetChangeId(), Revision: tc.GetRevision(), Document: tc.GetDocument()}})
-	}
-	return &inner.PushReply{Version: inner.Version, Held: heldBy(se.nd.view.Load())}, nil
-}
-
-// Pull tells what this VM holds.
-func (se *service) Pull(_ context.Context, rq *inner.PullRequest) (*inner.PullReply, error) {
-	if err := se.checkVersion(rq.GetVersion()); err != nil {
-		return nil, err
-	}
-	vw := se.nd.view.Load()
-	rp := &inner.PullReply{Version: inner.Version, From: se.nd.self(), Held: heldBy(vw)}
-	if rq.GetBrief() {
-		return rp, nil
-	}
-	has := make(map[string]uint64)
-	for _, tr := range rq.GetHeld() {
-		has[tr.GetTeam()] = tr.GetRevision()
-	}
-	for name, tm := range vw.Teams {
-		if tm.Revision > has[name] {
-			rp.Teams = append(rp.Teams, &inner.TeamConfig{Team: name, Revision: tm.Revision, ChangeId: tm.ChangeID, Document: encodeDocument(tm.Document)})
-		}
-	}
-	return rp, nil
-}
-
-func heldBy(vw *view.View) []*inner.TeamRevision {
-	var out []*inner.TeamRevision
-	for name, tm := range vw.Teams {
-		out = append(out, &inner.TeamRevision{Team: name, Revision: tm.Revision, ChangeId: tm.ChangeID})
-	}
-	return out
-}
-
 // Run executes a search whose ticket this VM issued.
 func (se *service) Run(ctx context.Context, rq *inner.RunRequest) (*inner.RunReply, error) {
 	if err := se.checkVersion(rq.GetVersion()); err != nil {
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -1,31 +1,17 @@
 package node
 
 import (
-	"context"
-	"encoding/json"
 	"slices"
 	"strings"
-	"sync"
 
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 
-	"laburnumvane/core/team"
 	"laburnumvane/core/view"
-	"laburnumvane/io/inner"
 	"laburnumvane/io/meter"
 	"laburnumvane/io/wire"
 )
 
-func encodeDocument(doc team.Document) json.RawMessage {
-	raw, err := json.Marshal(doc)
-	if err != nil {
-		// A document that was parsed always encodes.
-		panic(err)
-	}
-	return raw
-}
-
 // Status is this VM's view of itself, its peers and its upstreams.
 func (nd *Node) Status() wire.Status {
 	vw := nd.view.Load()
@@ -43,6 +29,7 @@
 	}
 	nd.ask(func(ct *control) {
 		st.Alarms = append(st.Alarms, ct.alarms...)
+		st.Alarms = append(st.Alarms, ct.conf.alarmTexts()...)
 		for _, vm := range ct.vms {
 			st.VMs = append(st.VMs, wire.VMStatus{Addr: vm.Addr, DataCentre: vm.DataCentre, State: string(vm.State)})
 		}
@@ -127,61 +114,6 @@
 	return nil
 }
 
-// ChangeStatus asks every VM for its revisions, to tell where a change is in
-// force.
-func (nd *Node) ChangeStatus(ctx context.Context, id string) wire.ChangeStatus {
-	var vms []wire.VM
-	nd.ask(func(ct *control) { vms = slices.Clone(ct.vms) })
-	out := wire.ChangeStatus{ChangeID: id, VMs: make([]wire.ChangeStatusOfVM, len(vms))}
-	held := make([][]*inner.TeamRevision, len(vms))
-	var wg sync.WaitGroup
-	for i, vm := range vms {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			held[i], out.VMs[i] = nd.revisionsOf(ctx, vm)
-		}()
-	}
-	wg.Wait()
-	nd.judge(&out, held)
-	return out
-}
-
-func (nd *Node) revisionsOf(ctx context.Context, vm wire.VM) ([]*inner.TeamRevision, wire.ChangeStatusOfVM) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	st := wire.ChangeStatusOfVM{Addr: vm.Addr, DataCentre: vm.DataCentre}
-	rp, err := nd.peers.To(vm.Addr).Pull(ctx, &inner.PullRequest{Version: inner.Version, From: nd.self(), Brief: true})
-	if err != nil {
-		return nil, st
-	}
-	st.Reachable = true
-	return rp.GetHeld(), st
-}
-
-// judge finds the change's team and revision among the VMs and marks where it,
-// or a later change, is in force.
-func (nd *Node) judge(out *wire.ChangeStatus, held [][]*inner.TeamRevision) {
-	for _, revisions := range held {
-		for _, tr := range revisions {
-			if tr.GetChangeId() == out.ChangeID {
-				out.Known, out.Team, out.Revision = true, tr.GetTeam(), tr.GetRevision()
-			}
-		}
-	}
-	if !out.Known {
-		return
-	}
-	for i, revisions := range held {
-		for _, tr := range revisions {
-			if tr.GetTeam() == out.Team {
-				out.VMs[i].Revision = tr.GetRevision()
-				out.VMs[i].InForce = tr.GetRevision() >= out.Revision
-			}
-		}
-	}
-}
-
 // logSearch writes each search that was not plainly complete, and a sample of
 // the rest.
 func (nd *Node) logSearch(rq wire.SearchRequest, an wire.SearchAnswer) {
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -143,6 +143,8 @@
 		return consts.StatusOK
 	case wire.ChangeConflict:
 		return consts.StatusPreconditionFailed
+	case wire.ChangeRefused:
+		return consts.StatusServiceUnavailable
 	default:
 		return consts.StatusGatewayTimeout
 	}
--- a/io/wire/operator.go
+++ b/io/wire/operator.go
@@ -21,6 +21,8 @@
 	ChangeConflict ChangeResult = "conflict"
 	ChangeUnknown  ChangeResult = "unknown"
 	ChangeDryRun   ChangeResult = "dryRun"
+	// ChangeRefused: nothing was written, and nothing will be.
+	ChangeRefused ChangeResult = "refused"
 )
 
 // ConfigReply is the reply of GET on a team's configuration. The ETag header
@@ -59,11 +61,22 @@
 
 // ChangeStatus tells where a change is in force.
 type ChangeStatus struct {
-	ChangeID string             `json:"changeId"`
-	Team     string             `json:"team,omitempty"`
-	Revision uint64             `json:"revision,omitempty"`
-	Known    bool               `json:"known"`
-	VMs      []ChangeStatusOfVM `json:"vms"`
+	ChangeID string `json:"changeId"`
+	Team     string `json:"team,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+	Known    bool   `json:"known"`
+	// DataCentres sums up VMs.
+	DataCentres []ChangeStatusOfDataCentre `json:"dataCentres"`
+	VMs         []ChangeStatusOfVM         `json:"vms"`
+}
+
+// ChangeStatusOfDataCentre sums up a data centre. Reachable is false where no VM
+// of it answered.
+type ChangeStatusOfDataCentre struct {
+	DataCentre string `json:"dataCentre"`
+	Reachable  bool   `json:"reachable"`
+	VMs        int    `json:"vms"`
+	InForce    int    `json:"inForce"`
 }
 
 // ChangeStatusOfVM tells the team's revision on one VM.
