--- /dev/null
+++ b/core/member/measure_test.go
@@ -0,0 +1,222 @@
+package member_test
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"laburnumvane/core/member"
+)
+
+var measure = flag.Bool("measure", false, "print the figures of docs/measures/fleet.md; takes minutes")
+
+// needMeasure leaves the measurements to those who ask for them: they print
+// figures and decide nothing.
+func needMeasure(t *testing.T) {
+	t.Helper()
+	if !*measure {
+		t.Skip("a measurement, run with -measure")
+	}
+}
+
+// settled is a fleet in which all know all.
+func settled(t *testing.T, seed uint64, n, dataCentres int, loss float64) (*world, []*proc) {
+	wo := newWorld(seed, loss)
+	prs := wo.fleet(t, n, dataCentres)
+	wo.settle()
+	wo.run(15*time.Second, nil)
+	return wo, prs
+}
+
+func quantiles(ds []time.Duration) string {
+	slices.Sort(ds)
+	at := func(q float64) time.Duration {
+		return ds[min(len(ds)-1, int(q*float64(len(ds))))].Round(10 * time.Millisecond)
+	}
+	return fmt.Sprintf("%v | %v | %v", at(0.5), at(0.99), ds[len(ds)-1].Round(10*time.Millisecond))
+}
+
+// TestMeasureDetection kills one VM silently and measures until the last living
+// VM of its data centre holds it for gone.
+func TestMeasureDetection(t *testing.T) {
+	needMeasure(t)
+	fmt.Println("| VMs of the data centre | loss | deaths | p50 | p99 | max |\n| --- | --- | --- | --- | --- | --- |")
+	for _, n := range []int{2, 3, 10, 50, 330} {
+		for _, loss := range []float64{0, 0.01, 0.05, 0.1} {
+			seeds := 200
+			if n >= 50 {
+				seeds = 40
+			}
+			if n >= 300 {
+				seeds = 4
+			}
+			var took []time.Duration
+			for seed := range seeds {
+				took = append(took, detect(t, uint64(seed), n, loss))
+			}
+			fmt.Printf("| %d | %v%% | %d | %s |\n", n, loss*100, seeds, quantiles(took))
+		}
+	}
+}
+
+func detect(t *testing.T, seed uint64, n int, loss float64) time.Duration {
+	// One more data centre, so that a VM left alone still hears someone.
+	wo := newWorld(seed, loss)
+	var prs []*proc
+	for i := range n {
+		prs = append(prs, wo.boot(t, addrOf(i), "dc00", 1000))
+	}
+	wo.boot(t, addrOf(n), "dc01", 1000)
+	wo.list(wo.vms()...)
+	wo.settle()
+	wo.run(5*time.Second+time.Duration(wo.rnd.Int64N(int64(time.Second))), nil)
+	victim := prs[wo.rnd.IntN(n)]
+	victim.dead = true
+	at := wo.now
+	left := map[*proc]bool{}
+	for _, pr := range prs {
+		if pr != victim {
+			left[pr] = true
+		}
+	}
+	wo.onAct = func(pr *proc, ac member.Action) {
+		if ch, ok := ac.(member.Changed); ok && ch.Member.Addr == victim.self.Addr && ch.Member.State() == member.StateGone {
+			delete(left, pr)
+		}
+	}
+	if !wo.run(time.Minute, func() bool { return len(left) == 0 }) {
+		t.Errorf("seed %d, %d VMs, loss %v: not known everywhere after a minute", seed, n, loss)
+	}
+	return wo.now - at
+}
+
+// TestMeasureFalseAlarms lets healthy fleets run and counts what is said of
+// them: suspicions, and VMs given up.
+func TestMeasureFalseAlarms(t *testing.T) {
+	needMeasure(t)
+	fmt.Println("| VMs of the data centre | loss | VM hours | suspicions by any VM | given up |\n| --- | --- | --- | --- | --- |")
+	for _, n := range []int{3, 10, 100} {
+		for _, loss := range []float64{0.01, 0.05, 0.1, 0.2} {
+			hours, suspicions, gone := 0.0, 0, 0
+			for seed := range 4 {
+				wo, _ := settled(t, uint64(100+seed), n, 1, loss)
+				wo.onAct = func(_ *proc, ac member.Action) {
+					ch, ok := ac.(member.Changed)
+					if ok && ch.Member.State() == member.StateSuspect {
+						suspicions++
+					}
+					if ok && ch.Member.State() == member.StateGone {
+						gone++
+					}
+				}
+				d := time.Duration(100/n+1) * 4 * time.Minute
+				wo.run(d, nil)
+				hours += float64(n) * d.Hours()
+			}
+			fmt.Printf("| %d | %v%% | %.0f | %d | %d |\n", n, loss*100, hours, suspicions, gone)
+		}
+	}
+}
+
+// TestMeasureHealing cuts one data centre off for a minute, during which one VM
+// in ten is replaced on either side, and measures until all agree again.
+func TestMeasureHealing(t *testing.T) {
+	needMeasure(t)
+	fmt.Println("| VMs | data centres | loss | runs | p50 | p99 | max |\n| --- | --- | --- | --- | --- | --- | --- |")
+	for _, size := range []struct{ n, dataCentres, seeds int }{{9, 3, 40}, {100, 4, 20}, {1000, 13, 2}} {
+		var took []time.Duration
+		for seed := range size.seeds {
+			took = append(took, heal(t, uint64(seed), size.n, size.dataCentres, 0.01))
+		}
+		fmt.Printf("| %d | %d | 1%% | %d | %s |\n", size.n, size.dataCentres, size.seeds, quantiles(took))
+	}
+}
+
+func heal(t *testing.T, seed uint64, n, dataCentres int, loss float64) time.Duration {
+	wo, prs := settled(t, seed, n, dataCentres, loss)
+	wo.cut = func(from, to *proc) bool { return (from.self.DataCentre == "dc00") != (to.self.DataCentre == "dc00") }
+	for i := 0; i < n; i += 10 {
+		wo.boot(t, prs[i].self.Addr, prs[i].self.DataCentre, 2000)
+	}
+	wo.list(wo.vms()...)
+	wo.run(time.Minute, nil)
+	wo.cut = func(_, _ *proc) bool { return false }
+	at := wo.now
+	next := at
+	for !wo.agree() {
+		next += 250 * time.Millisecond
+		wo.run(next-wo.now, nil)
+		if wo.now-at > 5*time.Minute {
+			t.Errorf("seed %d, %d VMs: not agreed after 5 minutes", seed, n)
+			break
+		}
+	}
+	return wo.now - at
+}
+
+// TestMeasureCost lets fleets of several sizes run, at rest and with VMs being
+// replaced all the time, and counts what each VM sends, receives and does.
+func TestMeasureCost(t *testing.T) {
+	needMeasure(t)
+	fmt.Println("| VMs | data centres | replaced/s | sent B/s, mean | sent B/s, most | received B/s, mean | steps/s, mean | core time/s, mean | heap per VM |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, size := range []struct {
+		n, dataCentres int
+		churn          bool
+		d              time.Duration
+	}{
+		{9, 3, false, time.Minute},
+		{9, 3, true, time.Minute},
+		{100, 4, false, time.Minute},
+		{100, 4, true, time.Minute},
+		{1000, 13, false, 30 * time.Second},
+		{1000, 13, true, 30 * time.Second},
+		{4300, 13, false, 10 * time.Second},
+		{4300, 13, true, 10 * time.Second},
+	} {
+		cost(t, size.n, size.dataCentres, size.churn, size.d)
+	}
+}
+
+func cost(t *testing.T, n, dataCentres int, churn bool, d time.Duration) {
+	before := heapInUse()
+	wo, prs := settled(t, 1, n, dataCentres, 0.01)
+	perVM := (heapInUse() - before) / float64(n)
+	for _, pr := range prs {
+		pr.sent, pr.got, pr.steps = 0, 0, 0
+	}
+	replaced := 0
+	begun := time.Now()
+	end := wo.now + d
+	for wo.now < end {
+		if churn {
+			pr := prs[wo.rnd.IntN(n)]
+			wo.boot(t, pr.self.Addr, pr.self.DataCentre, uint64(2000+replaced)).ma.Step(wo.now, member.Listed{VMs: wo.vms()})
+			wo.step(wo.procs[pr.self.Addr], member.Tick{})
+			replaced++
+		}
+		wo.run(time.Second, nil)
+	}
+	busy := time.Since(begun)
+	sent, got, steps, most := 0, 0, 0, 0
+	for _, pr := range wo.order {
+		sent += pr.sent
+		got += pr.got
+		steps += pr.steps
+		most = max(most, pr.sent)
+	}
+	all := float64(n) * d.Seconds()
+	fmt.Printf("| %d | %d | %.1f | %.0f | %.0f | %.0f | %.1f | %v | %.0f kB |\n", n, dataCentres, float64(replaced)/d.Seconds(),
+		float64(sent)/all, float64(most)/d.Seconds(), float64(got)/all, float64(steps)/all,
+		time.Duration(float64(busy)/all).Round(time.Microsecond), perVM/1000)
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return float64(ms.HeapAlloc)
+}
