--- /dev/null
+++ b/core/server/example_test.go
@@ -0,0 +1,27 @@
+package server_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"laburnumvane/core/server"
+)
+
+func ExampleTable() {
+	tb := server.New(server.Config{Rand: rand.New(rand.NewPCG(1, 1))})
+	tb.Add(0, "10.0.0.7:9000")
+	tb.Step(0, 0, server.Event{Kind: server.Reply, Incarnation: 7, Says: server.SaysServing, Good: 1})
+	fmt.Println(tb.Status(0).State)
+	tb.Step(time.Second, 0, server.Event{Kind: server.Reply, Incarnation: 7, Says: server.SaysDraining})
+	tb.Step(2*time.Second, 0, server.Event{Kind: server.Hint, Incarnation: 7, Says: server.SaysServing})
+	fmt.Println(tb.Status(0).State, "-", tb.Status(0).Why)
+	fmt.Println(tb.Signs(2 * time.Second))
+	tb.Step(9*time.Second, 0, server.Event{Kind: server.Reply, Incarnation: 8, Says: server.SaysServing, Good: 1})
+	fmt.Println(tb.Status(0).State, tb.Status(0).Weight)
+	// Output:
+	// serving
+	// draining - a reply says that it leaves
+	// [{10.0.0.7:9000 7 leaving}]
+	// cold 0.125
+}
--- a/core/server/machine.go
+++ b/core/server/machine.go
@@ -78,6 +78,7 @@
 	probeFails uint8
 	probeGoods uint8
 	failures   uint16
+	signs      uint32
 	score      float32
 	backoff    time.Duration
 	probeAt    time.Duration
@@ -135,7 +136,7 @@
 		return true, ef
 	}
 	first := mc.Incarnation == 0
-	fresh := ev.Probe && mc.State == view.StateGone
+	fresh := ev.Kind == Hint && ev.Probe && mc.State == view.StateGone
 	if ev.Incarnation < mc.Incarnation && !fresh {
 		return false, ef
 	}
@@ -266,6 +267,11 @@
 	return effect{sign: SignUnreachable}
 }
 
+// nearlyGone tells whether a failure may be the one that makes the server gone.
+func (mc *machine) nearlyGone(ev Event) bool {
+	return ev.Kind == Failure && mc.State != view.StateGone && (ev.Probe || mc.probeFails >= goneProbes)
+}
+
 // quiet ends a leaving server's time: it is gone once probes fail too.
 func (mc *machine) quiet() effect {
 	if mc.probeFails >= goneProbes {
--- /dev/null
+++ b/core/server/session_test.go
@@ -0,0 +1,174 @@
+package server_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/core/server"
+	"laburnumvane/core/view"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+const (
+	ms   = time.Millisecond
+	addr = "10.0.0.7:9000"
+)
+
+// line is one event of a session; at is when it comes.
+type line struct {
+	at time.Duration
+	ev server.Event
+}
+
+func good(inc uint64, n int) server.Event {
+	return server.Event{Kind: server.Reply, Incarnation: inc, Says: server.SaysServing, Good: n}
+}
+
+func says(inc uint64, sy server.Says) server.Event {
+	return server.Event{Kind: server.Reply, Incarnation: inc, Says: sy}
+}
+
+func hint(inc uint64, sy server.Says) server.Event {
+	return server.Event{Kind: server.Hint, Incarnation: inc, Says: sy}
+}
+
+func probed(inc uint64) server.Event {
+	return server.Event{Kind: server.Hint, Incarnation: inc, Says: server.SaysServing, Probe: true}
+}
+
+func fail(n int) server.Event {
+	return server.Event{Kind: server.Failure, Failed: n}
+}
+
+func told(inc uint64, sk server.SignKind) server.Event {
+	return server.Event{Kind: server.Told, Incarnation: inc, Sign: sk}
+}
+
+var (
+	probeFailed = server.Event{Kind: server.Failure, Probe: true}
+	removed     = server.Event{Kind: server.Removed}
+	listed      = server.Event{Kind: server.Listed}
+)
+
+// player steps one server through lines, with its wakes between them.
+type player struct {
+	tb  *server.Table
+	out strings.Builder
+}
+
+func newPlayer(last bool) *player {
+	tb := server.New(server.Config{
+		Rand: rand.New(rand.NewPCG(1, 1)),
+		Last: func(view.ServerID) bool { return last },
+	})
+	tb.Add(0, addr)
+	return &player{tb: tb}
+}
+
+func (pl *player) play(lines []line) server.Status {
+	for _, ln := range lines {
+		pl.until(ln.at)
+		fmt.Fprintf(&pl.out, "%v in %s\n", ln.at, describe(ln.ev))
+		pl.show(ln.at, pl.tb.Step(ln.at, 0, ln.ev))
+	}
+	return pl.tb.Status(0)
+}
+
+// until takes every wake that is due before at.
+func (pl *player) until(at time.Duration) server.Status {
+	for {
+		next, ok := pl.tb.Next()
+		if !ok || next > at {
+			return pl.tb.Status(0)
+		}
+		pl.show(next, pl.tb.Wake(next))
+	}
+}
+
+func (pl *player) show(at time.Duration, actions []server.Action) {
+	for _, ac := range actions {
+		switch ac.Kind {
+		case server.Publish:
+			st := pl.tb.Status(0)
+			fmt.Fprintf(&pl.out, "%v out %s weight=%.3f incarnation=%d: %s\n", at.Round(ms), st.State, st.Weight, st.Incarnation, st.Why)
+		case server.Probe:
+			fmt.Fprintf(&pl.out, "%v out probe\n", at.Round(ms))
+		case server.Spread:
+			fmt.Fprintf(&pl.out, "%v out spread %s incarnation=%d\n", at.Round(ms), ac.Sign.Kind, ac.Sign.Incarnation)
+		}
+	}
+}
+
+func describe(ev server.Event) string {
+	kinds := [...]string{"reply", "failure", "hint", "told", "removed", "listed", "wake"}
+	words := [...]string{"", " cold", " serving", " draining"}
+	text := kinds[ev.Kind] + words[ev.Says]
+	if ev.Kind == server.Told {
+		text += " " + ev.Sign.String()
+	}
+	if ev.Probe {
+		text += " probe"
+	}
+	for _, one := range []struct {
+		name string
+		n    int
+	}{{"incarnation", int(ev.Incarnation)}, {"good", ev.Good}, {"shed", ev.Shed}, {"cold", ev.Cold}, {"failed", ev.Failed}} {
+		if one.n > 0 {
+			text += fmt.Sprintf(" %s=%d", one.name, one.n)
+		}
+	}
+	return text
+}
+
+func TestSessions(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		lines []line
+		end   time.Duration
+	}{
+		{"drain", []line{
+			{0, good(1, 1)}, {100 * ms, says(1, server.SaysDraining)}, {200 * ms, good(1, 5)},
+			{300 * ms, hint(1, server.SaysServing)}, {2500 * ms, probed(1)}, {9 * time.Second, probeFailed},
+			{15 * time.Second, probeFailed}, {30 * time.Second, probed(2)}, {31 * time.Second, good(2, 3)},
+			{33 * time.Second, good(2, 9)}, {36 * time.Second, good(2, 9)},
+		}, 40 * time.Second},
+		{"crash", []line{
+			{0, good(1, 1)}, {100 * ms, fail(2)}, {120 * ms, fail(2)}, {300 * ms, probeFailed}, {600 * ms, probeFailed},
+			{900 * ms, fail(1)}, {1100 * ms, probeFailed}, {4 * time.Second, probed(2)}, {4100 * ms, good(2, 4)},
+		}, 7 * time.Second},
+		{"shedWave", []line{
+			{0, good(1, 1)}, {100 * ms, server.Event{Kind: server.Reply, Incarnation: 1, Good: 2, Shed: 2}},
+			{200 * ms, server.Event{Kind: server.Reply, Incarnation: 1, Good: 2, Shed: 2}},
+			{400 * ms, server.Event{Kind: server.Reply, Incarnation: 1, Shed: 9}}, {600 * ms, good(1, 9)},
+		}, 5 * time.Second},
+		{"removedAndBack", []line{
+			{0, good(1, 1)}, {time.Second, removed}, {1100 * ms, good(1, 4)}, {5 * time.Second, listed}, {6 * time.Second, good(1, 4)},
+		}, 9 * time.Second},
+		{"suspectOfIdleVM", []line{
+			{0, good(1, 1)}, {100 * ms, fail(3)}, {300 * ms, probed(1)}, {600 * ms, probed(1)}, {1200 * ms, probed(1)},
+		}, 2 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			pl := newPlayer(false)
+			pl.play(tt.lines)
+			pl.until(tt.end)
+			file := filepath.Join("testdata", tt.name+".golden")
+			if *update {
+				is.NoErr(os.WriteFile(file, []byte(pl.out.String()), 0o644))
+			}
+			want, err := os.ReadFile(file)
+			is.NoErr(err)
+			is.Equal(pl.out.String(), string(want))
+		})
+	}
+}
--- a/core/server/table.go
+++ b/core/server/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"laburnumvane/core/view"
@@ -36,9 +35,13 @@
 	actions  []Action
 }
 
+// spread is a sign's ride; one whose number is no longer the machine's own was
+// followed by a newer sign of the same server.
 type spread struct {
-	sign  Sign
-	until time.Duration
+	id     view.ServerID
+	kind   SignKind
+	number uint32
+	until  time.Duration
 }
 
 // New makes an empty table.
@@ -113,18 +116,34 @@
 
 // Signs lists the signs that still have to ride, newest first.
 func (tb *Table) Signs(now time.Duration) []Sign {
-	tb.signs = slices.DeleteFunc(tb.signs, func(sp spread) bool { return sp.until <= now })
+	tb.trim(now)
 	out := make([]Sign, 0, min(len(tb.signs), maxSigns))
 	for i := len(tb.signs) - 1; i >= 0 && len(out) < maxSigns; i-- {
-		out = append(out, tb.signs[i].sign)
+		sp := tb.signs[i]
+		if tb.machines[sp.id].signs == sp.number {
+			out = append(out, tb.sign(sp.id, sp.kind))
+		}
 	}
 	return out
 }
 
+func (tb *Table) sign(id view.ServerID, sk SignKind) Sign {
+	return Sign{Addr: tb.addrs[id], Incarnation: tb.machines[id].Incarnation, Kind: sk}
+}
+
+// trim drops the signs that have ridden long enough; the oldest come first.
+func (tb *Table) trim(now time.Duration) {
+	n := 0
+	for n < len(tb.signs) && tb.signs[n].until <= now {
+		n++
+	}
+	tb.signs = tb.signs[n:]
+}
+
 func (tb *Table) step(now time.Duration, id view.ServerID, ev Event) {
 	mc := &tb.machines[id]
 	before := mc.Status
-	if ev.Kind == Failure && mc.State == view.StateSuspect && tb.cfg.Last != nil {
+	if tb.cfg.Last != nil && mc.nearlyGone(ev) {
 		ev.last = tb.cfg.Last(id)
 	}
 	ef := mc.handle(now, ev, tb.cfg.Rand)
@@ -135,7 +154,7 @@
 		tb.actions = append(tb.actions, Action{Kind: Probe, ID: id})
 	}
 	if ef.sign != 0 {
-		tb.spread(now, id, Sign{Addr: tb.addrs[id], Incarnation: mc.Incarnation, Kind: ef.sign})
+		tb.spread(now, id, ef.sign)
 	}
 	if mc.wake() < mc.queued {
 		tb.enqueue(id)
@@ -143,12 +162,12 @@
 }
 
 // spread keeps one sign for each server, the newest.
-func (tb *Table) spread(now time.Duration, id view.ServerID, sg Sign) {
-	tb.signs = slices.DeleteFunc(tb.signs, func(sp spread) bool {
-		return sp.sign.Addr == sg.Addr || sp.until <= now
-	})
-	tb.signs = append(tb.signs, spread{sign: sg, until: now + spreadFor})
-	tb.actions = append(tb.actions, Action{Kind: Spread, ID: id, Sign: sg})
+func (tb *Table) spread(now time.Duration, id view.ServerID, sk SignKind) {
+	mc := &tb.machines[id]
+	mc.signs++
+	tb.trim(now)
+	tb.signs = append(tb.signs, spread{id: id, kind: sk, number: mc.signs, until: now + spreadFor})
+	tb.actions = append(tb.actions, Action{Kind: Spread, ID: id, Sign: tb.sign(id, sk)})
 }
 
 func (tb *Table) enqueue(id view.ServerID) {
