--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -35,7 +35,7 @@
 }
 
 func east(st view.State) view.Server { return view.Server{DataCentre: "east", State: st} }
-func west(st view.State) view.Server { return view.Server{DataCentre: "west", State: st} }
+func west() view.Server              { return view.Server{DataCentre: "west", State: view.StateServing} }
 
 func (ri *rig) end(id view.ServerID, n int, rs pick.Result, latency time.Duration) {
 	for range n {
@@ -75,18 +75,18 @@
 		},
 		{
 			name:    "own data centre first",
-			servers: []view.Server{west(serving), east(serving), west(serving)},
+			servers: []view.Server{west(), east(serving), west()},
 			most:    []int{0, 1000, 0},
 		},
 		{
 			name:    "none near",
-			servers: []view.Server{west(serving), west(serving)},
+			servers: []view.Server{west(), west()},
 			least:   []int{400, 400},
 			most:    []int{600, 600},
 		},
 		{
 			name:    "leaving servers get nothing",
-			servers: []view.Server{east(view.StateDraining), east(view.StateGone), west(serving)},
+			servers: []view.Server{east(view.StateDraining), east(view.StateGone), west()},
 			most:    []int{0, 0, 1000},
 		},
 		{
@@ -96,7 +96,7 @@
 		},
 		{
 			name:    "tried ones are passed over",
-			servers: []view.Server{east(serving), east(serving), west(serving)},
+			servers: []view.Server{east(serving), east(serving), west()},
 			tried:   []view.ServerID{0, 1},
 			most:    []int{0, 0, 1000},
 		},
@@ -121,7 +121,7 @@
 		},
 		{
 			name:    "near ones a little worse keep the work",
-			servers: []view.Server{east(serving), west(serving)},
+			servers: []view.Server{east(serving), west()},
 			before: func(ri *rig) {
 				ri.end(0, 50, pick.Replied, 7*ms)
 				ri.end(1, 50, pick.Replied, 5*ms)
@@ -130,7 +130,7 @@
 		},
 		{
 			name:    "near ones clearly worse spill",
-			servers: []view.Server{east(serving), west(serving)},
+			servers: []view.Server{east(serving), west()},
 			before: func(ri *rig) {
 				ri.end(0, 50, pick.Replied, 30*ms)
 				ri.end(1, 50, pick.Replied, 5*ms)
@@ -179,7 +179,7 @@
 		},
 		{
 			name:    "sick near, well far",
-			servers: []view.Server{east(serving), west(serving), west(serving)},
+			servers: []view.Server{east(serving), west(), west()},
 			before:  func(ri *rig) { ri.end(0, 20, pick.Failed, 0) },
 			least:   []int{0, 400, 400},
 			most:    []int{0, 600, 600},
--- a/core/ticket/property_test.go
+++ b/core/ticket/property_test.go
@@ -147,8 +147,8 @@
 // Whatever a caller sends for a ticket, it is refused or names an issuer, and
 // never runs: nobody but the table can make one.
 func FuzzToken(f *testing.F) {
-	real := newTable("vm1", 1).Issue(0, "wash")
-	f.Add(real[:len(real)-2])
+	genuine := newTable("vm1", 1).Issue(0, "wash")
+	f.Add(genuine[:len(genuine)-2])
 	f.Add("")
 	f.Add("e30")
 	f.Add("eyJhIjoidm0xIiwiaSI6MSwibiI6MSwiZSI6NjAwMDAwMDAwMDAsInQiOiJ3YXNoIn0")
@@ -165,7 +165,7 @@
 				t.Fatalf("issuer %v, read as %v", vd.Issuer, is)
 			}
 		case ticket.VerdictRun:
-			if text != real {
+			if text != genuine {
 				t.Fatal("a token that was never issued would run")
 			}
 		default:
--- a/io/drive/site_test.go
+++ b/io/drive/site_test.go
@@ -50,8 +50,8 @@
 		Slots:       8,
 		Connections: 30,
 		Searches: map[string]team.Search{
-			"renewal": {HardDeadlineMs: 10_000, NeverRepeat: true, HitLimit: 5, Retry: team.Retry{Budget: 0.2, PerShard: 2}},
-			"history": {HardDeadlineMs: 10_000, HitLimit: 5, Retry: team.Retry{Budget: 0.2, PerShard: 2}},
+			"renewal": {Class: team.ClassUrgent, HardDeadlineMs: 10_000, NeverRepeat: true, HitLimit: 5, Retry: team.Retry{Budget: 0.2, PerShard: 2}},
+			"history": {Class: team.ClassInteractive, HardDeadlineMs: 10_000, HitLimit: 5, Retry: team.Retry{Budget: 0.2, PerShard: 2}},
 		},
 		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	})
@@ -69,8 +69,9 @@
 	return ca
 }
 
-func (pl *place) ticket(vm int) string {
-	rp, err := pl.caller(vm).Tickets(context.Background(), wire.TicketRequest{Team: teamName})
+// ticket takes one from the first VM.
+func (pl *place) ticket() string {
+	rp, err := pl.caller(0).Tickets(context.Background(), wire.TicketRequest{Team: teamName})
 	pl.is.NoErr(err)
 	return rp.Tickets[0]
 }
@@ -101,7 +102,7 @@
 func TestRenewalOnTwoVMs(t *testing.T) {
 	pl := newPlace(t)
 	const query = `{"plate":"AAA-000"}`
-	token := pl.ticket(0)
+	token := pl.ticket()
 	first := pl.renew(0, token, query)
 	second := pl.renew(1, token, query)
 	pl.is.Equal(first.Outcome, wire.OutcomeComplete)
@@ -117,7 +118,7 @@
 func TestIssuerGone(t *testing.T) {
 	pl := newPlace(t)
 	const query = `{"plate":"AAA-000"}`
-	token := pl.ticket(0)
+	token := pl.ticket()
 	pl.is.Equal(pl.renew(0, token, query).Outcome, wire.OutcomeComplete)
 	gone := pl.st.Nodes()[0]
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -154,7 +155,7 @@
 // old connections are dead; the caller of the second sees nothing of it.
 func TestServerCrashBetweenRenewals(t *testing.T) {
 	pl := newPlace(t)
-	pl.is.Equal(pl.renew(0, pl.ticket(0), `{"plate":"AAA-000"}`).Outcome, wire.OutcomeComplete)
+	pl.is.Equal(pl.renew(0, pl.ticket(), `{"plate":"AAA-000"}`).Outcome, wire.OutcomeComplete)
 	for i, sv := range pl.st.Fleet().Servers() {
 		if i%emul.DefaultReplicas == 0 {
 			sv.Upstream.Crash()
@@ -162,7 +163,7 @@
 		}
 	}
 	const query = `{"plate":"BBB-001"}`
-	an := pl.renew(0, pl.ticket(0), query)
+	an := pl.renew(0, pl.ticket(), query)
 	pl.is.Equal(an.Reason, "")
 	pl.is.Equal(an.Outcome, wire.OutcomeComplete)
 	pl.once(query)
@@ -178,14 +179,14 @@
 		sv.Upstream.Silence()
 	}
 	const lost = `{"plate":"AAA-000"}`
-	an := pl.renew(0, pl.ticket(0), lost)
+	an := pl.renew(0, pl.ticket(), lost)
 	pl.is.True(an.Outcome != wire.OutcomeNotRun || len(pl.st.Fleet().RunsOf(lost)) == 0)
 	pl.once(lost)
 	an = pl.search(0, wire.SearchRequest{Search: "history", Query: json.RawMessage(`{"plate":"CCC-002"}`)})
 	pl.is.Equal(an.Reason, "")
 	pl.is.Equal(an.Outcome, wire.OutcomeComplete)
 	const query = `{"plate":"BBB-001"}`
-	an = pl.renew(0, pl.ticket(0), query)
+	an = pl.renew(0, pl.ticket(), query)
 	pl.is.Equal(an.Reason, "")
 	pl.is.Equal(an.Outcome, wire.OutcomeComplete)
 	pl.once(query)
--- a/io/upst/conn.go
+++ b/io/upst/conn.go
@@ -51,7 +51,9 @@
 	body   []byte
 }
 
-var pingMessage = message{method: consts.MethodGet, path: wire.RoutePing}
+func pingMessage() message {
+	return message{method: consts.MethodGet, path: wire.RoutePing}
+}
 
 // exchange sends a message and decodes the reply into out before the deadline.
 func (cn *conn) exchange(at time.Time, ms message, out any) (ending, error) {
@@ -74,7 +76,7 @@
 	rq.SetRequestURI(ms.path)
 	rq.Header.SetHost(cn.addr)
 	if ms.body != nil {
-		rq.Header.SetContentTypeBytes(contentJSON)
+		rq.Header.Set(consts.HeaderContentType, consts.MIMEApplicationJSON)
 		rq.SetBodyRaw(ms.body)
 	}
 	before := cn.link.written
@@ -90,8 +92,6 @@
 	return cn.fail("upst.write", KindWrite, cn.link.written > before, err)
 }
 
-var contentJSON = []byte(consts.MIMEApplicationJSON)
-
 // noReply judges an exchange that ended before the first byte of its reply.
 func (cn *conn) noReply(err error) (ending, error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) && !cn.silent.Load() {
--- a/io/upst/open.go
+++ b/io/upst/open.go
@@ -1,6 +1,7 @@
 package upst
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -37,12 +38,13 @@
 // and closes it at once, which must not cost a request.
 func (po *pool) dial() (*conn, error) {
 	at := time.Now().Add(po.cfg.DialTimeout)
-	nc, err := net.DialTimeout("tcp", po.cfg.Addr, po.cfg.DialTimeout)
+	dr := net.Dialer{Deadline: at}
+	nc, err := dr.DialContext(context.Background(), "tcp", po.cfg.Addr)
 	if err != nil {
 		return nil, po.fail("upst.dial", KindDial, err)
 	}
 	cn := &conn{link: newLink(nc), addr: po.cfg.Addr}
-	end, err := cn.exchange(at, pingMessage, nil)
+	end, err := cn.exchange(at, pingMessage(), nil)
 	if end != endUsable {
 		cn.link.close()
 		return nil, po.fail("upst.dial", refusalKind(err), err)
--- a/io/upst/pool.go
+++ b/io/upst/pool.go
@@ -231,7 +231,7 @@
 func (po *pool) ping(cn *conn, left time.Duration) bool {
 	began := po.cfg.Clock()
 	po.stats.count(evPing)
-	end, _ := cn.exchange(time.Now().Add(left), pingMessage, nil)
+	end, _ := cn.exchange(time.Now().Add(left), pingMessage(), nil)
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	if end == endUsable {
--- a/io/upst/stats.go
+++ b/io/upst/stats.go
@@ -21,10 +21,13 @@
 	eventCount
 )
 
-// eventNames are the reasons under which events are counted.
-var eventNames = [eventCount]string{
-	"opened", "dialFailed", "refused", "stale", "silent", "late",
-	"ping", "pingFailed", "cancelSent", "cancelLeft", "idleClosed", "backoff",
+// String is the reason under which an event is counted.
+func (ev event) String() string {
+	names := [eventCount]string{
+		"opened", "dialFailed", "refused", "stale", "silent", "late",
+		"ping", "pingFailed", "cancelSent", "cancelLeft", "idleClosed", "backoff",
+	}
+	return names[ev]
 }
 
 // stats counts the events of one server.
@@ -40,7 +43,7 @@
 func (st *stats) harvest(count func(reason string, n int64)) {
 	for ev := range st.counts {
 		if n := st.counts[ev].Swap(0); n > 0 {
-			count(eventNames[ev], n)
+			count(event(ev).String(), n)
 		}
 	}
 }
