--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -20,8 +20,10 @@
 	// than a second, after it is well it has its work again.
 	healFactor  = 4
 	healedShare = whole / 64
-	// probeEvery is the least time between probes of a sick server.
-	probeEvery = 250 * time.Millisecond
+	// probeEvery is the least time between the first probes of a sick server;
+	// it doubles with each that fails, up to sixteen times.
+	probeEvery    = 250 * time.Millisecond
+	mostDoublings = 4
 	// forgetEvery is the time in which what is held against a server that gets
 	// no work is halved.
 	forgetEvery  = time.Second
@@ -67,8 +69,10 @@
 	ended atomic.Int64
 	// healing is set from the time it was sick until it is well.
 	healing atomic.Bool
+	// probes counts those since a sub-request last went well.
+	probes atomic.Int32
 	// The rest keeps two servers' counters off one cache line.
-	_ [12]byte
+	_ [8]byte
 }
 
 // New makes a table without servers.
@@ -130,6 +134,7 @@
 }
 
 func (ld *load) heal() {
+	ld.probes.Store(0)
 	left := ld.failures.Load() / healFactor
 	ld.failures.Store(left)
 	if left < healedShare {
@@ -141,7 +146,7 @@
 	average(&ld.failures, whole, averageWeight)
 	if ld.sick() {
 		ld.healing.Store(true)
-		ld.probeAt.Store(int64(now + probeEvery))
+		ld.probeAt.Store(int64(now + ld.probeWait()))
 	}
 }
 
@@ -158,7 +163,15 @@
 // probe tells whether this is the one sub-request allowed through for now.
 func (ld *load) probe(now time.Duration) bool {
 	at := ld.probeAt.Load()
-	return int64(now) >= at && ld.probeAt.CompareAndSwap(at, int64(now+probeEvery))
+	if int64(now) < at || !ld.probeAt.CompareAndSwap(at, int64(now+ld.probeWait())) {
+		return false
+	}
+	ld.probes.Add(1)
+	return true
+}
+
+func (ld *load) probeWait() time.Duration {
+	return probeEvery << min(ld.probes.Load(), mostDoublings)
 }
 
 // stale is how often what is bad about a server is to be halved because nothing
--- a/core/stall/stall.go
+++ b/core/stall/stall.go
@@ -37,7 +37,7 @@
 	DefaultGrace        = time.Second
 	DefaultFactor       = 10
 	DefaultOvertaken    = 3
-	DefaultLeastAnswers = 16
+	DefaultLeastAnswers = 4
 )
 
 const (
