laburnumvane: sessions as golden files, check knows the settings of serve

Cause: nothing tried the commands, and check looked for the settings in a hook that serve does not have. Change: whole sessions against a scripted VM, with requests, output and exit codes in golden files. check reads settings as serve does and lists each fault; they are checked where one is given or no file is. An empty team from the environment was taken for a name and is refused. The default addresses are those of serve. Conclusion: what a script sees of each command is written down and tried.

--- a/cmd/laburnumvane/check.go
+++ b/cmd/laburnumvane/check.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 
+	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
 	"laburnumvane/core/team"
+	"laburnumvane/io/setup"
 )
 
 // checkReply is what check prints with --json.
@@ -19,8 +22,16 @@
 
 // checkedPart is the verdict on the settings of serve.
 type checkedPart struct {
-	OK    bool   `json:"ok"`
-	Fault string `json:"fault,omitempty"`
+	OK     bool             `json:"ok"`
+	Faults []checkedSetting `json:"faults,omitempty"`
+}
+
+// checkedSetting is one wrong setting.
+type checkedSetting struct {
+	Kind     setup.Kind `json:"kind"`
+	Flag     string     `json:"flag"`
+	Variable string     `json:"variable"`
+	Message  string     `json:"message"`
 }
 
 // checkedDoc is the verdict on one configuration file.
@@ -43,40 +54,36 @@
 		Name:      "check",
 		Usage:     "check settings and configuration files without starting anything",
 		ArgsUsage: "[FILE ...]",
-		Description: `Checks the settings that "serve" would start with, from the same flags and
-environment variables, and each configuration FILE ("-" for standard input).
+		Description: `Checks each configuration FILE ("-" for standard input), and the settings
+that "serve" would start with, from the same flags and environment variables.
+Settings are checked where one of them is given, or where there is no FILE.
 Nothing is started and no connection is made. All faults are listed, each with
-the path of its field.
+the path of its field or the name of its flag.
 
 A file is checked for the team that it names itself, or for --team.
 
-Exit codes: 0 no fault, 2 a fault in settings or files.
+Exit codes: 0 no fault, 1 a file that cannot be read, 2 a fault in settings or
+files.
 
 Examples:
    laburnumvane check wash.json partners.json
    laburnumvane check --team wash - < wash.json
-   LABURNUMVANE_DATA_CENTRE=north laburnumvane check --json`,
+   laburnumvane check --data-centre north --region home \
+      --kv 10.0.0.5:7800 --vm-list 10.0.0.5:7801
+   laburnumvane check --json`,
 		Flags: append([]cli.Flag{
 			jsonFlag(),
 			&cli.StringFlag{Name: "team", Aliases: []string{"t"}, Usage: "the team's `NAME`; without it the one in the file"},
-		}, serveCommand().Flags...),
+		}, setup.Flags()...),
 		Action: checkAction,
 	}
 }
 
-func checkAction(ctx context.Context, cmd *cli.Command) error {
+func checkAction(_ context.Context, cmd *cli.Command) error {
 	rep := checkReply{OK: true, Files: []checkedDoc{}}
-	// serve checks all its settings in its Before hook and does nothing else
-	// there; its flags are flags of this command, so the hook finds them.
-	if hook := serveCommand().Before; hook != nil {
-		rep.Settings = &checkedPart{OK: true}
-		if _, err := hook(ctx, cmd); err != nil {
-			rep.Settings = &checkedPart{Fault: err.Error()}
-			rep.OK = false
-		}
-	}
-	if rep.Settings == nil && !cmd.Args().Present() {
-		return usageError(cmd.FullName(), "wants a FILE")
+	if !cmd.Args().Present() || anySetting(cmd) {
+		rep.Settings = checkSettings(cmd)
+		rep.OK = rep.Settings.OK
 	}
 	for _, name := range cmd.Args().Slice() {
 		raw, err := readInput(cmd, name)
@@ -96,6 +103,42 @@
 	return nil
 }
 
+func anySetting(cmd *cli.Command) bool {
+	for _, fl := range setup.Flags() {
+		if cmd.IsSet(fl.Names()[0]) {
+			return true
+		}
+	}
+	return false
+}
+
+func checkSettings(cmd *cli.Command) *checkedPart {
+	_, err := setup.FromCommand(cmd)
+	part := &checkedPart{OK: err == nil}
+	for _, one := range unjoin(err) {
+		var flt *setup.Error
+		if !errors.As(one, &flt) {
+			part.Faults = append(part.Faults, checkedSetting{Message: one.Error()})
+			continue
+		}
+		part.Faults = append(part.Faults, checkedSetting{
+			Kind: flt.Kind, Flag: flt.Flag, Variable: setup.Variable(flt.Flag), Message: flt.Msg,
+		})
+	}
+	return part
+}
+
+// unjoin gives the errors that were joined into one.
+func unjoin(err error) []error {
+	if err == nil {
+		return nil
+	}
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		return joined.Unwrap()
+	}
+	return []error{err}
+}
+
 func checkDocument(file, name string, raw []byte) checkedDoc {
 	chk := checkedDoc{File: file, Team: name}
 	if chk.Team == "" {
@@ -126,11 +169,8 @@
 		return printJSON(cmd, rep)
 	}
 	out := cmd.Root().Writer
-	if rep.Settings != nil && rep.Settings.OK {
-		fmt.Fprintln(out, "settings: ok")
-	}
-	if rep.Settings != nil && !rep.Settings.OK {
-		fmt.Fprintf(out, "settings: %s\n", rep.Settings.Fault)
+	if rep.Settings != nil {
+		printSettings(out, rep.Settings)
 	}
 	for _, chk := range rep.Files {
 		if chk.OK {
@@ -142,3 +182,12 @@
 	}
 	return nil
 }
+
+func printSettings(out io.Writer, part *checkedPart) {
+	if part.OK {
+		fmt.Fprintln(out, "settings: ok")
+	}
+	for _, flt := range part.Faults {
+		fmt.Fprintf(out, "settings: --%s (%s): %s\n", flt.Flag, flt.Variable, flt.Message)
+	}
+}
--- a/cmd/laburnumvane/flags.go
+++ b/cmd/laburnumvane/flags.go
@@ -4,15 +4,17 @@
 	"io"
 	"os"
 
+	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
 	"laburnumvane/io/client"
+	"laburnumvane/io/setup"
 )
 
 // Where a VM on the same machine listens unless told otherwise.
 const (
-	defaultCallerURL   = "http://127.0.0.1:8080"
-	defaultOperatorURL = "http://127.0.0.1:8081"
+	defaultCallerURL   = "http://" + setup.DefaultCallerAddr
+	defaultOperatorURL = "http://" + setup.DefaultOperatorAddr
 )
 
 // maxInput bounds what a command reads from a file or from standard input.
@@ -27,6 +29,13 @@
 		Name: "team", Aliases: []string{"t"}, Required: true,
 		Usage:   "the team's `NAME`",
 		Sources: cli.EnvVars("LABURNUMVANE_TEAM"),
+		// The library takes a variable that is set to nothing for a team given.
+		Validator: func(name string) error {
+			if name == "" {
+				return errors.New("a team's name is needed")
+			}
+			return nil
+		},
 	}
 }
 
--- /dev/null
+++ b/cmd/laburnumvane/main_test.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	bodyComplete = `{"id":"a1","outcome":"complete","snapshot":7,"coverage":{"shards":10,"answered":10,"share":1},` +
+		`"hits":[{"member":"m-1042","key":"KX53","fields":{"plan":"gold"}}],"elapsedMs":8.25,"work":{"primaries":10,"hedges":1,"retries":0}}`
+	bodyPartial = `{"id":"a2","outcome":"partial","reason":"softDeadline","snapshot":7,"coverage":{"shards":10,"answered":9,"share":0.9},` +
+		`"hits":[],"truncated":false,"elapsedMs":60,"work":{"primaries":10,"hedges":2,"retries":1}}`
+	bodyNotRun = `{"id":"a3","outcome":"notRun","reason":"overload","message":"class batch is shed","coverage":{"shards":0,"answered":0,"share":0},` +
+		`"hits":[],"elapsedMs":0.1,"retryAfterMs":250,"work":{"primaries":0,"hedges":0,"retries":0}}`
+	bodyUnknown = `{"id":"a4","outcome":"unknown","reason":"lost","coverage":{"shards":10,"answered":9,"share":0.9},"hits":[],"elapsedMs":1500,"work":{"primaries":10,"hedges":0,"retries":0}}`
+
+	bodyConfig12 = `{"team":"wash","revision":12,"changeId":"c12","document":{"version":1,"team":"wash","limits":{"concurrent":20}}}`
+	bodyHistory  = `{"team":"wash","entries":[` +
+		`{"revision":12,"changeId":"c12","actor":"ada","unixMs":1767225600000,"document":{"version":1,"team":"wash","limits":{"concurrent":20}}},` +
+		`{"revision":11,"changeId":"c11","unixMs":1767139200000,"document":{"limits":{"concurrent":10},"team":"wash","version":1}},` +
+		`{"revision":9,"changeId":"c9","unixMs":1767052800000}]}`
+	bodyAccepted = `{"result":"accepted","changeId":"c13","revision":13}`
+	bodyConflict = `{"result":"conflict","changeId":"c13","message":"revision 13 came first","current":{"team":"wash","revision":13,"changeId":"c99","document":{"version":1}}}`
+	bodyStatus   = `{"vm":"10.0.0.1:7000","dataCentre":"north","incarnation":5,"phase":"serving","version":"v0.1","teams":[{"team":"wash","revision":12,"changeId":"c12"}],` +
+		`"registers":[{"register":"members","snapshot":7,"shards":10,"live":9}],` +
+		`"upstreams":[{"addr":"10.0.1.1:9000","dataCentre":"north","service":"desk","state":"draining","why":"its reply said so","incarnation":2,"inFlight":1,"limit":3,"connections":4,"latencyMs":2.5}],` +
+		`"vms":[{"addr":"10.0.0.2:7000","dataCentre":"south","state":"alive","incarnation":3}],"alarms":["members: shard 4 has no live replica"],"limits":{"wash.concurrent":"4 of 20"}}`
+)
+
+func TestSession_Search(t *testing.T) {
+	golden(t, "search", session(t, []step{
+		{args: "search --team wash --search kiosk plate=KX53", replies: []scripted{{status: 200, body: bodyComplete}}},
+		{args: "search --team wash --search kiosk --json --id a1 plate=KX53", replies: []scripted{{status: 200, body: bodyComplete}}},
+		{
+			args: "search -t wash -s history --register members --query - --deadline 800ms --min-coverage 0 --token secret",
+			// min-coverage 0 is a wish of its own, not the absence of one.
+			stdin: `{"name":"Ada"}`, replies: []scripted{{status: 200, body: bodyPartial}},
+		},
+		{args: "search -t wash -s history --need-complete name=Ada", replies: []scripted{{status: 200, body: bodyPartial}}},
+		{args: "search -t wash -s settlement month=5", replies: []scripted{{status: 429, body: bodyNotRun}}},
+		{args: "search -t wash -s renew --repeat never --ticket t1 member=m-1", replies: []scripted{{status: 504, body: bodyUnknown}}},
+		{args: "search -t wash -s renew --repeat never --ticket t1 member=m-1", replies: []scripted{{hangUp: true}}},
+		{args: "search -t wash -s kiosk plate=KX53", replies: []scripted{{status: 400, body: `{"error":"no such search","reason":"unknownSearch","path":"search"}`}}},
+		{args: "search -t wash -s kiosk"},
+		{args: "search -t wash -s kiosk plate"},
+		{args: "search -t wash -s kiosk a=1 a=2"},
+		{args: "search -t wash -s kiosk --query {} a=2"},
+		{args: "search -t wash -s kiosk --query {"},
+		{args: "search -t wash -s kiosk --repeat maybe a=1"},
+		{args: "search -t wash -s kiosk --deadline 0s a=1"},
+		{args: "search -t wash -s kiosk --deadline 300 a=1"},
+		{args: "search -t wash -s kiosk --min-coverage 90 a=1"},
+		{args: "search -s kiosk a=1"},
+		{args: "search --team= -s kiosk a=1"},
+		{args: "search -t wash -s kiosk --url 127.0.0.1:1 a=1"},
+	}))
+}
+
+func TestSession_Ticket(t *testing.T) {
+	golden(t, "ticket", session(t, []step{
+		{args: "ticket --team wash --count 2", replies: []scripted{{status: 200, body: `{"tickets":["t1","t2"],"expiresMs":30000}`}}},
+		{args: "ticket --team wash --json", replies: []scripted{{status: 200, body: `{"tickets":["t1"],"expiresMs":30000}`}}},
+		{args: "ticket --team wash", replies: []scripted{{status: 503, body: `{"error":"the VM is leaving","reason":"leaving"}`}}},
+		{args: "ticket --team wash --count 0"},
+		{args: "ticket --team wash two"},
+	}))
+}
+
+// An operator reads, edits, compares and offers a document, another operator is
+// faster once, and the offer that went through is taken back as a new change.
+func TestSession_Config(t *testing.T) {
+	cfg := scripted{status: 200, body: bodyConfig12}
+	hist := scripted{status: 200, body: bodyHistory}
+	golden(t, "config", session(t, []step{
+		{args: "config get --team wash", replies: []scripted{cfg}},
+		{args: "config get --team wash --json", replies: []scripted{cfg}},
+		{args: "config get --team wash --revision 11", replies: []scripted{hist}},
+		{args: "config get --team wash --revision 10", replies: []scripted{hist}},
+		{args: "config get --team wash --revision 9", replies: []scripted{hist}},
+		{args: "config get --team other", replies: []scripted{{status: 404, body: `{"error":"no configuration","reason":"unknownTeam"}`}}},
+		{args: "config history --team wash", replies: []scripted{hist}},
+		{args: "config diff --team wash --from 11", replies: []scripted{hist, cfg}},
+		{args: "config diff --team wash --from 11 --to 12 --exit-code", replies: []scripted{hist, hist}},
+		{args: "config diff - --team wash", stdin: `{"limits":{"concurrent":20},"team":"wash","version":1}`, replies: []scripted{cfg}},
+		{args: "config diff - --team wash --json", stdin: `{"limits":{"concurrent":30},"team":"wash","version":1}`, replies: []scripted{cfg}},
+		{args: "config diff --team wash"},
+		{args: "config diff a b --team wash"},
+		{args: "config diff a --to 3 --team wash"},
+		{args: "config diff - --team wash", stdin: `{}{}`, replies: []scripted{cfg}},
+		{args: "config set testdata/wash.json --team wash --if-revision 12", replies: []scripted{{status: 200, body: bodyAccepted}}},
+		{args: "config set testdata/wash.json --team wash --if-revision 12 --dry-run", replies: []scripted{{status: 200, body: `{"result":"dryRun","changeId":""}`}}},
+		{args: "config set testdata/wash.json --team wash", replies: []scripted{cfg, {status: 200, body: bodyAccepted}}},
+		{args: "config set testdata/wash.json --team wash --json", replies: []scripted{{status: 404, body: `{"error":"no configuration","reason":"unknownTeam"}`}, {status: 200, body: bodyAccepted}}},
+		{args: "config set testdata/wash.json --team wash --if-revision 12", replies: []scripted{{status: 409, body: bodyConflict}}},
+		{args: "config set testdata/wash.json --team wash --if-revision 12", replies: []scripted{{status: 504, body: `{"result":"unknown","changeId":"c13"}`}}},
+		{args: "config set testdata/wash.json --team wash --if-revision 12", replies: []scripted{{hangUp: true}}},
+		{args: "config set testdata/wash.json --team wash --if-revision 12", replies: []scripted{{status: 403, body: `{"error":"the token is another team's","reason":"forbidden"}`}}},
+		{args: "config set testdata/wash.json --team hr --if-revision 12"},
+		{args: "config set testdata/faulty.json --team wash"},
+		{args: "config set testdata/absent.json --team wash"},
+		{args: "config set - --team wash", stdin: "{"},
+		{args: "config set --team wash"},
+		{args: "config set - --team wash --skip-check --if-revision 0", stdin: `{"version":2}`, replies: []scripted{{status: 400, body: `{"error":"is 2, must be 1","reason":"badConfig","path":"version"}`}}},
+		{args: "config rollback --team wash --to 11", replies: []scripted{hist, cfg, {status: 200, body: bodyAccepted}}},
+		{args: "config rollback --team wash --to 10", replies: []scripted{hist}},
+		{args: "config rollback --team wash"},
+		{
+			args:    "config status c13",
+			replies: []scripted{{status: 200, body: `{"changeId":"c13","team":"wash","revision":13,"known":true,"vms":[{"addr":"10.0.0.1:7000","dataCentre":"north","revision":13,"inForce":true,"reachable":true}]}`}},
+		},
+		{
+			args:    "config status c13",
+			replies: []scripted{{status: 200, body: `{"changeId":"c13","team":"wash","revision":13,"known":true,"vms":[{"addr":"10.0.0.1:7000","dataCentre":"north","revision":12,"inForce":false,"reachable":false}]}`}},
+		},
+		{args: "config status c13", replies: []scripted{{status: 200, body: `{"changeId":"c13","known":false,"vms":[]}`}}},
+		{args: "config status c13 --json", replies: []scripted{{status: 200, body: `{"changeId":"c13","known":false,"vms":[]}`}}},
+		{args: "config status"},
+		{args: "config sat"},
+	}))
+}
+
+func TestSession_Status(t *testing.T) {
+	golden(t, "status", session(t, []step{
+		{args: "status", replies: []scripted{{status: 200, body: bodyStatus}}},
+		{args: "status --json", replies: []scripted{{status: 200, body: bodyStatus}}},
+		{args: "status", replies: []scripted{{status: 401, body: `{"error":"a token is needed","reason":"unauthorized"}`}}},
+		{args: "status", replies: []scripted{{status: 200, body: `not JSON`}}},
+		{args: "status now"},
+	}))
+}
+
+func TestSession_Check(t *testing.T) {
+	golden(t, "check", session(t, []step{
+		{args: "check testdata/wash.json testdata/faulty.json"},
+		{args: "check --team hr testdata/wash.json --json"},
+		{args: "check -", stdin: "nonsense"},
+		{args: "check testdata/absent.json"},
+		{args: "check"},
+		{args: "check --data-centre north --region home --kv 127.0.0.1:7800 --vm-list 127.0.0.1:7801 testdata/wash.json"},
+		{args: "check --data-centre North --workers many --json"},
+	}))
+}
+
+func TestSession_Usage(t *testing.T) {
+	golden(t, "usage", session(t, []step{
+		{args: "serach"},
+		{args: "--bogus"},
+		{args: "status --timeout soon"},
+		{args: "version now"},
+	}))
+}
+
+func TestVersion(t *testing.T) {
+	is := is.New(t)
+	var out, errOut bytes.Buffer
+	is.Equal(run(t.Context(), []string{"laburnumvane", "version", "--json"}, nil, &out, &errOut), exitOK)
+	is.True(strings.Contains(out.String(), `"go": "go1`))
+	is.Equal(errOut.String(), "")
+}
+
+// A person who asks a command for help gets what it does and a line to copy.
+func TestHelp(t *testing.T) {
+	var walk func(path []string, cmd *cli.Command)
+	walk = func(path []string, cmd *cli.Command) {
+		t.Run(strings.Join(path, " "), func(t *testing.T) {
+			is := is.New(t)
+			var out, errOut bytes.Buffer
+			is.Equal(run(t.Context(), append(path, "--help"), nil, &out, &errOut), exitOK)
+			is.True(strings.Contains(out.String(), "Examples:"))
+			is.True(strings.Contains(out.String(), "laburnumvane "+strings.Join(path[1:], " ")))
+		})
+		for _, sub := range cmd.Commands {
+			walk(append(path[:len(path):len(path)], sub.Name), sub)
+		}
+	}
+	for _, cmd := range newCommand().Commands {
+		if cmd.Name == "serve" || cmd.Name == "demo" {
+			continue
+		}
+		walk([]string{"laburnumvane", cmd.Name}, cmd)
+	}
+}
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -52,10 +52,7 @@
 
 func newConn(op string, cfg Config) (*conn, error) {
 	base, err := url.Parse(cfg.URL)
-	if err != nil {
-		return nil, &Error{Op: op, Kind: KindConfig, Err: err}
-	}
-	if (base.Scheme != "http" && base.Scheme != "https") || base.Host == "" {
+	if err != nil || (base.Scheme != "http" && base.Scheme != "https") || base.Host == "" {
 		return nil, &Error{Op: op, Kind: KindConfig, Msg: "the URL needs a scheme (http or https) and a host, as in http://10.1.2.3:8080, not " + cfg.URL}
 	}
 	if cfg.Timeout < 0 || cfg.MaxReply < 0 {
