--- /dev/null
+++ b/core/admit/measure_test.go
@@ -0,0 +1,84 @@
+package admit_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/core/admit"
+)
+
+const (
+	measureWarm = 4 * time.Second
+	measureFor  = 12 * time.Second
+)
+
+type measured struct {
+	goodput   float64
+	p99       [admit.Classes]time.Duration
+	refused   float64
+	failed    float64
+	extraWork float64
+}
+
+func measure(de deployment, mo mode, times float64, seed uint64) measured {
+	wo := newWorld(de, mo, seed)
+	wo.from = measureWarm
+	wo.load(times * de.capacity())
+	wo.run(measureWarm + measureFor)
+	ta := &wo.count
+	var me measured
+	offered, good, refused, failed := 0, 0, 0, 0
+	for cl := range admit.Classes {
+		offered += ta.offered[cl]
+		good += ta.good[cl]
+		refused += ta.refused[cl]
+		failed += ta.failed[cl]
+		me.p99[cl] = p99(ta.latency[cl])
+	}
+	me.goodput = float64(good) / measureFor.Seconds() / de.capacity()
+	me.refused = float64(refused) / float64(offered)
+	me.failed = float64(failed) / float64(offered)
+	me.extraWork = float64(ta.retries) / float64(ta.primaries)
+	return me
+}
+
+// What the caller sees: at 2 and 5 times what the servers can do, as many
+// searches a second are answered as at any load, and an urgent one hardly later
+// than at half load; the others are refused at once and told when to come back.
+// Why: admission starts no more than every service has room for, upper classes
+// first, and each VM finds its part of the slots by itself.
+func TestOverload(t *testing.T) {
+	for _, de := range []deployment{pettigrew, kalimba} {
+		t.Run(de.name, func(t *testing.T) {
+			is := is.New(t)
+			var sb strings.Builder
+			best := 0.0
+			got := make(map[float64]measured)
+			for _, mo := range []mode{adaptive, static, unlimited} {
+				for _, times := range []float64{0.5, 0.9, 1.2, 2, 5} {
+					me := measure(de, mo, times, 7)
+					if mo == adaptive {
+						best = max(best, me.goodput)
+						got[times] = me
+					}
+					fmt.Fprintf(&sb, "| %s | %.1f | %.3f | %.1f | %.1f | %.1f | %.1f%% | %.1f%% | %.2f%% |\n", mo, times,
+						me.goodput, ms(me.p99[0]), ms(me.p99[1]), ms(me.p99[2]), 100*me.refused, 100*me.failed, 100*me.extraWork)
+				}
+			}
+			t.Logf("%s\n| mode | load | goodput | urgent p99 ms | interactive | batch | refused | failed | extra work |\n%s", de.name, sb.String())
+			for _, times := range []float64{2, 5} {
+				is.True(got[times].goodput >= 0.95*best)                                                                          // goodput under overload
+				is.True(float64(got[times].p99[0]) <= 1.5*float64(got[0.5].p99[0]))                                               // urgent p99
+				is.True(got[times].extraWork <= 0.1+20*float64(de.vms)/(measureFor.Seconds()*de.capacity()*float64(de.services))) // the budget and its bursts
+			}
+		})
+	}
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
--- /dev/null
+++ b/core/admit/overload_test.go
@@ -0,0 +1,431 @@
+package admit_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"laburnumvane/core/admit"
+	"laburnumvane/core/budget"
+	"laburnumvane/core/limit"
+	"laburnumvane/core/view"
+)
+
+// The harness: VMs that cannot see each other, before servers with slots and a
+// short queue, in virtual time. It holds only what admission and limits meet.
+
+type mode uint8
+
+const (
+	adaptive mode = iota
+	static
+	unlimited
+)
+
+func (mo mode) String() string {
+	return [...]string{"adaptive", "static 1/N", "no limits"}[mo]
+}
+
+// deployment is the sizes of one register.
+type deployment struct {
+	name     string
+	vms      int
+	services int
+	replicas int
+	slots    int
+	queue    int
+	oneWay   time.Duration
+	service  time.Duration // mean: half fixed, half exponential
+}
+
+var pettigrew = deployment{"Pettigrew member-desk", 9, 10, 3, 3, 12, time.Millisecond, 10 * time.Millisecond}
+var kalimba = deployment{"Kalimba enrol-desk", 9, 10, 3, 2, 12, 1500 * time.Microsecond, 10 * time.Millisecond}
+
+// capacity is the searches a second that the servers can do.
+func (de deployment) capacity() float64 {
+	return float64(de.replicas*de.slots) / de.service.Seconds()
+}
+
+var classMix = [admit.Classes]float64{0.1, 0.5, 0.4}
+var classDeadline = [admit.Classes]time.Duration{200 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second}
+
+type happening struct {
+	at   time.Duration
+	seq  uint64
+	what func()
+}
+
+type agenda []happening
+
+func (ag agenda) Len() int { return len(ag) }
+func (ag agenda) Less(i, j int) bool {
+	return ag[i].at < ag[j].at || ag[i].at == ag[j].at && ag[i].seq < ag[j].seq
+}
+func (ag agenda) Swap(i, j int) { ag[i], ag[j] = ag[j], ag[i] }
+func (ag *agenda) Push(x any)   { *ag = append(*ag, x.(happening)) }
+func (ag *agenda) Pop() any {
+	old := *ag
+	last := old[len(old)-1]
+	*ag = old[:len(old)-1]
+	return last
+}
+
+type world struct {
+	de      deployment
+	mode    mode
+	now     time.Duration
+	seq     uint64
+	agenda  agenda
+	rnd     *rand.Rand
+	servers []*simServer
+	vms     []*simVM
+	// from counts only what arrives after the start-up.
+	from  time.Duration
+	count tally
+}
+
+type tally struct {
+	offered, good, failed, refused [admit.Classes]int
+	latency                        [admit.Classes][]time.Duration
+	primaries, retries, sheds      int
+	goodAt                         map[int]int // by 100 ms
+	ranAfterRefusal                int
+}
+
+func (wo *world) after(d time.Duration, what func()) {
+	wo.seq++
+	heap.Push(&wo.agenda, happening{wo.now + d, wo.seq, what})
+}
+
+func (wo *world) run(until time.Duration) {
+	for len(wo.agenda) > 0 && wo.agenda[0].at <= until {
+		ha := heap.Pop(&wo.agenda).(happening)
+		wo.now = ha.at
+		ha.what()
+	}
+	wo.now = until
+}
+
+type simServer struct {
+	wo      *world
+	slots   int
+	running int
+	queue   []*simSub
+	errors  bool // answers an error at once
+	silent  bool // accepts and never answers
+	slow    float64
+	lies    bool // says on replies that nothing waits
+	served  int
+}
+
+type simSub struct {
+	se     *simSearch
+	shard  int
+	server view.ServerID
+	tried  []view.ServerID
+	sentAt time.Duration
+	over   bool
+}
+
+func (sv *simServer) arrive(su *simSub) {
+	switch {
+	case sv.silent:
+		return
+	case sv.errors:
+		sv.reply(su, limit.Failed)
+	case sv.running < sv.slots:
+		sv.serve(su)
+	case len(sv.queue) < sv.wo.de.queue:
+		sv.queue = append(sv.queue, su)
+	default:
+		sv.wo.count.sheds++
+		sv.reply(su, limit.Shed)
+	}
+}
+
+func (sv *simServer) serve(su *simSub) {
+	sv.running++
+	sv.served++
+	mean := float64(sv.wo.de.service)
+	took := time.Duration(mean/2 + mean/2*sv.wo.rnd.ExpFloat64())
+	if sv.slow > 0 {
+		took = time.Duration(float64(took) * sv.slow)
+	}
+	sv.wo.after(took, func() {
+		sv.running--
+		sv.reply(su, limit.Replied)
+		for len(sv.queue) > 0 && sv.running < sv.slots {
+			next := sv.queue[0]
+			sv.queue = sv.queue[1:]
+			if next.se.deadline > sv.wo.now && !next.se.over {
+				sv.serve(next)
+			}
+		}
+	})
+}
+
+func (sv *simServer) reply(su *simSub, kind limit.Kind) {
+	running, queued := min(sv.running+1, sv.slots), len(sv.queue)
+	if sv.lies {
+		running, queued = 0, 0
+	}
+	sv.wo.after(sv.wo.de.oneWay, func() { su.se.vm.replied(su, kind, running, queued) })
+}
+
+type simVM struct {
+	wo    *world
+	mc    *admit.Machine[*simSearch]
+	tb    *limit.Table
+	pool  *limit.Pool
+	spare *budget.Budget
+	rnd   *rand.Rand
+}
+
+type simSearch struct {
+	vm       *simVM
+	class    admit.Class
+	team     admit.TeamID
+	arrived  time.Duration
+	started  time.Duration
+	deadline time.Duration
+	missing  int
+	handle   admit.Handle
+	refused  bool
+	running  bool
+	over     bool
+	counted  bool
+}
+
+func newWorld(de deployment, mo mode, seed uint64) *world {
+	wo := &world{de: de, mode: mo, rnd: rand.New(rand.NewPCG(seed, 1))}
+	wo.count.goodAt = make(map[int]int)
+	for range de.services * de.replicas {
+		wo.servers = append(wo.servers, &simServer{wo: wo, slots: de.slots})
+	}
+	for range de.vms {
+		wo.vms = append(wo.vms, wo.newVM())
+	}
+	return wo
+}
+
+func (wo *world) newVM() *simVM {
+	cfg := limit.Config{}
+	if wo.mode == static {
+		fixed := float64(wo.de.slots) / float64(wo.de.vms)
+		cfg = limit.Config{Start: fixed, Least: fixed, Most: fixed, Levels: [limit.Classes]float64{1, 1, 1}}
+	}
+	vm := &simVM{wo: wo, tb: limit.New(cfg), rnd: rand.New(rand.NewPCG(wo.rnd.Uint64(), 2))}
+	for i := range wo.servers {
+		vm.tb.Place(view.ServerID(i), limit.GroupKey{Service: string(rune('a' + i/wo.de.replicas))})
+	}
+	vm.pool = vm.tb.Pool(limit.PoolKey{})
+	vm.spare = budget.New(budget.Config{Share: 0.1, Burst: 20})
+	vm.mc = admit.New[*simSearch](admit.Config{Room: vm.pool.Room})
+	return vm
+}
+
+// load brings searches at a rate for the whole fleet, Poisson on each VM.
+func (wo *world) load(rate float64) {
+	for _, vm := range wo.vms {
+		vm.arrivals(rate/float64(len(wo.vms)), 0, nil)
+	}
+}
+
+func (vm *simVM) arrivals(rate float64, tm admit.TeamID, until func() bool) {
+	if until != nil && until() {
+		return
+	}
+	gap := time.Duration(vm.rnd.ExpFloat64() / rate * float64(time.Second))
+	vm.wo.after(gap, func() {
+		vm.offer(vm.drawClass(), tm)
+		vm.arrivals(rate, tm, until)
+	})
+}
+
+func (vm *simVM) drawClass() admit.Class {
+	x := vm.rnd.Float64()
+	switch {
+	case x < classMix[0]:
+		return admit.Urgent
+	case x < classMix[0]+classMix[1]:
+		return admit.Interactive
+	}
+	return admit.Batch
+}
+
+func (vm *simVM) offer(cl admit.Class, tm admit.TeamID) {
+	wo := vm.wo
+	se := &simSearch{vm: vm, class: cl, team: tm, arrived: wo.now, deadline: wo.now + classDeadline[cl], counted: wo.now >= wo.from}
+	if se.counted {
+		wo.count.offered[cl]++
+	}
+	if wo.mode == unlimited {
+		se.start()
+		return
+	}
+	rq := admit.Request{Class: cl, Team: tm, Cost: int32(wo.de.services), Deadline: se.deadline}
+	de := vm.mc.Offer(wo.now, rq, se)
+	switch de.Kind {
+	case admit.Admitted:
+		se.start()
+	case admit.Queued:
+		se.handle = de.Handle
+		wo.after(de.Until-wo.now, func() {
+			if vm.mc.Withdraw(wo.now, se.handle) {
+				se.refuse()
+			}
+		})
+		wo.after(5*time.Millisecond, vm.step)
+	case admit.Refused:
+		se.refuse()
+	}
+}
+
+func (se *simSearch) refuse() {
+	se.refused = true
+	if se.counted {
+		se.vm.wo.count.refused[se.class]++
+	}
+}
+
+func (vm *simVM) step() {
+	if vm.wo.mode == unlimited {
+		return
+	}
+	for {
+		grants := vm.mc.Step(vm.wo.now)
+		if len(grants) == 0 {
+			return
+		}
+		for _, gr := range slices.Clone(grants) {
+			if gr.Start {
+				gr.Waiter.start()
+			} else {
+				gr.Waiter.refuse()
+			}
+		}
+	}
+}
+
+func (se *simSearch) start() {
+	wo := se.vm.wo
+	if se.refused {
+		wo.count.ranAfterRefusal++
+	}
+	se.running = true
+	se.started = wo.now
+	se.missing = wo.de.services
+	se.vm.spare.Earn(wo.de.services)
+	for sh := range wo.de.services {
+		wo.count.primaries++
+		se.send(&simSub{se: se, shard: sh})
+	}
+	if wo.mode != unlimited {
+		se.vm.mc.Begun()
+	}
+	wo.after(se.deadline-wo.now, func() { se.finish(false) })
+}
+
+func (se *simSearch) send(su *simSub) bool {
+	vm := se.vm
+	id, ok := vm.pick(su.shard, su.tried)
+	if !ok {
+		return false
+	}
+	su.server = id
+	su.tried = append(su.tried, id)
+	su.sentAt = vm.wo.now
+	vm.tb.Begin(vm.wo.now, id)
+	sub := &simSub{se: se, shard: su.shard, server: id, tried: su.tried, sentAt: vm.wo.now}
+	vm.wo.after(vm.wo.de.oneWay, func() { vm.wo.servers[id].arrive(sub) })
+	// Silence ends at the deadline.
+	vm.wo.after(se.deadline-vm.wo.now, func() {
+		if !sub.over {
+			sub.over = true
+			vm.tb.End(vm.wo.now, id, limit.Sample{Kind: limit.Failed, Latency: vm.wo.now - sub.sentAt})
+			vm.step()
+		}
+	})
+	return true
+}
+
+// pick is the better of two that have room, else the fallback.
+func (vm *simVM) pick(shard int, tried []view.ServerID) (view.ServerID, bool) {
+	var ids, all []view.ServerID
+	for r := range vm.wo.de.replicas {
+		id := view.ServerID(shard*vm.wo.de.replicas + r)
+		if slices.Contains(tried, id) {
+			continue
+		}
+		all = append(all, id)
+		if vm.wo.mode == unlimited || vm.tb.Room(vm.wo.now, id) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return vm.tb.Fallback(all)
+	}
+	vm.rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	if len(ids) > 1 && vm.tb.Load(ids[1]) < vm.tb.Load(ids[0]) {
+		return ids[1], true
+	}
+	return ids[0], true
+}
+
+func (vm *simVM) replied(su *simSub, kind limit.Kind, running, queued int) {
+	if su.over {
+		return
+	}
+	su.over = true
+	now := vm.wo.now
+	vm.tb.End(now, su.server, limit.Sample{Kind: kind, Latency: now - su.sentAt, Running: running, Queued: queued})
+	se := su.se
+	switch {
+	case se.over:
+	case kind == limit.Replied:
+		se.missing--
+		if se.missing == 0 {
+			se.finish(true)
+		}
+	case len(su.tried) <= 1 && vm.spare.Spend():
+		if se.send(su) {
+			vm.wo.count.retries++
+		} else {
+			vm.spare.Refund()
+		}
+	}
+	vm.step()
+}
+
+func (se *simSearch) finish(good bool) {
+	if se.over || !se.running {
+		return
+	}
+	se.over = true
+	wo := se.vm.wo
+	if wo.mode != unlimited {
+		se.vm.mc.Done(wo.now, se.class, wo.now-se.started, false)
+	}
+	if good {
+		wo.count.goodAt[int(wo.now/(100*time.Millisecond))]++
+	}
+	if !se.counted {
+		return
+	}
+	if !good {
+		wo.count.failed[se.class]++
+		return
+	}
+	wo.count.good[se.class]++
+	wo.count.latency[se.class] = append(wo.count.latency[se.class], wo.now-se.arrived)
+}
+
+func p99(lats []time.Duration) time.Duration {
+	if len(lats) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(lats)
+	slices.Sort(sorted)
+	return sorted[len(sorted)*99/100]
+}
