laburnumvane: a change names itself

Cause: the id of a change came with the reply, so a change whose reply was lost could not be asked about; a refused change ended in 0; the command gave up before the VM did; config status counted VMs and not data centres. Conclusion: after exit code 4 there is always an id to ask about.

--- a/cmd/laburnumvane/config_set.go
+++ b/cmd/laburnumvane/config_set.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -12,6 +15,13 @@
 	"laburnumvane/io/wire"
 )
 
+const (
+	changeIDBytes = 16
+	// changeTimeout outlasts a VM's own patience with a slow key-value service,
+	// so that the VM's word on the change comes through.
+	changeTimeout = time.Minute
+)
+
 func configSetCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "set",
@@ -24,25 +34,42 @@
 document yet. Without it, the revision in force when the command starts is
 taken, which protects only against changes made while the command runs.
 
-Exit codes: 0 accepted, 2 a fault in the document, 3 a conflict with another
-change, which is shown, 4 unknown: the change may have been accepted. Ask
-"config status" with the change's id, or "config history" where there is none.
+Every change has an id. One is made up unless --id gives it; offering the same
+id again never makes the change twice, it tells what became of the first offer.
+
+Exit codes: 0 accepted, 2 a fault in the document, 3 not made: a conflict with
+another change, which is shown, or a refusal, 4 unknown: the change may have
+been accepted. Then ask "config status" with the id that is printed, or repeat
+the command with --id.
 
 Examples:
    laburnumvane config set wash.json --team wash --if-revision 12
    laburnumvane config set wash.json --team wash --if-revision 12 --dry-run
+   laburnumvane config set wash.json --team wash --id release-41 --actor ada
    laburnumvane config get -t wash | jq '.limits.concurrent = 400' |
       laburnumvane config set - --team wash`,
-		Flags: operatorFlags(
-			teamFlag(),
-			&cli.Uint64Flag{Name: "if-revision", Usage: "the revision that the change was made from"},
-			&cli.BoolFlag{Name: "dry-run", Usage: "have the VM check the change and not make it"},
+		Flags: append(changeFlags(),
 			&cli.BoolFlag{Name: "skip-check", Usage: "leave the check to the VM, which may be newer than this program"},
 		),
 		Action: configSetAction,
 	}
 }
 
+// changeFlags are those of every command that makes a change.
+func changeFlags() []cli.Flag {
+	return operatorFlagsWithin(
+		changeTimeout,
+		teamFlag(),
+		&cli.Uint64Flag{Name: "if-revision", Usage: "the `REVISION` that the change is made from; 0 is none yet"},
+		&cli.StringFlag{Name: "id", Usage: "the change's `ID`: letters, digits, dots, dashes, underscores; one is made up if absent"},
+		&cli.StringFlag{
+			Name: "actor", Usage: "`WHO` makes the change, for the history",
+			Sources: cli.EnvVars("LABURNUMVANE_ACTOR"),
+		},
+		&cli.BoolFlag{Name: "dry-run", Usage: "have the VM check the change and not make it"},
+	)
+}
+
 func configSetAction(ctx context.Context, cmd *cli.Command) error {
 	name, err := oneArg(cmd, "the FILE")
 	if err != nil {
@@ -76,11 +103,16 @@
 			return err
 		}
 	}
+	id := cmd.String("id")
+	if id == "" {
+		id = newChangeID()
+	}
 	rep, err := opr.SetConfig(ctx, client.Change{
 		Team: cmd.String("team"), Document: doc, IfRevision: rev, DryRun: cmd.Bool("dry-run"),
+		ID: id, Actor: cmd.String("actor"),
 	})
 	if err != nil {
-		return changeLost(cmd, rev, err)
+		return changeLost(cmd, id, err)
 	}
 	return printChange(cmd, rep)
 }
@@ -93,15 +125,23 @@
 	return cfg.Revision, err
 }
 
-// changeLost adds to an error in doubt how to settle it: the reply with the id
-// of the change is lost, and the history is the only place to look.
-func changeLost(cmd *cli.Command, rev uint64, err error) error {
+// newChangeID is chosen here and not by the VM, so that a change whose reply is
+// lost can still be asked about.
+func newChangeID() string {
+	raw := make([]byte, changeIDBytes)
+	// Read never fails: the program would end.
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
+
+// changeLost adds to an error in doubt how to settle it.
+func changeLost(cmd *cli.Command, id string, err error) error {
 	if client.KindOf(err) != client.KindUnknown {
 		return err
 	}
 	return &Error{
 		Op: cmd.FullName(), Kind: KindUnknown, Err: err,
-		Msg: fmt.Sprintf("the change may have been accepted; see whether \"config history\" shows it after revision %d", rev),
+		Msg: fmt.Sprintf("the change may have been accepted; ask \"config status %s\", or repeat with --id %s", id, id),
 	}
 }
 
@@ -138,11 +178,8 @@
    laburnumvane config history --team wash
    laburnumvane config rollback --team wash --to 11 --dry-run
    laburnumvane config rollback --team wash --to 11`,
-		Flags: operatorFlags(
-			teamFlag(),
+		Flags: append(changeFlags(),
 			&cli.Uint64Flag{Name: "to", Required: true, Usage: "the `REVISION` to go back to"},
-			&cli.Uint64Flag{Name: "if-revision", Usage: "the revision that must still be in force"},
-			&cli.BoolFlag{Name: "dry-run", Usage: "have the VM check the change and not make it"},
 		),
 		Action: configRollbackAction,
 	}
--- a/cmd/laburnumvane/config_status.go
+++ b/cmd/laburnumvane/config_status.go
@@ -14,8 +14,8 @@
 		Name:      "status",
 		Usage:     "tell what became of a change and where it is in force",
 		ArgsUsage: "ID",
-		Description: `Asks for a change by its id, and shows for each VM of the fleet whether the
-change, or a later one, is in force there. A VM that did not answer is shown as
+		Description: `Asks for a change by its id, and shows for each data centre and each VM whether
+the change, or a later one, is in force there. What did not answer is shown as
 not reachable: it takes the change up when it is back.
 
 Exit codes: 0 in force on every VM, 1 not on all of them yet, 4 the change is
@@ -59,9 +59,16 @@
 		fmt.Fprintf(out, "change %s is not known\n", cs.ChangeID)
 		return
 	}
+	inForce, vms := countInForce(cs)
 	fmt.Fprintf(out, "change %s is revision %d of team %s, in force on %d of %d VMs\n\n",
-		cs.ChangeID, cs.Revision, cs.Team, countInForce(cs), len(cs.VMs))
-	tbl := newTable(out, "VM", "DATA CENTRE", "REVISION", "IN FORCE", "REACHABLE")
+		cs.ChangeID, cs.Revision, cs.Team, inForce, vms)
+	tbl := newTable(out, "DATA CENTRE", "VMS", "IN FORCE", "REACHABLE")
+	for _, dc := range cs.DataCentres {
+		tbl.row(dc.DataCentre, number(dc.VMs), number(dc.InForce), yesNo(dc.Reachable))
+	}
+	tbl.flush()
+	fmt.Fprintln(out)
+	tbl = newTable(out, "VM", "DATA CENTRE", "REVISION", "IN FORCE", "REACHABLE")
 	for _, vm := range cs.VMs {
 		tbl.row(vm.Addr, vm.DataCentre, number(vm.Revision), yesNo(vm.InForce), yesNo(vm.Reachable))
 	}
@@ -72,20 +79,29 @@
 	if !cs.Known {
 		return silent(cmd.FullName(), KindUnknown)
 	}
-	if countInForce(cs) < len(cs.VMs) {
+	if inForce, vms := countInForce(cs); inForce < vms || anyUnreachable(cs) {
 		return silent(cmd.FullName(), KindFailure)
 	}
 	return nil
 }
 
-func countInForce(cs wire.ChangeStatus) int {
-	cnt := 0
-	for _, vm := range cs.VMs {
-		if vm.InForce {
-			cnt++
+// countInForce sums up the data centres; the rows of single VMs may leave out
+// those of a data centre that did not answer.
+func countInForce(cs wire.ChangeStatus) (inForce, vms int) {
+	for _, dc := range cs.DataCentres {
+		inForce += dc.InForce
+		vms += dc.VMs
+	}
+	return inForce, vms
+}
+
+func anyUnreachable(cs wire.ChangeStatus) bool {
+	for _, dc := range cs.DataCentres {
+		if !dc.Reachable {
+			return true
 		}
 	}
-	return cnt
+	return false
 }
 
 func yesNo(val bool) string {
--- a/cmd/laburnumvane/flags.go
+++ b/cmd/laburnumvane/flags.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
@@ -39,9 +40,9 @@
 	}
 }
 
-func timeoutFlag() cli.Flag {
+func timeoutFlag(def time.Duration) cli.Flag {
 	return &cli.DurationFlag{
-		Name: "timeout", Value: client.DefaultTimeout,
+		Name: "timeout", Value: def,
 		Usage:   "how long to wait for the VM, such as 2s",
 		Sources: cli.EnvVars("LABURNUMVANE_TIMEOUT"),
 	}
@@ -63,20 +64,24 @@
 			Usage:   "the VM's listener for callers",
 			Sources: cli.EnvVars("LABURNUMVANE_URL"),
 		},
-		tokenFlag(), timeoutFlag(), jsonFlag(),
+		tokenFlag(), timeoutFlag(client.DefaultTimeout), jsonFlag(),
 	}, more...)
 }
 
 // operatorFlags are those of every command that speaks to the operators'
 // listener.
 func operatorFlags(more ...cli.Flag) []cli.Flag {
+	return operatorFlagsWithin(client.DefaultTimeout, more...)
+}
+
+func operatorFlagsWithin(timeout time.Duration, more ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
 		&cli.StringFlag{
 			Name: "operator-url", Value: defaultOperatorURL,
 			Usage:   "the VM's listener for operators",
 			Sources: cli.EnvVars("LABURNUMVANE_OPERATOR_URL"),
 		},
-		tokenFlag(), timeoutFlag(), jsonFlag(),
+		tokenFlag(), timeoutFlag(timeout), jsonFlag(),
 	}, more...)
 }
 
--- a/cmd/laburnumvane/session_test.go
+++ b/cmd/laburnumvane/session_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -64,7 +65,7 @@
 		return
 	}
 	fmt.Fprintf(&scr.log, "> %s %s\n", req.Method, req.RequestURI)
-	for _, name := range []string{"Authorization", "If-Match", "X-Request-Id"} {
+	for _, name := range []string{"Authorization", "If-Match", "X-Request-Id", "X-Actor"} {
 		if val := req.Header.Get(name); val != "" {
 			fmt.Fprintf(&scr.log, "> %s: %s\n", name, val)
 		}
@@ -114,7 +115,8 @@
 		fmt.Fprintf(&all, "$ laburnumvane %s\n%s", stp.args, traffic)
 		fmt.Fprintf(&all, "%s%sexit %d\n\n", out.String(), prefixed(errOut.String()), code)
 	}
-	return strings.ReplaceAll(all.String(), srv.URL, "http://VM")
+	text := strings.ReplaceAll(all.String(), srv.URL, "http://VM")
+	return regexp.MustCompile("[0-9a-f]{32}").ReplaceAllString(text, "RANDOM")
 }
 
 // clearVariables keeps the settings of whoever runs the test out of it.
--- a/io/client/client_test.go
+++ b/io/client/client_test.go
@@ -78,6 +78,7 @@
 		{name: "conflict as a precondition", status: 412, body: jsonConflict, result: wire.ChangeConflict},
 		{name: "conflict without the other change", status: 412, body: jsonRefusal, kind: client.KindConflict},
 		{name: "unknown", status: 504, body: `{"result":"unknown","changeId":"c2"}`, result: wire.ChangeUnknown},
+		{name: "proven not made", status: 503, body: `{"result":"refused","changeId":"c2"}`, result: wire.ChangeRefused},
 		{name: "would be accepted", status: 200, body: `{"result":"dryRun"}`, dryRun: true, result: wire.ChangeDryRun},
 		{name: "fault in the document", status: 400, body: jsonRefusal, kind: client.KindInvalid},
 		{name: "another team's token", status: 403, body: jsonRefusal, kind: client.KindDenied},
@@ -217,9 +218,9 @@
 			},
 		},
 		{
-			name: "dry run", method: "PUT", uri: "/v1/teams/wash/config?dryRun=true", header: http.Header{"If-Match": {`"12"`}, "X-Request-Id": {"r1"}}, body: string(doc),
+			name: "dry run", method: "PUT", uri: "/v1/teams/wash/config?dryRun=true&id=c1", header: http.Header{"If-Match": {`"12"`}, "X-Actor": {"ada"}}, body: string(doc),
 			call: func(ctx context.Context, _ *client.Caller, opr *client.Operator) error {
-				_, err := opr.SetConfig(ctx, client.Change{Team: "wash", Document: doc, IfRevision: 12, DryRun: true, RequestID: "r1"})
+				_, err := opr.SetConfig(ctx, client.Change{Team: "wash", Document: doc, IfRevision: 12, DryRun: true, ID: "c1", Actor: "ada"})
 				return err
 			},
 		},
--- a/io/client/operator.go
+++ b/io/client/operator.go
@@ -12,6 +12,9 @@
 	"laburnumvane/io/wire"
 )
 
+// headerActor names who makes a change.
+const headerActor = "X-Actor"
+
 // Operator speaks to the operators' listener of a VM. It may be used by several
 // goroutines at once.
 type Operator struct {
@@ -39,8 +42,8 @@
 	// ID names the change; empty lets the VM choose. With an id of its own the
 	// caller can ask about a change whose reply was lost, and repeat it.
 	ID string
-	// RequestID is the caller's own id for the request, for the VM's log.
-	RequestID string
+	// Actor is who makes the change, for the history.
+	Actor string
 }
 
 // Config reads the document in force for a team.
@@ -53,18 +56,18 @@
 	return rep, nil
 }
 
-// SetConfig offers a change. A conflict, and a change that the VM itself cannot
-// vouch for, come back as a reply with that Result and no error. An *Error of
-// KindUnknown means that not even the id of the change is known: look into
-// History.
+// SetConfig offers a change. A change that was not made, and one that the VM
+// itself cannot vouch for, come back as a reply with that Result and no error.
+// An *Error of KindUnknown means that the reply was lost: ask ChangeStatus for
+// the change's ID, or offer the same change with the same ID again.
 func (opr *Operator) SetConfig(ctx context.Context, chg Change) (wire.ChangeReply, error) {
 	cl := call{
 		op: "client.SetConfig", method: http.MethodPut, path: pathOf(wire.RouteConfig, "team", chg.Team),
 		query: url.Values{}, header: http.Header{}, body: chg.Document, effect: !chg.DryRun,
 	}
 	cl.header.Set("If-Match", strconv.Quote(strconv.FormatUint(chg.IfRevision, 10)))
-	if chg.RequestID != "" {
-		cl.header.Set(wire.HeaderRequestID, chg.RequestID)
+	if chg.Actor != "" {
+		cl.header.Set(headerActor, chg.Actor)
 	}
 	if chg.DryRun {
 		cl.query.Set("dryRun", "true")
