--- a/cmd/laburnumvane/config.go
+++ b/cmd/laburnumvane/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 
 	"github.com/urfave/cli/v3"
 
@@ -114,13 +115,13 @@
 
 // printChange prints what became of a change, and ends the command with the
 // code that goes with it.
-func printChange(cmd *cli.Command, rep wire.ChangeReply) error {
+func printChange(cmd *cli.Command, offered json.RawMessage, rep wire.ChangeReply) error {
 	if cmd.Bool("json") {
 		if err := printJSON(cmd, rep); err != nil {
 			return err
 		}
-	} else {
-		printChangeText(cmd, rep)
+	} else if err := printChangeText(cmd, offered, rep); err != nil {
+		return failure(cmd.FullName(), err)
 	}
 	switch rep.Result {
 	case wire.ChangeConflict, wire.ChangeRefused:
@@ -131,7 +132,7 @@
 	return nil
 }
 
-func printChangeText(cmd *cli.Command, rep wire.ChangeReply) {
+func printChangeText(cmd *cli.Command, offered json.RawMessage, rep wire.ChangeReply) error {
 	out := cmd.Root().Writer
 	tbl := newTable(out)
 	tbl.row("result", string(rep.Result))
@@ -149,9 +150,28 @@
 	case rep.Result == wire.ChangeUnknown:
 		fmt.Fprintf(out, "\nAsk later: laburnumvane config status %s\n", rep.ChangeID)
 	case rep.Result == wire.ChangeConflict && rep.Current != nil:
-		fmt.Fprintf(out, "\nRevision %d (change %s) came first:\n", rep.Current.Revision, rep.Current.ChangeID)
-		fmt.Fprint(out, indented(rep.Current.Document))
+		return printConflict(out, offered, *rep.Current)
 	}
+	return nil
+}
+
+// printConflict shows where the offered document would change what is in force
+// now: documents can be long, and the operator knows one of the two.
+func printConflict(out io.Writer, offered json.RawMessage, current wire.ConfigReply) error {
+	text, err := unified(
+		side{label: fmt.Sprintf("revision %d", current.Revision), text: indented(current.Document)},
+		side{label: "offered", text: indented(offered)},
+	)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "\nRevision %d (change %s) came first.", current.Revision, current.ChangeID)
+	if text == "" {
+		fmt.Fprintln(out, " It is the same document.")
+		return nil
+	}
+	fmt.Fprintf(out, " From it to the offered document:\n%s", text)
+	return nil
 }
 
 // indented gives a document in a form that two documents can be compared in:
--- a/cmd/laburnumvane/config_diff.go
+++ b/cmd/laburnumvane/config_diff.go
@@ -64,11 +64,7 @@
 	if err != nil {
 		return err
 	}
-	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
-		A: difflib.SplitLines(from.text), FromFile: from.label,
-		B: difflib.SplitLines(to.text), ToFile: to.label,
-		Context: diffContext,
-	})
+	text, err := unified(from, to)
 	if err != nil {
 		return failure(cmd.FullName(), err)
 	}
@@ -82,6 +78,15 @@
 	return nil
 }
 
+// unified is the difference of two documents, or "".
+func unified(from, to side) (string, error) {
+	return difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: difflib.SplitLines(from.text), FromFile: from.label,
+		B: difflib.SplitLines(to.text), ToFile: to.label,
+		Context: diffContext,
+	})
+}
+
 func printDiff(cmd *cli.Command, rep diffReply) error {
 	if cmd.Bool("json") {
 		return printJSON(cmd, rep)
--- a/cmd/laburnumvane/config_set.go
+++ b/cmd/laburnumvane/config_set.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return changeLost(cmd, id, err)
 	}
-	return printChange(cmd, rep)
+	return printChange(cmd, doc, rep)
 }
 
 func revisionInForce(ctx context.Context, cmd *cli.Command, opr *client.Operator) (uint64, error) {
--- a/cmd/laburnumvane/main_test.go
+++ b/cmd/laburnumvane/main_test.go
@@ -103,6 +103,10 @@
 		{args: "config set testdata/wash.json --team wash --if-revision 12", replies: []scripted{{status: 403, body: `{"error":"the token is another team's","reason":"forbidden"}`}}},
 		{args: "config set testdata/wash.json --team hr --if-revision 12"},
 		{args: "config set testdata/faulty.json --team wash"},
+		{
+			args: "config set - --team wash --skip-check --if-revision 12", stdin: `{"version":1}`,
+			replies: []scripted{{status: 412, body: bodyConflict}},
+		},
 		{args: "config set testdata/absent.json --team wash"},
 		{args: "config set - --team wash", stdin: "{"},
 		{args: "config set --team wash"},
