team: a document is taken apart in place

Cause: each level of a document was copied into a decoder of its own and its path put into words, fault or not. Every VM reads every change of its teams. Change: values are found in the checked text without a copy, the path is kept as steps and written out for a fault alone. The fuzz target now also compares with encoding/json.

--- a/core/team/check.go
+++ b/core/team/check.go
@@ -10,7 +10,7 @@
 // checkName makes sure that a document is not put into another team's subtree.
 func (rd *reader) checkName(name string, doc Document) {
 	if doc.Team != "" && doc.Team != name {
-		rd.add(KindInvalid, "team", "is %q, and the document is for team %q", doc.Team, name)
+		rd.addAt("team", KindInvalid, "is %q, and the document is for team %q", doc.Team, name)
 	}
 }
 
@@ -21,7 +21,7 @@
 		rd.checkSearch(at, doc.Searches[name])
 		rd.checkRegister(at, doc.Searches[name], doc)
 	}
-	var adr addresses = map[netip.AddrPort]string{}
+	adr := addresses{}
 	for _, name := range slices.Sorted(maps.Keys(doc.Registers)) {
 		svcs := doc.Registers[name].Services
 		for _, svc := range slices.Sorted(maps.Keys(svcs)) {
@@ -34,7 +34,7 @@
 
 func (rd *reader) checkSearch(at string, sch Search) {
 	if sch.HardDeadlineMs > 0 && sch.SoftDeadlineMs > sch.HardDeadlineMs {
-		rd.add(KindInvalid, at+".softDeadlineMs", "is %d, later than hardDeadlineMs, which is %d", sch.SoftDeadlineMs, sch.HardDeadlineMs)
+		rd.addAt(at+".softDeadlineMs", KindInvalid, "is %d, later than hardDeadlineMs, which is %d", sch.SoftDeadlineMs, sch.HardDeadlineMs)
 	}
 	if rd.clean(at + ".hedge") {
 		rd.checkHedge(at, sch)
@@ -51,24 +51,24 @@
 	hdg := sch.Hedge
 	switch {
 	case sch.NeverRepeat && (hdg.Quantile > 0 || hdg.Budget > 0):
-		rd.add(KindInvalid, at+".hedge", "a search with neverRepeat is never hedged: leave hedge out")
+		rd.addAt(at+".hedge", KindInvalid, "a search with neverRepeat is never hedged: leave hedge out")
 		return
 	case hdg.Quantile > 0 && hdg.Budget == 0:
-		rd.add(KindInvalid, at+".hedge.budget", "is 0, so the quantile has no effect: set both or neither")
+		rd.addAt(at+".hedge.budget", KindInvalid, "is 0, so the quantile has no effect: set both or neither")
 	case hdg.Quantile == 0 && hdg.Budget > 0:
-		rd.add(KindInvalid, at+".hedge.quantile", "is 0, so the budget has no effect: set both or neither")
+		rd.addAt(at+".hedge.quantile", KindInvalid, "is 0, so the budget has no effect: set both or neither")
 	}
 	if sch.HardDeadlineMs > 0 && hdg.MinDelayMs >= sch.HardDeadlineMs {
-		rd.add(KindInvalid, at+".hedge.minDelayMs", "is %d, and hardDeadlineMs is %d: no hedge could go out", hdg.MinDelayMs, sch.HardDeadlineMs)
+		rd.addAt(at+".hedge.minDelayMs", KindInvalid, "is %d, and hardDeadlineMs is %d: no hedge could go out", hdg.MinDelayMs, sch.HardDeadlineMs)
 	}
 }
 
 func (rd *reader) checkRetry(at string, rty Retry) {
 	if rty.PerShard > 0 && rty.Budget == 0 {
-		rd.add(KindInvalid, at+".budget", "is 0, so perShard has no effect: set both or neither")
+		rd.addAt(at+".budget", KindInvalid, "is 0, so perShard has no effect: set both or neither")
 	}
 	if rty.PerShard == 0 && rty.Budget > 0 {
-		rd.add(KindInvalid, at+".perShard", "is 0, so the budget has no effect: set both or neither")
+		rd.addAt(at+".perShard", KindInvalid, "is 0, so the budget has no effect: set both or neither")
 	}
 }
 
@@ -77,20 +77,30 @@
 		return
 	}
 	if _, ok := doc.Registers[sch.Register]; !ok {
-		rd.add(KindInvalid, at+".register", "is %q, which is not among registers", sch.Register)
+		rd.addAt(at+".register", KindInvalid, "is %q, which is not among registers", sch.Register)
 	}
 }
 
 func (rd *reader) checkService(at string, svc Service) {
 	if svc.ConnectionsPerServer > 0 && svc.ConnectionsPerServer < svc.SlotsPerServer {
-		rd.add(KindInvalid, at+".connectionsPerServer", "is %d, fewer than slotsPerServer, which is %d: slots would stay empty",
+		rd.addAt(at+".connectionsPerServer", KindInvalid, "is %d, fewer than slotsPerServer, which is %d: slots would stay empty",
 			svc.ConnectionsPerServer, svc.SlotsPerServer)
 	}
 }
 
-// addresses maps each server to the path where it was seen first. The same
+// addresses maps each server to the place where it was seen first. The same
 // address twice would count one server's slots and connections twice.
-type addresses map[netip.AddrPort]string
+type addresses map[netip.AddrPort]serverPlace
+
+// serverPlace is a server's place among those of a service.
+type serverPlace struct {
+	service string
+	index   int
+}
+
+func (sp serverPlace) path() string {
+	return fmt.Sprintf("%s.servers[%d].addr", sp.service, sp.index)
+}
 
 func (rd *reader) checkAddresses(at string, svc Service, adr addresses) {
 	for i, srv := range svc.Servers {
@@ -98,12 +108,12 @@
 		if err != nil {
 			continue
 		}
-		path := fmt.Sprintf("%s.servers[%d].addr", at, i)
+		here := serverPlace{service: at, index: i}
 		key := netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
 		if first, dup := adr[key]; dup {
-			rd.add(KindInvalid, path, "is %s, the server of %s", srv.Addr, first)
+			rd.addAt(here.path(), KindInvalid, "is %s, the server of %s", srv.Addr, first.path())
 			continue
 		}
-		adr[key] = path
+		adr[key] = here
 	}
 }
--- a/core/team/field.go
+++ b/core/team/field.go
@@ -40,13 +40,13 @@
 	if lo == hi {
 		what = fmt.Sprintf("%d", lo)
 	}
-	read := func(rd *reader, at string, raw json.RawMessage, into *T) {
-		if !rd.want(at, raw, typeNumber, what) {
+	read := func(rd *reader, raw json.RawMessage, into *T) {
+		if !rd.want(raw, typeNumber, what) {
 			return
 		}
 		num, err := strconv.ParseInt(string(raw), 10, 64)
 		if err != nil || num < int64(lo) || num > int64(hi) {
-			rd.add(KindInvalid, at, "is %s, must be %s", shorten(raw), what)
+			rd.add(KindInvalid, "is %s, must be %s", shorten(raw), what)
 			return
 		}
 		*ptr(into) = N(num)
@@ -74,13 +74,13 @@
 }
 
 func numeric[T any](name, what string, node schemaNode, ptr func(*T) *float64, good func(float64) bool) field[T] {
-	read := func(rd *reader, at string, raw json.RawMessage, into *T) {
-		if !rd.want(at, raw, typeNumber, what) {
+	read := func(rd *reader, raw json.RawMessage, into *T) {
+		if !rd.want(raw, typeNumber, what) {
 			return
 		}
 		num, err := strconv.ParseFloat(string(raw), 64)
 		if err != nil || !good(num) {
-			rd.add(KindInvalid, at, "is %s, must be %s", shorten(raw), what)
+			rd.add(KindInvalid, "is %s, must be %s", shorten(raw), what)
 			return
 		}
 		*ptr(into) = num
@@ -90,8 +90,8 @@
 
 // flag is a field with true or false.
 func flag[T any](name, doc string, ptr func(*T) *bool) field[T] {
-	read := func(rd *reader, at string, raw json.RawMessage, into *T) {
-		if rd.want(at, raw, typeBool, "true or false") {
+	read := func(rd *reader, raw json.RawMessage, into *T) {
+		if rd.want(raw, typeBool, "true or false") {
 			*ptr(into) = string(raw) == "true"
 		}
 	}
@@ -101,9 +101,9 @@
 // named is a required field with a name.
 func named[T any](name, doc string, ptr func(*T) *string) field[T] {
 	node := schemaNode{Type: "string", Description: doc, Pattern: namePattern}
-	return text(name, "a name", node, func(rd *reader, at, val string, into *T) {
+	return text(name, "a name", node, func(rd *reader, val string, into *T) {
 		if !isName(val) {
-			rd.add(KindInvalid, at, "is %q, must be a name: %s", clip(val), nameRule)
+			rd.add(KindInvalid, "is %q, must be a name: %s", clip(val), nameRule)
 			return
 		}
 		*ptr(into) = val
@@ -113,9 +113,9 @@
 // address is a required field with an IP address and a port.
 func address[T any](name, doc string, ptr func(*T) *string) field[T] {
 	node := schemaNode{Type: "string", Description: doc, Pattern: addrPattern}
-	return text(name, "an address", node, func(rd *reader, at, val string, into *T) {
+	return text(name, "an address", node, func(rd *reader, val string, into *T) {
 		if msg := addressFault(val); msg != "" {
-			rd.add(KindInvalid, at, "is %q, %s", clip(val), msg)
+			rd.add(KindInvalid, "is %q, %s", clip(val), msg)
 			return
 		}
 		*ptr(into) = val
@@ -146,28 +146,23 @@
 	}
 	what := "one of " + strings.Join(list, ", ")
 	node := schemaNode{Type: "string", Description: doc, Enum: list}
-	return text(name, what, node, func(rd *reader, at, val string, into *T) {
+	return text(name, what, node, func(rd *reader, val string, into *T) {
 		for _, word := range words {
 			if val == string(word) {
 				*ptr(into) = word
 				return
 			}
 		}
-		rd.add(KindInvalid, at, "is %q, must be %s", clip(val), what)
+		rd.add(KindInvalid, "is %q, must be %s", clip(val), what)
 	})
 }
 
-func text[T any](name, what string, node schemaNode, use func(rd *reader, at, val string, into *T)) field[T] {
-	read := func(rd *reader, at string, raw json.RawMessage, into *T) {
-		if !rd.want(at, raw, typeString, what) {
+func text[T any](name, what string, node schemaNode, use func(rd *reader, val string, into *T)) field[T] {
+	read := func(rd *reader, raw json.RawMessage, into *T) {
+		if !rd.want(raw, typeString, what) {
 			return
 		}
-		var val string
-		if err := json.Unmarshal(raw, &val); err != nil {
-			rd.add(KindSyntax, at, "%v", err)
-			return
-		}
-		use(rd, at, val, into)
+		use(rd, textOf(raw), into)
 	}
 	return field[T]{name: name, required: true, node: node, read: read}
 }
@@ -175,8 +170,8 @@
 // object is a field with an object of its own.
 func object[T, S any](name, doc string, flds []field[S], ptr func(*T) *S) field[T] {
 	node := objectNode(doc, flds)
-	read := func(rd *reader, at string, raw json.RawMessage, into *T) {
-		*ptr(into) = readObject(rd, at, raw, flds)
+	read := func(rd *reader, raw json.RawMessage, into *T) {
+		*ptr(into) = readObject(rd, raw, flds)
 	}
 	return field[T]{name: name, node: node, read: read}
 }
@@ -188,10 +183,10 @@
 		Type: "object", Description: doc, MinProperties: least,
 		PropertyNames: &schemaNode{Pattern: namePattern}, AdditionalProperties: &sub,
 	}
-	read := func(rd *reader, at string, raw json.RawMessage, into *T) {
-		vals := readMap(rd, at, raw, flds)
+	read := func(rd *reader, raw json.RawMessage, into *T) {
+		vals := readMap(rd, raw, flds)
 		if typeOf(raw) == typeObject && len(vals) < least {
-			rd.add(KindInvalid, at, "is empty, must have at least %d", least)
+			rd.add(KindInvalid, "is empty, must have at least %d", least)
 		}
 		*ptr(into) = vals
 	}
@@ -202,10 +197,10 @@
 func listOf[T, S any](name, doc string, flds []field[S], ptr func(*T) *[]S) field[T] {
 	sub := objectNode("", flds)
 	node := schemaNode{Type: "array", Description: doc, MinItems: 1, Items: &sub}
-	read := func(rd *reader, at string, raw json.RawMessage, into *T) {
-		vals := readList(rd, at, raw, flds)
+	read := func(rd *reader, raw json.RawMessage, into *T) {
+		vals := readList(rd, raw, flds)
 		if typeOf(raw) == typeArray && len(vals) == 0 {
-			rd.add(KindInvalid, at, "is empty, must have at least 1")
+			rd.add(KindInvalid, "is empty, must have at least 1")
 		}
 		*ptr(into) = vals
 	}
--- a/core/team/fuzz_test.go
+++ b/core/team/fuzz_test.go
@@ -1,6 +1,7 @@
 package team_test
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/matryer/is"
@@ -10,7 +11,7 @@
 
 // FuzzParse holds Parse to what callers build on: it never panics, an error
 // always comes with at least one fault and no document, and what it accepts
-// reads back the same from its canonical form.
+// reads the same by encoding/json and from its canonical form.
 func FuzzParse(f *testing.F) {
 	f.Add(readFile(f, "testdata/good.json"))
 	f.Add(readFile(f, "../../docs/examples/pettigrew.json"))
@@ -30,8 +31,24 @@
 			is.Equal(doc, team.Document{})
 			return
 		}
+		is.Equal(plain(t, raw), doc)
 		again, err := team.Parse("wash", doc.Canonical())
 		is.NoErr(err)
 		is.Equal(again, doc)
 	})
 }
+
+// plain is what encoding/json makes of a document, with the one default that
+// Parse fills in.
+func plain(t *testing.T, raw []byte) team.Document {
+	t.Helper()
+	var doc team.Document
+	is.New(t).NoErr(json.Unmarshal(raw, &doc))
+	for name, sch := range doc.Searches {
+		if sch.HitLimit == 0 {
+			sch.HitLimit = team.DefaultHitLimit
+		}
+		doc.Searches[name] = sch
+	}
+	return doc
+}
--- a/core/team/hint.go
+++ b/core/team/hint.go
@@ -53,11 +53,7 @@
 	if typeOf(raw) != typeString || !strings.Contains(what, string(unitMillis)) {
 		return ""
 	}
-	var val string
-	if err := json.Unmarshal(raw, &val); err != nil {
-		return ""
-	}
-	dur, err := time.ParseDuration(val)
+	dur, err := time.ParseDuration(textOf(raw))
 	if err != nil || dur < time.Millisecond {
 		return ""
 	}
--- a/core/team/parse.go
+++ b/core/team/parse.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"unicode/utf8"
 
 	"github.com/go-faster/errors"
@@ -27,7 +26,7 @@
 		return Document{}, errors.Join(err)
 	}
 	rd := &reader{}
-	doc := readObject(rd, "", raw, documentFields())
+	doc := readObject(rd, bytes.TrimLeft(raw, " \t\r\n"), documentFields())
 	fillDefaults(doc)
 	rd.checkName(name, doc)
 	rd.checkDocument(doc)
@@ -46,6 +45,9 @@
 	if !utf8.Valid(raw) {
 		return &Error{Op: opParse, Kind: KindSyntax, Msg: "is not UTF-8 text"}
 	}
+	if json.Valid(raw) {
+		return nil
+	}
 	var whole json.RawMessage
 	err := json.Unmarshal(raw, &whole)
 	var se *json.SyntaxError
@@ -53,10 +55,7 @@
 		line, col := position(raw, se.Offset)
 		return &Error{Op: opParse, Kind: KindSyntax, Msg: fmt.Sprintf("line %d, column %d: %v", line, col, se)}
 	}
-	if err != nil {
-		return &Error{Op: opParse, Kind: KindSyntax, Msg: err.Error()}
-	}
-	return nil
+	return &Error{Op: opParse, Kind: KindSyntax, Msg: fmt.Sprint(err)}
 }
 
 // position turns the number of bytes read into a line and a column, from 1.
@@ -76,81 +75,3 @@
 		doc.Searches[name] = sch
 	}
 }
-
-// jsonType is the type of a JSON value.
-type jsonType string
-
-// Types as a reader of JSON knows them.
-const (
-	typeObject jsonType = "an object"
-	typeArray  jsonType = "an array"
-	typeString jsonType = "a string"
-	typeNumber jsonType = "a number"
-	typeBool   jsonType = "true or false"
-	typeNull   jsonType = "null"
-)
-
-// typeOf needs valid JSON.
-func typeOf(raw json.RawMessage) jsonType {
-	raw = bytes.TrimLeft(raw, " \t\r\n")
-	switch raw[0] {
-	case '{':
-		return typeObject
-	case '[':
-		return typeArray
-	case '"':
-		return typeString
-	case 't', 'f':
-		return typeBool
-	case 'n':
-		return typeNull
-	}
-	return typeNumber
-}
-
-// member is one name and value of an object.
-type member struct {
-	name string
-	raw  json.RawMessage
-}
-
-// members lists an object's members in the order they are written, repeated
-// names included: encoding/json alone would keep the last one in silence.
-func members(raw json.RawMessage) []member {
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	mustToken(dec)
-	var mems []member
-	for dec.More() {
-		name, _ := mustToken(dec).(string)
-		mems = append(mems, member{name: name, raw: mustValue(dec)})
-	}
-	return mems
-}
-
-// elements lists an array's values.
-func elements(raw json.RawMessage) []json.RawMessage {
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	mustToken(dec)
-	var els []json.RawMessage
-	for dec.More() {
-		els = append(els, mustValue(dec))
-	}
-	return els
-}
-
-// mustToken reads from text that checkText has found valid.
-func mustToken(dec *json.Decoder) json.Token {
-	tok, err := dec.Token()
-	if err != nil && !errors.Is(err, io.EOF) {
-		panic("team: token of checked JSON: " + err.Error())
-	}
-	return tok
-}
-
-func mustValue(dec *json.Decoder) json.RawMessage {
-	var raw json.RawMessage
-	if err := dec.Decode(&raw); err != nil {
-		panic("team: value of checked JSON: " + err.Error())
-	}
-	return raw
-}
--- a/core/team/reader.go
+++ b/core/team/reader.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -13,13 +14,48 @@
 // anybody reads.
 const maxFaults = 100
 
-// reader collects the faults of one document.
+// reader collects the faults of one document, and knows the place that it is
+// reading. The path is put into words only for a fault.
 type reader struct {
+	place  []step
 	faults []*Error
 	more   int
 }
 
-func (rd *reader) add(kind Kind, at, format string, args ...any) {
+// step leads from a value into one within it: by name, or by index where the
+// name is not set.
+type step struct {
+	name  string
+	named bool
+	index int
+}
+
+// within reads one value inside the present one.
+func (rd *reader) within(st step, read func()) {
+	rd.place = append(rd.place, st)
+	read()
+	rd.place = rd.place[:len(rd.place)-1]
+}
+
+// path is the present place in words.
+func (rd *reader) path() string {
+	at := ""
+	for _, st := range rd.place {
+		if st.named {
+			at = join(at, st.name)
+			continue
+		}
+		at = fmt.Sprintf("%s[%d]", at, st.index)
+	}
+	return at
+}
+
+// add notes a fault of the present place.
+func (rd *reader) add(kind Kind, format string, args ...any) {
+	rd.addAt(rd.path(), kind, format, args...)
+}
+
+func (rd *reader) addAt(at string, kind Kind, format string, args ...any) {
 	if len(rd.faults) == maxFaults {
 		rd.more++
 		return
@@ -53,12 +89,12 @@
 }
 
 // want reports whether a value has the type, and adds a fault where not.
-func (rd *reader) want(at string, raw json.RawMessage, typ jsonType, what string) bool {
+func (rd *reader) want(raw json.RawMessage, typ jsonType, what string) bool {
 	got := typeOf(raw)
 	if got == typ {
 		return true
 	}
-	rd.add(KindType, at, "is %s, must be %s%s", got, what, unitHint(raw, what))
+	rd.add(KindType, "is %s, must be %s%s", got, what, unitHint(raw, what))
 	return false
 }
 
@@ -68,76 +104,75 @@
 	name     string
 	required bool
 	node     schemaNode
-	read     func(rd *reader, at string, raw json.RawMessage, into *T)
+	read     func(rd *reader, raw json.RawMessage, into *T)
 }
 
 // readObject reads an object with exactly these fields.
-func readObject[T any](rd *reader, at string, raw json.RawMessage, flds []field[T]) T {
+func readObject[T any](rd *reader, raw json.RawMessage, flds []field[T]) T {
 	var val T
-	if !rd.want(at, raw, typeObject, "an object") {
+	if !rd.want(raw, typeObject, "an object") {
 		return val
 	}
-	seen := make(map[string]bool, len(flds))
-	for _, mem := range members(raw) {
-		sub := join(at, mem.name)
-		fld, ok := fieldNamed(flds, mem.name)
-		switch {
-		case !ok:
-			rd.add(KindUnknown, sub, "there is no such field%s", nameHint(mem.name, fieldNames(flds)))
-		case seen[mem.name]:
-			rd.add(KindInvalid, sub, "appears twice")
-		default:
-			seen[mem.name] = true
-			fld.read(rd, sub, mem.raw, &val)
-		}
-	}
-	for _, fld := range flds {
-		if fld.required && !seen[fld.name] {
-			rd.add(KindMissing, join(at, fld.name), "is required")
+	// One bit for each field that has been seen.
+	seen := uint64(0)
+	eachMember(raw, func(name string, sub json.RawMessage) {
+		rd.within(step{name: name, named: true}, func() {
+			at := indexOf(flds, name)
+			switch {
+			case at < 0:
+				rd.add(KindUnknown, "there is no such field%s", nameHint(name, fieldNames(flds)))
+			case seen&(1<<at) != 0:
+				rd.add(KindInvalid, "appears twice")
+			default:
+				seen |= 1 << at
+				flds[at].read(rd, sub, &val)
+			}
+		})
+	})
+	for i, fld := range flds {
+		if fld.required && seen&(1<<i) == 0 {
+			rd.within(step{name: fld.name, named: true}, func() { rd.add(KindMissing, "is required") })
 		}
 	}
 	return val
 }
 
 // readMap reads an object whose names the operators choose.
-func readMap[T any](rd *reader, at string, raw json.RawMessage, flds []field[T]) map[string]T {
+func readMap[T any](rd *reader, raw json.RawMessage, flds []field[T]) map[string]T {
 	vals := map[string]T{}
-	if !rd.want(at, raw, typeObject, "an object") {
+	if !rd.want(raw, typeObject, "an object") {
 		return vals
 	}
-	for _, mem := range members(raw) {
-		sub := join(at, mem.name)
-		if _, dup := vals[mem.name]; dup {
-			rd.add(KindInvalid, sub, "appears twice")
-			continue
-		}
-		if !isName(mem.name) {
-			rd.add(KindInvalid, sub, "is not a name: %s", nameRule)
-		}
-		vals[mem.name] = readObject(rd, sub, mem.raw, flds)
-	}
+	eachMember(raw, func(name string, sub json.RawMessage) {
+		rd.within(step{name: name, named: true}, func() {
+			if _, dup := vals[name]; dup {
+				rd.add(KindInvalid, "appears twice")
+				return
+			}
+			if !isName(name) {
+				rd.add(KindInvalid, "is not a name: %s", nameRule)
+			}
+			vals[name] = readObject(rd, sub, flds)
+		})
+	})
 	return vals
 }
 
 // readList reads an array of objects.
-func readList[T any](rd *reader, at string, raw json.RawMessage, flds []field[T]) []T {
-	if !rd.want(at, raw, typeArray, "an array") {
+func readList[T any](rd *reader, raw json.RawMessage, flds []field[T]) []T {
+	if !rd.want(raw, typeArray, "an array") {
 		return nil
 	}
 	var vals []T
-	for i, el := range elements(raw) {
-		vals = append(vals, readObject(rd, fmt.Sprintf("%s[%d]", at, i), el, flds))
-	}
+	eachElement(raw, func(sub json.RawMessage) {
+		rd.within(step{index: len(vals)}, func() { vals = append(vals, readObject(rd, sub, flds)) })
+	})
 	return vals
 }
 
-func fieldNamed[T any](flds []field[T], name string) (field[T], bool) {
-	for _, fld := range flds {
-		if fld.name == name {
-			return fld, true
-		}
-	}
-	return field[T]{}, false
+// indexOf finds a field by its name, or gives -1.
+func indexOf[T any](flds []field[T], name string) int {
+	return slices.IndexFunc(flds, func(fld field[T]) bool { return fld.name == name })
 }
 
 func fieldNames[T any](flds []field[T]) []string {
