node: membership over twirp, planned stop by the machine

The VMs beat each other over Peer.Beat and ask for help over Peer.Probe; the control goroutine steps core/member. The live set replaces the VM list: for the distribution of configuration, for the shares of connections, in the status. Riders put what they carry on the beats: the digest of the configuration, and signs that an upstream server is leaving.

node.Stop performs core/drain: a signal before anybody ever connected waits for no lag, a second call waits for the same end, a search beyond the grace is cut off and said so. A VM that is leaving has another VM issue tickets (Peer.Issue) and answers for its own until they have expired or the grace ends.

Tested on real sockets with nine VMs: a killed one is found gone by all, a sign seen by one is heard by the eight others.

--- a/io/accept/listener.go
+++ b/io/accept/listener.go
@@ -11,6 +11,7 @@
 	mu       sync.Mutex
 	draining bool
 	conns    map[*Conn]struct{}
+	accepted bool
 }
 
 // New wraps a listener.
@@ -28,9 +29,17 @@
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	ln.conns[cn] = struct{}{}
+	ln.accepted = true
 	return cn, nil
 }
 
+// Accepted tells whether there ever was a connection.
+func (ln *Listener) Accepted() bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.accepted
+}
+
 // Drain closes the connections that are idle, and from now on each other one
 // as soon as it becomes idle. Call it once no more requests are expected, and
 // then close the listener.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -95,6 +95,11 @@
 	return fault.Wrap(fr.srv.Shutdown(ctx), "front.Shutdown")
 }
 
+// Accepted tells whether anybody ever connected.
+func (fr *Front) Accepted() bool {
+	return fr.ln.Accepted()
+}
+
 // Abort cuts off everything, as when the VM dies.
 func (fr *Front) Abort() {
 	fr.ln.Abort()
@@ -131,8 +136,14 @@
 		fr.reply(rc, consts.StatusBadRequest, fault)
 		return
 	}
+	tickets := fr.cfg.Search.Tickets(rq.Team, rq.Count)
+	if len(tickets) == 0 {
+		// A ticket of a VM that is leaving would be void when it is used.
+		fr.reply(rc, consts.StatusServiceUnavailable, wire.ErrorReply{Error: "this VM is leaving and no other can issue tickets", Reason: "leaving"})
+		return
+	}
 	fr.reply(rc, consts.StatusOK, wire.TicketReply{
-		Tickets:   fr.cfg.Search.Tickets(rq.Team, rq.Count),
+		Tickets:   tickets,
 		ExpiresMs: fr.cfg.TicketTTL.Milliseconds(),
 	})
 }
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -11,7 +11,6 @@
 	"laburnumvane/core/team"
 	"laburnumvane/core/view"
 	"laburnumvane/io/meter"
-	"laburnumvane/io/wire"
 )
 
 const (
@@ -195,15 +194,10 @@
 	cs.step(spread.Members{VMs: peers})
 }
 
-// Peers lists the VMs that are not leaving, as the VM list has them.
+// Peers lists the VMs that can be asked and relied on, as the membership has
+// them.
 func (ct *control) Peers() []rank.VM {
-	out := make([]rank.VM, 0, len(ct.vms))
-	for _, vm := range ct.vms {
-		if vm.State != wire.VMLeaving {
-			out = append(out, rank.VM{Addr: vm.Addr, DataCentre: vm.DataCentre})
-		}
-	}
-	return out
+	return ct.members.peers()
 }
 
 // pollVMs follows the platform's VM list.
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -22,9 +22,10 @@
 	view     view.View
 	ids      map[string]view.ServerID
 	holdings map[view.ServerID][]wire.ShardHolding
-	vms      []wire.VM
 	alarms   []string
 	conf     *configs
+	members  *members
+	signs    *signs
 }
 
 func newControl(nd *Node) *control {
@@ -34,6 +35,10 @@
 		holdings: make(map[view.ServerID][]wire.ShardHolding),
 	}
 	ct.conf = newConfigs(ct)
+	ct.members = newMembers(ct)
+	ct.signs = newSigns(ct.members, ct.signHeard)
+	ct.members.board(digests{nd: nd})
+	ct.members.board(ct.signs)
 	return ct
 }
 
@@ -44,6 +49,8 @@
 			ev.apply(ct)
 		case <-ct.conf.timer.C:
 			ct.conf.step(spread.Tick{})
+		case <-ct.members.timer.C:
+			ct.members.tick()
 		case <-ctx.Done():
 			return
 		}
@@ -95,8 +102,7 @@
 }
 
 func (ev vmsSeen) apply(ct *control) {
-	ct.vms = ev.vms
-	ct.conf.peersChanged(ct)
+	ct.members.listed(ev.vms)
 }
 
 const dialTimeout = 2 * time.Second
@@ -140,5 +146,5 @@
 
 // connectionShare is this VM's part of a server's connections.
 func (ct *control) connectionShare(limit int) int {
-	return max(1, limit/max(1, len(ct.vms)))
+	return max(1, limit/max(1, ct.members.sharers()))
 }
--- /dev/null
+++ b/io/node/fleet_test.go
@@ -0,0 +1,108 @@
+package node_test
+
+import (
+	"context"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"laburnumvane/core/team"
+	"laburnumvane/io/emul"
+	"laburnumvane/io/node"
+	"laburnumvane/io/site"
+	"laburnumvane/io/wire"
+)
+
+// bound ends a test that hangs; no verdict depends on it.
+const bound = 60 * time.Second
+
+func startSite(t *testing.T, vms int, lag time.Duration) *site.Site {
+	t.Helper()
+	is := is.New(t)
+	rg, err := emul.SampleRegister("members", 1, 60)
+	is.NoErr(err)
+	st, err := site.Start(site.Config{
+		Team:        "wash",
+		VMs:         vms,
+		DataCentres: []string{"east", "north", "west"},
+		Region:      "home",
+		Register:    rg,
+		Services:    6,
+		Slots:       6,
+		Connections: 60,
+		ServiceTime: func(*rand.Rand) time.Duration { return time.Millisecond },
+		Searches: map[string]team.Search{
+			"kiosk":   {Class: team.ClassUrgent, HardDeadlineMs: 10_000, HitLimit: 5, Retry: team.Retry{Budget: 0.2, PerShard: 2}},
+			"renewal": {Class: team.ClassInteractive, HardDeadlineMs: 10_000, NeverRepeat: true, HitLimit: 5, Retry: team.Retry{Budget: 0.2, PerShard: 2}},
+		},
+		Log:         &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		BalancerLag: lag,
+		TicketTTL:   time.Second,
+		StopGrace:   20 * time.Second,
+	})
+	is.NoErr(err)
+	t.Cleanup(st.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	is.NoErr(st.WaitReady(ctx))
+	return st
+}
+
+// eventually waits for what must come to hold.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for begun := time.Now(); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Since(begun) > bound {
+			t.Fatalf("never came to hold: %s", what)
+		}
+	}
+}
+
+// states counts the VMs by the state that one VM gives them.
+func states(nd *node.Node) map[string]int {
+	out := map[string]int{}
+	for _, vm := range nd.Status().VMs {
+		out[vm.State]++
+	}
+	return out
+}
+
+func allSee(st *site.Site, want map[string]int) func() bool {
+	return func() bool {
+		for _, nd := range st.Nodes() {
+			if !maps.Equal(states(nd), want) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// A VM is killed; its address stays on the VM list. The others of its data
+// centre find out by themselves, and those of the others by their relays.
+func TestVMsKnowEachOther(t *testing.T) {
+	st := startSite(t, 9, 0)
+	eventually(t, "all nine live", allSee(st, map[string]int{"live": 9}))
+	st.Kill(st.Nodes()[4])
+	eventually(t, "one is gone", allSee(st, map[string]int{"live": 8, "gone": 1}))
+}
+
+// A VM hears in a reply that an upstream server is leaving. All others must have
+// heard of it by the sign that rides on beats, before they send it anything.
+func TestDrainSignReachesAll(t *testing.T) {
+	st := startSite(t, 9, 0)
+	eventually(t, "all nine live", allSee(st, map[string]int{"live": 9}))
+	first := st.Nodes()[0]
+	first.Replied(0, wire.UpstreamLoad{State: wire.UpstreamDraining, Incarnation: 1 << 60}, "")
+	eventually(t, "the sign was heard by eight", func() bool {
+		return !slices.ContainsFunc(st.Nodes()[1:], func(nd *node.Node) bool {
+			return nd.Metrics()["member.signHeard"] != 1
+		})
+	})
+}
--- a/io/node/loads.go
+++ b/io/node/loads.go
@@ -90,7 +90,9 @@
 }
 
 func (ev leavingSeen) apply(ct *control) {
-	ct.setState(ct.view.Server(ev.id), view.StateDraining, "a reply says so", ev.incarnation)
+	sv := ct.view.Server(ev.id)
+	ct.setState(sv, view.StateDraining, "a reply says so", ev.incarnation)
+	ct.signSeen(sv.Addr, ev.incarnation)
 }
 
 // Replied takes what a reply shows of a server.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -71,6 +71,11 @@
 	started  time.Time
 	requests atomic.Uint64
 	digest   atomic.Pointer[spread.Digest]
+	desk     *desk
+	// recovering is set while this VM, after a pause, has not caught up.
+	recovering atomic.Bool
+	stopOnce   sync.Once
+	stopErr    error
 }
 
 type listeners struct {
@@ -174,11 +179,12 @@
 		MaxDeadline: nd.set.MaxDeadline,
 		Seed:        nd.set.Incarnation,
 	})
+	nd.desk = &desk{nd: nd, driver: nd.driver}
 	nd.inner = peer.NewServer(peer.ServerConfig{Listener: nd.lns.inner, Service: &service{nd: nd}})
 	nd.front = front.New(front.Config{
 		Listener:    nd.lns.caller,
-		Search:      nd.driver,
-		Leaving:     nd.Leaving,
+		Search:      nd.desk,
+		Leaving:     nd.unfit,
 		MaxBody:     nd.set.MaxBodyBytes,
 		ReadTimeout: readTimeout,
 		MaxDeadline: nd.set.MaxDeadline,
@@ -235,6 +241,12 @@
 	}
 }
 
+// unfit tells whether the balancer shall send nothing: this VM is leaving, or it
+// stood still and may hold an old configuration.
+func (nd *Node) unfit() bool {
+	return nd.Leaving() || nd.recovering.Load()
+}
+
 // Leaving tells whether a planned stop has begun.
 func (nd *Node) Leaving() bool {
 	return nd.leaving.Load()
--- a/io/node/service.go
+++ b/io/node/service.go
@@ -23,11 +23,13 @@
 }
 
 // Beat answers a heartbeat.
-func (se *service) Beat(_ context.Context, rq *inner.BeatRequest) (*inner.BeatReply, error) {
+func (se *service) Beat(ctx context.Context, rq *inner.BeatRequest) (*inner.BeatReply, error) {
 	if err := se.checkVersion(rq.GetVersion()); err != nil {
 		return nil, err
 	}
-	return &inner.BeatReply{Version: inner.Version, From: se.nd.self(), Sequence: rq.GetSequence(), Leaving: se.nd.Leaving()}, nil
+	answered := make(chan *inner.BeatReply, 1)
+	se.nd.post(beatSeen{request: rq, answered: answered})
+	return wait(ctx, se.nd, answered)
 }
 
 // Probe tries another VM on the caller's behalf.
@@ -35,12 +37,22 @@
 	if err := se.checkVersion(rq.GetVersion()); err != nil {
 		return nil, err
 	}
-	rp, err := se.nd.peers.To(rq.GetTarget().GetAddr()).Beat(ctx, &inner.BeatRequest{Version: inner.Version, From: se.nd.self()})
-	if err != nil {
-		//nolint:nilerr // a VM that cannot be reached is the answer, not a failure
-		return &inner.ProbeReply{Version: inner.Version}, nil
+	answered := make(chan *inner.ProbeReply, 1)
+	se.nd.post(probeSeen{request: rq, answered: answered})
+	return wait(ctx, se.nd, answered)
+}
+
+// wait returns what the control goroutine answers.
+func wait[R any](ctx context.Context, nd *Node, answered <-chan R) (R, error) {
+	var none R
+	select {
+	case rp := <-answered:
+		return rp, nil
+	case <-ctx.Done():
+		return none, twirp.NewError(twirp.Canceled, "the caller went away")
+	case <-nd.stopping.Done():
+		return none, twirp.NewError(twirp.Unavailable, "this VM has stopped")
 	}
-	return &inner.ProbeReply{Version: inner.Version, Reached: true, Incarnation: rp.GetFrom().GetIncarnation()}, nil
 }
 
 // Run executes a search whose ticket this VM issued.
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -30,9 +30,7 @@
 	nd.ask(func(ct *control) {
 		st.Alarms = append(st.Alarms, ct.alarms...)
 		st.Alarms = append(st.Alarms, ct.conf.alarmTexts()...)
-		for _, vm := range ct.vms {
-			st.VMs = append(st.VMs, wire.VMStatus{Addr: vm.Addr, DataCentre: vm.DataCentre, State: string(vm.State)})
-		}
+		st.VMs = ct.members.status()
 	})
 	return st
 }
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -2,23 +2,163 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
-	"github.com/go-faster/errors"
+	"laburnumvane/core/drain"
 )
 
-// Stop is the planned stop. The health check fails first; the listeners go on
-// for as long as the balancer may still send requests; then whatever is in
-// flight is finished. ctx bounds the whole.
+const (
+	// stopPoll is how often a stop looks at what is still in flight.
+	stopPoll = 10 * time.Millisecond
+	// abortPatience bounds what is left to do once requests were cut off.
+	abortPatience = time.Second
+)
+
+// Error is a failure of a VM as a whole.
+type Error struct {
+	Op   string
+	Kind Kind
+	Msg  string
+}
+
+// Kind says what went wrong.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindCut: the grace ended while requests were in flight.
+	KindCut Kind = "cutOff"
+)
+
+// Error gives operation, kind and message on one line.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %s", e.Op, e.Kind, e.Msg)
+}
+
+// Stop is the planned stop; core/drain tells its course. It ends with ctx at the
+// latest. The error tells how many searches were cut off, if any. Calls after
+// the first wait for the same end.
 func (nd *Node) Stop(ctx context.Context) error {
-	nd.leaving.Store(true)
-	nd.log.Info().Msg("leaving: health fails, listeners go on")
-	pause(ctx, nd.set.BalancerLag)
-	err := nd.finish(ctx)
-	nd.stop()
-	if cerr := nd.inner.Shutdown(ctx); err == nil {
-		err = cerr
+	nd.stopOnce.Do(func() { nd.stopErr = nd.stopNow(ctx) })
+	return nd.stopErr
+}
+
+// stopRun performs one planned stop.
+type stopRun struct {
+	nd     *Node
+	ma     *drain.Machine
+	closed chan struct{}
+	abort  context.CancelFunc
+	closes context.Context
+	exit   *drain.Action
+}
+
+func (nd *Node) stopNow(ctx context.Context) error {
+	sr := &stopRun{
+		nd:     nd,
+		ma:     drain.New(drain.Config{BalancerLag: nd.set.BalancerLag, Grace: nd.set.StopGrace}),
+		closed: make(chan struct{}),
+	}
+	sr.closes, sr.abort = context.WithCancel(context.Background())
+	defer sr.abort()
+	sr.begin()
+	tk := time.NewTicker(stopPoll)
+	defer tk.Stop()
+	closed, done := sr.closed, ctx.Done()
+	for sr.exit == nil {
+		select {
+		case <-tk.C:
+			sr.step(sr.load())
+		case <-closed:
+			closed = nil
+			sr.step(drain.CallersClosed{})
+		case <-done:
+			done = nil
+			sr.step(drain.Expire{})
+		}
+	}
+	nd.release()
+	nd.log.Info().Int("cutOff", sr.exit.Cut).Int("code", sr.exit.Code).Msg("stopped")
+	if sr.exit.Code != 0 {
+		return &Error{Op: "node.Stop", Kind: KindCut, Msg: fmt.Sprintf("the grace ended with %d searches in flight; they were cut off", sr.exit.Cut)}
+	}
+	return nil
+}
+
+// begin takes a VM that nobody ever connected to for one that still boots: the
+// balancer has not seen it healthy, so there is no lag to wait for.
+func (sr *stopRun) begin() {
+	sr.step(sr.load())
+	if sr.nd.front.Accepted() {
+		sr.step(drain.Booted{})
+		sr.step(drain.Signal{})
+		return
+	}
+	sr.step(drain.Signal{})
+	sr.step(drain.Booted{})
+}
+
+func (sr *stopRun) load() drain.Load {
+	return drain.Load{InFlight: sr.nd.driver.InFlight(), TicketsUntil: sr.nd.desk.ticketsUntil()}
+}
+
+func (sr *stopRun) step(ev drain.Event) {
+	for _, ac := range sr.ma.Step(time.Since(sr.nd.started), ev) {
+		sr.do(ac)
+	}
+}
+
+func (sr *stopRun) do(ac drain.Action) {
+	nd := sr.nd
+	switch ac.Kind {
+	case drain.ActFailHealth:
+		nd.leaving.Store(true)
+		nd.log.Info().Msg("leaving: health fails, listeners go on")
+	case drain.ActAnnounce:
+		// The others rank without this VM from now on, so its watches and
+		// relays pass to those that rank next while it still has its own:
+		// ActHandOver needs nothing more.
+		nd.leave()
+	case drain.ActCloseCallers:
+		go sr.closeCallers()
+	case drain.ActAbort:
+		sr.abort()
+		nd.front.Abort()
+		nd.oper.Abort()
+	case drain.ActCloseInner:
+		sr.closeInner()
+	case drain.ActExit:
+		sr.exit = &ac
+	}
+}
+
+func (sr *stopRun) closeCallers() {
+	defer close(sr.closed)
+	err := both(
+		func() error { return sr.nd.front.Shutdown(sr.closes) },
+		func() error { return sr.nd.oper.Shutdown(sr.closes) },
+	)
+	if err != nil {
+		sr.nd.log.Error().Err(err).Msg("listeners closed with an error")
+	}
+}
+
+func (sr *stopRun) closeInner() {
+	nd := sr.nd
+	nd.quit()
+	ctx, cancel := context.WithTimeout(context.Background(), abortPatience)
+	defer cancel()
+	if err := nd.inner.Shutdown(ctx); err != nil {
+		nd.log.Warn().Err(err).Msg("peers' requests cut off")
+		// They were given their time; what is left would outlive the VM.
+		_ = nd.inner.Close()
 	}
+}
+
+// release ends what runs beside the listeners.
+func (nd *Node) release() {
+	nd.stop()
 	nd.running.Wait()
 	nd.workers.Release()
 	nd.kv.Close()
@@ -27,27 +167,17 @@
 	for _, sv := range *nd.servers.Load() {
 		sv.Close()
 	}
-	nd.log.Info().Int("inFlight", nd.driver.InFlight()).Msg("stopped")
-	return err
 }
 
-// finish closes the listeners of callers and operators and waits for searches.
-func (nd *Node) finish(ctx context.Context) error {
-	err := both(
-		func() error { return nd.front.Shutdown(ctx) },
-		func() error { return nd.oper.Shutdown(ctx) },
-	)
-	done := make(chan struct{})
-	go func() {
-		nd.driver.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return err
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "node.Stop: searches still in flight")
-	}
+// Kill ends the VM without any of the steps of a planned stop, as when its
+// process is killed: all connections break, nobody is told.
+func (nd *Node) Kill() {
+	nd.stopOnce.Do(func() {
+		nd.front.Abort()
+		nd.oper.Abort()
+		nd.inner.Abort()
+		nd.release()
+	})
 }
 
 // both runs two things at once and returns the first's error before the
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -65,6 +65,13 @@
 	return fault.Wrap(sr.http.Shutdown(ctx), "peer.Shutdown")
 }
 
+// Abort cuts off everything, as when the VM dies.
+func (sr *Server) Abort() {
+	sr.ln.Abort()
+	// The listener is closed already.
+	_ = sr.http.Close()
+}
+
 // Close cuts everything off.
 func (sr *Server) Close() error {
 	return fault.Wrap(sr.http.Close(), "peer.Close")
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -49,6 +50,8 @@
 	BalancerLag time.Duration
 	// TicketTTL is how long a ticket can be used.
 	TicketTTL time.Duration
+	// StopGrace bounds a planned stop; 0 takes the default.
+	StopGrace time.Duration
 	// CallerAddr is the first VM's callers' listener; empty for any port.
 	CallerAddr string
 }
@@ -165,6 +168,9 @@
 	if st.cfg.TicketTTL > 0 {
 		set.TicketTTL = st.cfg.TicketTTL
 	}
+	if st.cfg.StopGrace > 0 {
+		set.StopGrace = st.cfg.StopGrace
+	}
 	st.boots++
 	set = set.WithIncarnation(time.Now().Add(time.Duration(st.boots) * time.Microsecond))
 	nd, err := node.Start(node.Config{Settings: set, Log: st.cfg.Log, Version: "site"})
@@ -176,6 +182,25 @@
 	return nd, nil
 }
 
+// Stop stops a VM as planned and takes it off the VM list, as the platform does.
+func (st *Site) Stop(ctx context.Context, nd *node.Node) error {
+	st.vms.Leaving(nd.Addrs().Inner)
+	err := nd.Stop(ctx)
+	st.drop(nd)
+	return err
+}
+
+// Kill ends a VM without notice. The VM list goes on naming it.
+func (st *Site) Kill(nd *node.Node) {
+	nd.Kill()
+	st.nodes = slices.DeleteFunc(st.nodes, func(one *node.Node) bool { return one == nd })
+}
+
+func (st *Site) drop(nd *node.Node) {
+	st.vms.Remove(nd.Addrs().Inner)
+	st.nodes = slices.DeleteFunc(st.nodes, func(one *node.Node) bool { return one == nd })
+}
+
 // Nodes lists the VMs in the order of their boot.
 func (st *Site) Nodes() []*node.Node { return st.nodes }
 
@@ -208,7 +233,9 @@
 
 // Close stops everything, VMs first.
 func (st *Site) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	// Nobody will come with a ticket any more, so the VMs need not wait until
+	// the last has expired.
+	ctx, cancel := context.WithTimeout(context.Background(), st.cfg.BalancerLag+closeGrace)
 	defer cancel()
 	done := make(chan struct{}, len(st.nodes))
 	for _, nd := range st.nodes {
@@ -228,6 +255,9 @@
 	st.kv.Close()
 }
 
+// closeGrace is what is left in flight when a site closes.
+const closeGrace = 500 * time.Millisecond
+
 func sleep(ctx context.Context, d time.Duration) error {
 	select {
 	case <-time.After(d):
