conns: divide each server's connections among the VMs

Cause: connectionShare was worked out once, before the VM list was known, so that each VM could take a server's whole limit. Change: a roster that counts departed VMs for a while, a planner that ranks this VM for each service, a bound on the sum under differing views, proved by property tests against planners with random views, and a ramp. Not wired yet.

--- /dev/null
+++ b/core/conns/conns_test.go
@@ -0,0 +1,328 @@
+package conns_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"laburnumvane/core/conns"
+	"laburnumvane/core/view"
+)
+
+func vmNumber(i int, dc string) conns.VM {
+	return conns.VM{Addr: fmt.Sprintf("10.0.%d.%d:7703", i/250, i%250), DataCentre: dc}
+}
+
+func vmsOf(n int, dcs ...string) []conns.VM {
+	out := make([]conns.VM, n)
+	for i := range out {
+		out[i] = vmNumber(i, dcs[i%len(dcs)])
+	}
+	return out
+}
+
+// planOf is what a VM makes of its view.
+func planOf(self conns.VM, seen []conns.VM, far bool, groups ...conns.Group) *conns.Planner {
+	pl := conns.NewPlanner(conns.PlannerConfig{Self: self, Far: far})
+	for _, vm := range seen {
+		pl.Apply(conns.Change{VM: vm, Joined: true})
+	}
+	for _, gr := range groups {
+		pl.Add(gr)
+	}
+	return pl
+}
+
+// used adds up, for each replica, what all VMs with the same full view take.
+func used(vms []conns.VM, far bool, gr conns.Group) []int {
+	sums := make([]int, gr.Replicas)
+	for _, vm := range vms {
+		pl := planOf(vm, vms, far, gr)
+		for i := range sums {
+			sums[i] += pl.Share(0, i)
+		}
+	}
+	return sums
+}
+
+// The caller gets every connection that the server gives: with equal views the
+// parts of all VMs add up to the limit less its reserve, on each replica and at
+// each size.
+func TestEqualViewsUseAllButReserve(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		vms   []conns.VM
+		far   bool
+		limit int
+	}{
+		{"Pettigrew member-desk", vmsOf(9, "a", "b", "c"), true, 30},
+		{"Pettigrew partner-ledger", vmsOf(9, "a", "b", "c"), true, 100},
+		{"Kalimba enrol-desk", vmsOf(8, "a", "b", "c", "d"), true, 25},
+		{"Kalimba member-portal", vmsOf(9, "a", "b", "c", "d"), true, 50},
+		{"one data centre of the target", vmsOf(330, "a"), false, 100},
+		{"the same, few connections", vmsOf(330, "a"), false, 25},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			for _, sum := range used(tt.vms, tt.far, conns.Group{Service: "s", DataCentre: "a", Replicas: 3, Limit: tt.limit}) {
+				is.Equal(sum, tt.limit-conns.Reserve(tt.limit))
+			}
+		})
+	}
+}
+
+// The server refuses nobody for too many connections: VMs whose views each lack
+// up to m of the live VMs, and count up to e dead ones, take together at most
+// what Bound says. Bound is worked out from the formula of one share; the test
+// adds up what planners with random views really take.
+func TestBoundHolds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(rt, "vms")
+		missing := rapid.IntRange(0, min(n-1, 8)).Draw(rt, "missing")
+		extra := rapid.IntRange(0, 4).Draw(rt, "extra")
+		limit := rapid.IntRange(1, 100).Draw(rt, "limit")
+		gr := conns.Group{Service: rapid.StringN(1, 8, 8).Draw(rt, "service"), DataCentre: "a", Replicas: 3, Limit: limit}
+		live := vmsOf(n, "a")
+		sums := make([]int, gr.Replicas)
+		for i, vm := range live {
+			rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), uint64(i)))
+			pl := planOf(vm, blurred(rnd, live, i, missing, extra), false, gr)
+			for replica := range sums {
+				sums[replica] += pl.Share(0, replica)
+			}
+		}
+		part, _ := conns.Split(limit, false)
+		for replica, sum := range sums {
+			if bound := conns.Bound(part, n, missing, extra, replica); sum > bound {
+				rt.Fatalf("replica %d: %d VMs use %d, bound %d", replica, n, sum, bound)
+			}
+		}
+	})
+}
+
+// blurred is a view that lacks some of the live VMs and has some dead ones.
+func blurred(rnd *rand.Rand, live []conns.VM, self, missing, extra int) []conns.VM {
+	others := slices.Delete(slices.Clone(live), self, self+1)
+	rnd.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	out := others[min(len(others), rnd.IntN(missing+1)):]
+	for i := range rnd.IntN(extra + 1) {
+		out = append(out, vmNumber(10_000+rnd.IntN(1_000)*10+i, "a"))
+	}
+	return out
+}
+
+// The bound in words, against the bound as it is worked out: with c <= K it is
+// at most the sum over j of min(n, K+m-j(n-m)), and a first replica of c > K
+// has at most K+m users, dead VMs counted or not.
+func TestBoundInClosedForm(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 120).Draw(rt, "vms")
+		missing := rapid.IntRange(0, min(n-1, 10)).Draw(rt, "missing")
+		extra := rapid.IntRange(0, 5).Draw(rt, "extra")
+		part := rapid.IntRange(1, 90).Draw(rt, "part")
+		closed := 0
+		for j := 0; part+missing-j*(n-missing) > 0; j++ {
+			closed += min(n, part+missing-j*(n-missing))
+		}
+		if bound := conns.Bound(part, n, missing, extra, 0); bound > closed {
+			rt.Fatalf("bound %d, closed form %d", bound, closed)
+		}
+	})
+}
+
+// The reserve is enough for what the pages claim: so many VMs may be missing
+// from every view at once before a server's limit could be passed.
+func TestReserveTolerates(t *testing.T) {
+	for _, tt := range []struct {
+		limit, n, missing int
+	}{
+		{30, 9, 1}, {25, 8, 1}, {100, 9, 1}, {50, 8, 1}, {25, 330, 4}, {100, 330, 5},
+	} {
+		t.Run(fmt.Sprintf("limit=%d/vms=%d", tt.limit, tt.n), func(t *testing.T) {
+			is := is.New(t)
+			part, _ := conns.Split(tt.limit, false)
+			is.True(conns.Bound(part, tt.n, tt.missing, 2, 0) <= tt.limit)
+		})
+	}
+}
+
+// The server is not flooded by VMs that have just started: before a VM has seen
+// any list it uses nothing, and after its patience one connection. The first
+// version took the whole limit at every VM whose list came after the
+// configuration.
+func TestBlindVM(t *testing.T) {
+	is := is.New(t)
+	self := vmNumber(0, "a")
+	ro := conns.NewRoster(conns.RosterConfig{Self: self, Hold: time.Minute, Patience: 5 * time.Second})
+	is.True(!ro.Settled(4 * time.Second))
+	is.True(ro.Settled(5 * time.Second))
+	is.True(ro.Blind())
+	ro.Update(6*time.Second, vmsOf(9, "a"))
+	is.True(!ro.Blind())
+	is.Equal(ro.Len(), 9)
+}
+
+// A server's connections are not given out twice, and none is lost for ever: a
+// VM that dies, or is only out of sight, counts for a minute more and no
+// longer; one that is seen again in between was never gone.
+func TestDeadVMCountsForAWhile(t *testing.T) {
+	is := is.New(t)
+	all := vmsOf(3, "a")
+	ro := conns.NewRoster(conns.RosterConfig{Self: all[0], Hold: time.Minute})
+	is.Equal(ro.Update(0, all), []conns.Change{{VM: all[1], Joined: true}, {VM: all[2], Joined: true}})
+	is.Equal(len(ro.Update(10*time.Second, all[:2])), 0)
+	is.Equal(len(ro.Update(60*time.Second, all)), 0)
+	is.Equal(len(ro.Update(61*time.Second, all[:2])), 0)
+	is.Equal(len(ro.Expire(120*time.Second)), 0)
+	is.Equal(ro.Expire(121*time.Second), []conns.Change{{VM: all[2]}})
+}
+
+// The caller keeps its answers when a VM joins: its rank is moved by one hash
+// for each group, and equals the rank from a planner made anew.
+func TestPlannerStepsEqualRebuilt(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(t)
+		vms := vmsOf(20, "a", "b", "c")
+		groups := []conns.Group{
+			{Service: "s", DataCentre: "a", Replicas: 2, Limit: 12}, {Service: "s", DataCentre: "b", Replicas: 1, Limit: 5},
+			{Service: "u", DataCentre: "c", Replicas: 3, Limit: 40},
+		}
+		pl := planOf(vms[0], nil, true, groups...)
+		in := map[conns.VM]bool{}
+		for range rapid.IntRange(1, 50).Draw(rt, "steps") {
+			ch := conns.Change{VM: vms[rapid.IntRange(0, 19).Draw(rt, "vm")], Joined: rapid.Bool().Draw(rt, "joined")}
+			pl.Apply(ch)
+			in[ch.VM] = ch.Joined
+		}
+		var seen []conns.VM
+		for vm, joined := range in {
+			if joined {
+				seen = append(seen, vm)
+			}
+		}
+		anew := planOf(vms[0], seen, true, groups...)
+		for id := range groups {
+			for replica := range groups[id].Replicas {
+				is.Equal(pl.Share(conns.GroupID(id), replica), anew.Share(conns.GroupID(id), replica))
+			}
+		}
+		is.Equal(pl.Unreached(), anew.Unreached())
+	})
+}
+
+// The operator is told what cannot be reached: 330 VMs before services of nine
+// replicas with 25 connections, of which 21 are divided, leave 141 VMs without
+// any connection to a service; with 100 connections every VM reaches all.
+func TestUnreached(t *testing.T) {
+	is := is.New(t)
+	vms := vmsOf(330, "a")
+	for _, tt := range []struct{ limit, without int }{{25, 330 - 9*21}, {100, 0}} {
+		without := 0
+		for _, vm := range vms {
+			pl := planOf(vm, vms, false, conns.Group{Service: "s", DataCentre: "a", Replicas: 9, Limit: tt.limit})
+			without += len(pl.Unreached())
+		}
+		is.Equal(without, tt.without)
+	}
+}
+
+// The server that comes back is not stormed: nine VMs notice in the same moment,
+// each goes on with one connection and adds one at a time. In no 100 ms do they
+// together open more than the first nine and what a quarter of the server's time
+// allows, with the jitter's double.
+func TestRampAfterRestart(t *testing.T) {
+	is := is.New(t)
+	const users, share = 9, 3
+	setup := 6 * time.Millisecond
+	allowed := int(100 * time.Millisecond / setup / 4)
+	var opened []time.Duration
+	for vm := range users {
+		ra := conns.NewRamp(conns.RampConfig{Rand: rand.New(rand.NewPCG(1, uint64(vm))), Setup: setup, Load: 0.25})
+		ra.Set(0, 0, share, users)
+		drain(ra)
+		is.Equal(ra.Limit(0), share)
+		is.Equal(ra.Restart(time.Minute, 0), []conns.Limit{{ID: 0, N: 1}})
+		for at, ok := ra.Next(); ok; at, ok = ra.Next() {
+			for range ra.Wake(at) {
+				opened = append(opened, at-time.Minute)
+			}
+		}
+		is.Equal(ra.Limit(0), share)
+	}
+	is.Equal(len(opened), users*(share-1))
+	for _, from := range opened {
+		n := 0
+		for _, at := range opened {
+			if at >= from && at < from+100*time.Millisecond {
+				n++
+			}
+		}
+		is.True(n <= 2*allowed)
+	}
+}
+
+// The caller sees no retry loop: a server that refuses a connection for too many
+// gets no further try for at least five seconds, and a cut share is obeyed at once.
+func TestRampRefusedAndCut(t *testing.T) {
+	is := is.New(t)
+	ra := conns.NewRamp(conns.RampConfig{Rand: rand.New(rand.NewPCG(1, 1)), Setup: time.Millisecond, Load: 0.25})
+	ra.Set(0, 0, 8, 4)
+	drain(ra)
+	is.Equal(ra.Refused(time.Minute, 0, 5), []conns.Limit{{ID: 0, N: 5}})
+	next, ok := ra.Next()
+	is.True(ok)
+	is.True(next-time.Minute >= 5*time.Second)
+	is.Equal(ra.Wake(next), []conns.Limit{{ID: 0, N: 6}})
+	is.Equal(ra.Set(2*time.Minute, 0, 2, 4), []conns.Limit{{ID: 0, N: 2}})
+	is.Equal(ra.Set(2*time.Minute, 0, 0, 4), []conns.Limit{{ID: 0, N: 0}})
+}
+
+func drain(ra *conns.Ramp) {
+	for at, ok := ra.Next(); ok; at, ok = ra.Next() {
+		ra.Wake(at)
+	}
+}
+
+// The limits of servers never pass their shares, whatever the order of events,
+// and reach them in the end.
+func TestRampStaysWithinShare(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ra := conns.NewRamp(conns.RampConfig{Rand: rand.New(rand.NewPCG(1, 1)), Setup: time.Millisecond, Load: 0.25})
+		shares := [3]int{}
+		now := time.Duration(0)
+		for id := range shares {
+			ra.Set(now, view.ServerID(id), 0, 1)
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 500).Draw(rt, "pause")) * time.Millisecond
+			id := rapid.IntRange(0, 2).Draw(rt, "id")
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0:
+				shares[id] = rapid.IntRange(0, 9).Draw(rt, "share")
+				ra.Set(now, view.ServerID(id), shares[id], 9)
+			case 1:
+				ra.Restart(now, view.ServerID(id))
+			case 2:
+				ra.Refused(now, view.ServerID(id), rapid.IntRange(0, 9).Draw(rt, "open"))
+			default:
+				ra.Wake(now)
+			}
+			for one, share := range shares {
+				if got := ra.Limit(view.ServerID(one)); got > share || got < min(share, 1) {
+					rt.Fatalf("limit %d of share %d", got, share)
+				}
+			}
+		}
+		drain(ra)
+		for one, share := range shares {
+			if got := ra.Limit(view.ServerID(one)); got != share {
+				rt.Fatalf("limit %d of share %d in the end", got, share)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/due/queue.go
@@ -0,0 +1,84 @@
+// Package due keeps things in the order of their times.
+//
+// # Usage
+//
+//	var qu due.Queue[view.ServerID]
+//	qu.Push(now+time.Second, id)
+//	for id, ok := qu.Pop(now); ok; id, ok = qu.Pop(now) {
+//		// id's time has come
+//	}
+//
+// It is a binary heap without container/heap's interface, so that a push
+// allocates nothing but the slice's growth. The zero value is empty and usable.
+package due
+
+import "time"
+
+// Queue holds items with the time at which each is due.
+type Queue[T any] struct {
+	items []item[T]
+}
+
+type item[T any] struct {
+	at  time.Duration
+	val T
+}
+
+// Len is the number of items.
+func (qu *Queue[T]) Len() int { return len(qu.items) }
+
+// Next is the earliest time; false where the queue is empty.
+func (qu *Queue[T]) Next() (time.Duration, bool) {
+	if len(qu.items) == 0 {
+		return 0, false
+	}
+	return qu.items[0].at, true
+}
+
+// Push adds an item.
+func (qu *Queue[T]) Push(at time.Duration, val T) {
+	q := append(qu.items, item[T]{at: at, val: val})
+	for i := len(q) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if q[parent].at <= q[i].at {
+			break
+		}
+		q[parent], q[i] = q[i], q[parent]
+		i = parent
+	}
+	qu.items = q
+}
+
+// Pop takes the earliest item if its time has come.
+func (qu *Queue[T]) Pop(now time.Duration) (T, bool) {
+	if at, ok := qu.Next(); !ok || at > now {
+		var none T
+		return none, false
+	}
+	q := qu.items
+	first := q[0].val
+	last := len(q) - 1
+	q[0] = q[last]
+	q[last] = item[T]{}
+	qu.items = q[:last]
+	qu.sink()
+	return first, true
+}
+
+func (qu *Queue[T]) sink() {
+	q := qu.items
+	for i := 0; ; {
+		child := 2*i + 1
+		if child >= len(q) {
+			return
+		}
+		if child+1 < len(q) && q[child+1].at < q[child].at {
+			child++
+		}
+		if q[i].at <= q[child].at {
+			return
+		}
+		q[i], q[child] = q[child], q[i]
+		i = child
+	}
+}
--- a/core/server/table.go
+++ b/core/server/table.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"laburnumvane/core/due"
 	"laburnumvane/core/view"
 )
 
@@ -30,11 +31,18 @@
 	machines []machine
 	addrs    []string
 	ids      map[string]view.ServerID
-	queue    wakes
+	queue    due.Queue[wake]
 	signs    []spread
 	actions  []Action
 }
 
+// wake is a server's time; one that is no longer the machine's own is skipped
+// when it comes up.
+type wake struct {
+	at time.Duration
+	id view.ServerID
+}
+
 // spread is a sign's ride; one whose number is no longer the machine's own was
 // followed by a newer sign of the same server.
 type spread struct {
@@ -77,8 +85,7 @@
 // Wake takes the time to every server that is due.
 func (tb *Table) Wake(now time.Duration) []Action {
 	tb.actions = tb.actions[:0]
-	for len(tb.queue) > 0 && tb.queue[0].at <= now {
-		wk := tb.queue.pop()
+	for wk, ok := tb.queue.Pop(now); ok; wk, ok = tb.queue.Pop(now) {
 		mc := &tb.machines[wk.id]
 		if wk.at != mc.queued {
 			continue
@@ -95,10 +102,7 @@
 
 // Next is when Wake is due; false where nothing waits.
 func (tb *Table) Next() (time.Duration, bool) {
-	if len(tb.queue) == 0 {
-		return 0, false
-	}
-	return tb.queue[0].at, true
+	return tb.queue.Next()
 }
 
 // Learn takes another VM's sign. Signs of servers that the configuration does
@@ -174,6 +178,6 @@
 	mc := &tb.machines[id]
 	mc.queued = mc.wake()
 	if mc.queued != never {
-		tb.queue.push(wake{at: mc.queued, id: id})
+		tb.queue.Push(mc.queued, wake{at: mc.queued, id: id})
 	}
 }
