--- a/io/node/node.go
+++ b/io/node/node.go
@@ -204,6 +204,7 @@
 	nd.run("front", nd.front.Serve)
 	nd.run("oper", nd.oper.Serve)
 	nd.run("vms", func() error { nd.pollVMs(nd.stopping); return nil })
+	nd.run("connections", func() error { nd.keepConnections(nd.stopping); return nil })
 	nd.run("loads", func() error { nd.pollLoads(nd.stopping); return nil })
 }
 
