server: which load endpoints to poll, within a budget of bytes

Cause: every VM polled every server twice a second; at 32,000 servers that is some 40 MB/s for each VM against 8 KB/s for all control.

--- /dev/null
+++ b/core/server/polls_test.go
@@ -0,0 +1,91 @@
+package server_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/core/server"
+	"laburnumvane/core/view"
+)
+
+func pollsOf(n int) *server.Polls {
+	po := server.NewPolls(server.PollsConfig{
+		Rand: rand.New(rand.NewPCG(1, 1)), BytesPerSecond: 2048, Burst: 256 << 10, Every: 2 * time.Second,
+	})
+	for id := range n {
+		po.Use(0, view.ServerID(id), true)
+	}
+	return po
+}
+
+// run polls until end, each poll costing bytes, and counts for each server.
+func run(po *server.Polls, from, end time.Duration, bytes int) (asked map[view.ServerID]int, sum int) {
+	asked = map[view.ServerID]int{}
+	for now := from; now <= end; {
+		for id, ok := po.Take(now); ok; id, ok = po.Take(now) {
+			asked[id]++
+			sum += bytes
+			po.Done(bytes)
+		}
+		next, ok := po.Next(now)
+		if !ok {
+			break
+		}
+		now = max(next, now+1)
+	}
+	return asked, sum
+}
+
+// The node's 8 KB a second for control are kept: whatever the number of
+// servers, polls spend the burst and then two KB a second.
+func TestPollsKeepBytes(t *testing.T) {
+	for _, n := range []int{10, 75, 648, 32_000} {
+		is := is.New(t)
+		_, sum := run(pollsOf(n), 0, 10*time.Minute, 900)
+		is.True(sum <= 256<<10+600*2048+32*900)
+	}
+}
+
+// The caller's first search finds its shards: after a boot every one of the few
+// hundred servers that a VM uses is asked within a second.
+func TestPollsAskAllAtBoot(t *testing.T) {
+	is := is.New(t)
+	asked, _ := run(pollsOf(270), 0, time.Second, 900)
+	is.Equal(len(asked), 270)
+}
+
+// A new snapshot is found soon: the servers of today's installations are each
+// asked at least every 20 s, and any one of 30 within 3 s.
+func TestPollsRounds(t *testing.T) {
+	is := is.New(t)
+	po := pollsOf(30)
+	run(po, 0, time.Minute, 700)
+	asked, _ := run(po, time.Minute, 63*time.Second, 700)
+	is.True(len(asked) >= 3)
+	asked, _ = run(po, 63*time.Second, 83*time.Second, 700)
+	is.Equal(len(asked), 30)
+}
+
+// A server that lags behind the newest snapshot is asked again within half a
+// second, then after twice the pause each time; one
+// that is no longer used is not asked at all.
+func TestPollsAskAgain(t *testing.T) {
+	is := is.New(t)
+	po := pollsOf(2)
+	run(po, 0, time.Minute, 700)
+	at := time.Minute
+	for pause := 250 * time.Millisecond; pause <= time.Second; pause *= 2 {
+		po.Behind(at, 0)
+		asked, _ := run(po, at, at+pause*3/2, 700)
+		is.True(asked[0] >= 1)
+		is.True(asked[0] <= 2)
+		at += pause * 3 / 2
+	}
+	po.Use(at, 0, false)
+	asked, _ := run(po, at, at+time.Minute, 700)
+	is.Equal(asked[0], 0)
+	is.True(asked[1] > 0)
+}
