limit, admit: fair limits per server, and the faults they are for

Cause: weighed by replies, a VM with a small limit stayed behind for good (the smallest of nine got 3 searches a second, the largest 200); after slots were taken and given back the limits went on falling, since the recent latency took seconds of few replies to forget. Change: steps weighed by round trips, a fourth root in the step up, latency that speaks only where this reply and the recent ones agree, at most a tenth off for one reply.

--- a/core/limit/doc.go
+++ b/core/limit/doc.go
@@ -2,11 +2,10 @@
 // upstream server, from what replies show and from nothing else.
 //
 // A server's slots are shared by VMs that cannot see each other. Each VM raises
-// its limit by a fixed step for each round trip that shows no queue, and cuts
-// it by a fixed share at most once in a round trip that shows one: additive
-// increase and multiplicative decrease bring any number of VMs to like parts of
-// what the server can do, and the step up never ends, so a limit that was cut
-// by a fault comes back. A limit below 1 is kept by pacing.
+// its limit by a step for each round trip that shows no queue, and cuts it by a
+// share for each that does: only like limits are then at rest, whatever the
+// number of VMs, and the step up never ends, so a limit that was cut by a fault
+// comes back. A limit below 1 is kept by pacing.
 //
 // Servers that hold the same shards are a group, and the groups of a register
 // are a pool. A search needs every group of its pool, so a pool has room for
--- a/core/limit/pool.go
+++ b/core/limit/pool.go
@@ -29,12 +29,12 @@
 	// full counts, for each class, the groups that have all they may take.
 	full [Classes]atomic.Int32
 	// nextAt paces a pool with a group whose limit is below 1.
-	nextAt atomic.Int64
+	nextAt [Classes]atomic.Int64
 }
 
 // Room tells whether a search of a class may start.
 func (pl *Pool) Room(now time.Duration, class int) bool {
-	return pl.full[class].Load() == 0 && int64(now) >= pl.nextAt.Load()
+	return pl.full[class].Load() == 0 && int64(now) >= pl.nextAt[class].Load()
 }
 
 // Full is the number of groups without room for a class.
@@ -64,7 +64,7 @@
 
 // change takes in sub-requests begun or ended and a change of a share, and
 // tells the pool where that fills or frees the group.
-func (gr *group) change(now time.Duration, n int, by share) {
+func (gr *group) change(n int, by share) {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	gr.inFlight += n
@@ -73,8 +73,15 @@
 	for cl := range gr.full {
 		gr.mark(cl, gr.isFull(cl))
 	}
-	if n > 0 && gr.share.limit < 1 && gr.share.servers > 0 {
-		gr.pace(now)
+}
+
+// begin counts a sub-request that takes about trip, in nanoseconds.
+func (gr *group) begin(now time.Duration, trip float64) {
+	gr.change(1, share{})
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	if gr.share.limit < 1 && gr.share.servers > 0 {
+		gr.pace(now, trip)
 	}
 }
 
@@ -102,16 +109,20 @@
 
 // pace keeps a limit below 1: the next search waits for the rest of the time
 // that one in flight stands for.
-func (gr *group) pace(now time.Duration) {
-	at := int64(now) + int64(pacedTrip/gr.share.limit)
+func (gr *group) pace(now time.Duration, trip float64) {
+	for cl := range gr.levels {
+		limit := gr.share.limit * gr.levels[cl]
+		if limit < 1 {
+			raise(&gr.pool.nextAt[cl], int64(now)+int64(trip/limit))
+		}
+	}
+}
+
+func raise(at *atomic.Int64, to int64) {
 	for {
-		old := gr.pool.nextAt.Load()
-		if at <= old || gr.pool.nextAt.CompareAndSwap(old, at) {
+		old := at.Load()
+		if to <= old || at.CompareAndSwap(old, to) {
 			return
 		}
 	}
 }
-
-// pacedTrip is the round trip that pacing of a whole group reckons with, in
-// nanoseconds.
-const pacedTrip = float64(10 * time.Millisecond)
--- a/core/limit/server.go
+++ b/core/limit/server.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -40,8 +41,13 @@
 	// base is the latency without a queue, fast the recent one.
 	base float64
 	fast float64
-	// press is the recent number of sub-requests queued per one running.
-	press   float64
+	// replies counts those in base, up to baseReplies.
+	replies int
+	replyAt time.Duration
+	// queueAt is when a reply last showed a queue.
+	queueAt time.Duration
+	// mend is the limit before failures cut it; 0 once that is over.
+	mend    float64
 	lastCut time.Duration
 	// ref is the base of about a second ago.
 	ref   float64
@@ -61,9 +67,9 @@
 	sv.mu.Lock()
 	sv.inFlight++
 	sv.nextAt = now + sv.pause()
-	gr := sv.group
+	gr, trip := sv.group, sv.trip()
 	sv.mu.Unlock()
-	gr.change(now, 1, share{})
+	gr.begin(now, trip)
 }
 
 // pause is the least time between sends under a limit below 1.
@@ -119,7 +125,7 @@
 	after := sv.share()
 	gr := sv.group
 	sv.mu.Unlock()
-	gr.change(now, -1, after.minus(before))
+	gr.change(-1, after.minus(before))
 }
 
 // stuck tells whether a sub-request that was given up had taken so long that
@@ -146,14 +152,53 @@
 func (sv *server) replied(now time.Duration, sa Sample, used bool) {
 	sv.bad = 0
 	sv.learn(now, sa)
+	trips := sv.tripsSince(now)
 	switch {
-	case sv.press > sv.cfg.Press || sv.fast > sv.cfg.Slow*sv.base:
-		sv.cut(now, sv.cfg.QueueCut)
-	case used && sv.limit < sv.cfg.Most:
-		// A step for each round trip, spread over its replies; at most a
-		// doubling, so that a paced limit does not leap.
-		sv.limit = min(sv.cfg.Most, sv.limit+min(sv.limit, sv.cfg.Step/sv.limit))
+	case sv.queues(sa):
+		sv.queueAt = now
+		sv.mend = 0
+		sv.limit = max(sv.cfg.Least, sv.limit*(1-min(sv.cfg.QueueCut*trips, mostCut)))
+	case used:
+		sv.limit = min(sv.cfg.Most, sv.limit+sv.rise(now, trips))
+	}
+}
+
+// tripsSince is the time since the last reply in round trips. Steps are weighed
+// by it: weighed by replies, a VM with a small limit, which gets few, stayed
+// behind for as long as the others kept the server busy.
+func (sv *server) tripsSince(now time.Duration) float64 {
+	trips := float64(now-sv.replyAt) / sv.trip()
+	sv.replyAt = now
+	return min(max(trips, 0), mostTrips)
+}
+
+// queues tells whether a reply shows that sub-requests wait at the server. The
+// latency speaks only where this reply and the recent ones agree: one is chance,
+// and the recent ones alone went on cutting a limit for seconds after the queue
+// was gone, since a cut limit brings few replies.
+func (sv *server) queues(sa Sample) bool {
+	// One that waits is no queue: it keeps a slot busy between two replies.
+	if float64(sa.Queued) > max(1, sv.cfg.Press*float64(sa.Running)) {
+		return true
 	}
+	slow := sv.cfg.Slow * sv.base
+	return float64(sa.Latency) > slow && sv.fast > slow
+}
+
+// rise is the step up. It goes with the fourth root of the limit: with a fixed
+// step many VMs with small limits would keep a long queue at the server, with a
+// proportional one they would not come to like limits; with the square root the
+// smallest part was a tenth of the largest. It grows with the time
+// since a queue was last seen: a small limit gets few replies, and counted in
+// replies the way back from slots that were cut and given back took minutes. A
+// limit that failures cut doubles until it is near what it was.
+func (sv *server) rise(now time.Duration, trips float64) float64 {
+	if sv.limit < sv.mend/2 {
+		return sv.limit
+	}
+	quiet := float64(now-sv.queueAt) / sv.trip()
+	step := sv.cfg.Step * math.Sqrt(math.Sqrt(sv.limit)) * (1 + quiet/quietTrips)
+	return min(step*trips, sv.limit/2)
 }
 
 // learn follows the latency with and without a queue. A reply that met a queue
@@ -161,19 +206,18 @@
 // norm, and the limit would grow into it.
 func (sv *server) learn(now time.Duration, sa Sample) {
 	lat := float64(sa.Latency)
-	pressure := 0.0
-	if sa.Running > 0 {
-		pressure = float64(sa.Queued) / float64(sa.Running)
-	}
-	sv.press += (pressure - sv.press) / recentReplies
 	if sv.base == 0 {
+		sv.replies = 1
 		sv.base, sv.fast = lat, lat
 		sv.ref, sv.refAt = lat, now
 		return
 	}
 	sv.fast += (lat - sv.fast) / recentReplies
 	if sa.Queued == 0 || lat < sv.base {
-		sv.base += (lat - sv.base) / baseReplies
+		// The first replies count for more: one that met the rush of a start
+		// would else pass for the norm, and slow pacing would keep it so.
+		sv.replies = min(sv.replies+1, baseReplies)
+		sv.base += (lat - sv.base) / float64(sv.replies)
 	}
 	// A server may say that nothing waits while something does: the norm may
 	// rise by a bounded share a second and no faster.
@@ -200,5 +244,7 @@
 		return
 	}
 	sv.lastCut = now
+	sv.queueAt = now
+	sv.mend = max(sv.mend, sv.limit)
 	sv.limit = max(sv.cfg.Least, sv.limit*(1-by))
 }
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -16,6 +16,12 @@
 	baseReplies = 128
 	// baseRise is the share by which that latency may rise in a second.
 	baseRise = 0.02
+	// quietTrips is the number of round trips without a queue that doubles the
+	// step.
+	quietTrips = 16
+	// mostTrips and mostCut bound the weight of one reply.
+	mostTrips = 8
+	mostCut   = 0.1
 	// stuckTimes is how many times that latency a sub-request that was given
 	// up must have taken to count as a failure.
 	stuckTimes = 8
@@ -30,7 +36,7 @@
 	Start float64
 	Least float64
 	Most  float64
-	// Step is the rise of a limit in one round trip.
+	// Step is the rise of a limit of 1 in one round trip without a queue.
 	Step float64
 	// Press is the number of sub-requests queued per one running above which
 	// the limit is cut.
@@ -38,14 +44,17 @@
 	// Slow is the recent latency, in multiples of the one without a queue,
 	// above which the limit is cut.
 	Slow float64
-	// QueueCut, ShedCut and FailCut are the shares taken off the limit.
+	// QueueCut is the share taken off the limit in one round trip with a queue,
+	// ShedCut and FailCut those by refusals and failures.
 	QueueCut float64
 	ShedCut  float64
 	FailCut  float64
 	// LeastTrip is the round trip assumed at least.
 	LeastTrip time.Duration
-	// Levels are the shares of a pool's limit that each class may fill, first
-	// class first.
+	// Levels are what each class may fill of a group's limit, in multiples of
+	// it, first class first. The first class may go far over: it is a small part
+	// of the load, its waiting would be for the worst of many groups, and what
+	// it takes brings the limit of the others down.
 	Levels [Classes]float64
 }
 
@@ -60,15 +69,15 @@
 		{&cfg.Start, 2},
 		{&cfg.Least, 0.05},
 		{&cfg.Most, 64},
-		{&cfg.Step, 0.1},
-		{&cfg.Press, 0.5},
+		{&cfg.Step, 0.05},
+		{&cfg.Press, 0.6},
 		{&cfg.Slow, 2},
-		{&cfg.QueueCut, 0.1},
+		{&cfg.QueueCut, 0.05},
 		{&cfg.ShedCut, 0.2},
 		{&cfg.FailCut, 0.5},
-		{&cfg.Levels[0], 1},
-		{&cfg.Levels[1], 0.85},
-		{&cfg.Levels[2], 0.7},
+		{&cfg.Levels[0], 10},
+		{&cfg.Levels[1], 1},
+		{&cfg.Levels[2], 0.85},
 	} {
 		if *one.field == 0 {
 			*one.field = one.value
@@ -125,7 +134,7 @@
 	// past its length.
 	grown := append(old, sv)
 	tb.servers.Store(&grown)
-	gr.change(0, 0, sv.share())
+	gr.change(0, sv.share())
 }
 
 // Pool returns the pool of a register, without groups if none was placed yet.
@@ -218,7 +227,7 @@
 	after := sv.share()
 	gr := sv.group
 	sv.mu.Unlock()
-	gr.change(now, 0, after.minus(before))
+	gr.change(0, after.minus(before))
 }
 
 func (tb *Table) of(id view.ServerID) *server {
