share: team limits over all VMs, divided by demand

Cause: a team's limit held on each VM by itself, so nine VMs admitted nine times as much. Change: core/share divides the limit by the least demand told within a window; buckets keep it.

--- /dev/null
+++ b/core/share/doc.go
@@ -0,0 +1,44 @@
+// Package share divides a team's limits among the VMs by recent demand, so that
+// they hold over all VMs together while none asks another before a search.
+//
+// Each VM tells the others its demand about once a second. Its own part of a
+// limit L is
+//
+//	L * low / (low + sum of the others' demands as last heard)
+//
+// where low is the least demand that it has itself told within the last Window.
+// A demand heard within the Window is at least the low of the VM that told it,
+// so no part exceeds L * low / (sum of all lows), and the parts together never
+// exceed L, however the views differ. What a VM needs more of, it gets once it
+// has said so for a Window; what another needs more of, it gives at once.
+//
+// The bounds, with N VMs:
+//
+//   - all hear each other within the Window: L.
+//   - some are not heard: nobody who misses one raises its part: L, as long as
+//     the cut is seen by both sides.
+//   - a VM has been silent for Forget: those who still hear more than half of
+//     the VMs divide L among themselves; any other keeps at most the lesser of
+//     its last part and L/N. With k VMs cut off: L * (1 + k/N), less than 1.5 L.
+//   - k VMs are new: each takes L/N until it has heard all others and told its
+//     own demand for a Window: L * (1 + k/N). All restarted at once: L.
+//
+// The bound needs a demand to reach the others within half a Window of being
+// told; a VM counts as missed when nothing new of it came for the other half.
+//
+// # Usage
+//
+// The control goroutine owns a Machine; traffic takes from a Bucket:
+//
+//	mc := share.New(share.Config{Self: self})
+//	bucket := mc.Limit("wash", share.Limit{Rate: 100, Concurrent: 20})
+//	mc.Members(now, peers)
+//	mc.Incoming(now, demandsHeard)
+//	demandsToTell := mc.Outgoing(now) // each heartbeat
+//	mc.Step(now)                      // about once a second
+//
+//	if ok, after := bucket.Take(now); ok { defer bucket.Give() }
+//
+// Times are monotonic and count from the start of the process; a step back of
+// the caller's clock counts as no time at all.
+package share
--- /dev/null
+++ b/core/share/machine.go
@@ -0,0 +1,326 @@
+package share
+
+import (
+	"math"
+	"time"
+)
+
+// VM names one process of one VM.
+type VM struct {
+	Addr        string
+	Incarnation uint64
+}
+
+// Demand is what one VM tells the others of one team.
+type Demand struct {
+	Team string
+	// Rate is in searches a second.
+	Rate float64
+	// Share is the part of the team's limit that the VM holds, 0 to 1.
+	Share    float64
+	VM       VM
+	Sequence uint64
+}
+
+// Limit is a team's limit over all VMs together; 0 means none.
+type Limit struct {
+	Rate       float64
+	Concurrent int
+}
+
+// Config sets a machine. Fields that are 0 take the defaults of New.
+type Config struct {
+	Self VM
+	// Window is the time within which demand told by one VM reaches all.
+	Window time.Duration
+	// Forget is how long a VM must be silent for its part to be divided.
+	Forget time.Duration
+	// Floor is the least demand of a VM, as a share of the limit over N: what
+	// an idle VM may let start at once.
+	Floor float64
+}
+
+// Machine divides the limits of all teams; the control goroutine owns it.
+type Machine struct {
+	cfg     Config
+	now     time.Duration
+	born    time.Duration
+	started bool
+	// listed is set once Members has told who else there is.
+	listed bool
+	// missedAt is when another VM was last missed.
+	missedAt time.Duration
+	sequence uint64
+	teams    map[string]*split
+	heard    map[VM]*peer
+	told     []Demand
+}
+
+// peer is another VM: when it was heard and which was its last message.
+type peer struct {
+	at       time.Duration
+	sequence uint64
+	ever     bool
+}
+
+// split is one team's limit and who wants how much of it.
+type split struct {
+	name    string
+	limit   Limit
+	bucket  *Bucket
+	told    lows
+	demands map[VM]float64
+	share   float64
+}
+
+// New makes a machine that knows of no team and no other VM.
+func New(cfg Config) *Machine {
+	if cfg.Window == 0 {
+		cfg.Window = 4 * time.Second
+	}
+	if cfg.Forget == 0 {
+		cfg.Forget = 30 * time.Second
+	}
+	if cfg.Floor == 0 {
+		cfg.Floor = 0.1
+	}
+	return &Machine{cfg: cfg, teams: make(map[string]*split), heard: make(map[VM]*peer)}
+}
+
+// Limit sets a team's limit and returns its bucket, which stays the same.
+func (mc *Machine) Limit(now time.Duration, team string, limit Limit) *Bucket {
+	mc.advance(now)
+	sp, ok := mc.teams[team]
+	if !ok {
+		sp = &split{name: team, bucket: newBucket(), demands: make(map[VM]float64)}
+		sp.share = mc.even()
+		mc.teams[team] = sp
+	}
+	sp.limit = limit
+	mc.apply(sp)
+	return sp.bucket
+}
+
+// Members tells which other VMs there are. One that is missing from the list is
+// dropped at once, so name one that has fallen silent until it has said that it
+// leaves or another incarnation has taken its place.
+func (mc *Machine) Members(now time.Duration, others []VM) {
+	mc.advance(now)
+	listed := make(map[VM]bool, len(others))
+	for _, vm := range others {
+		listed[vm] = true
+		if _, ok := mc.heard[vm]; !ok && vm != mc.cfg.Self {
+			mc.heard[vm] = &peer{at: mc.now}
+		}
+	}
+	for vm := range mc.heard {
+		if !listed[vm] {
+			mc.drop(vm)
+		}
+	}
+	mc.listed = true
+	if mc.young() {
+		mc.Step(mc.now)
+	}
+}
+
+func (mc *Machine) drop(vm VM) {
+	delete(mc.heard, vm)
+	for _, sp := range mc.teams {
+		delete(sp.demands, vm)
+	}
+}
+
+// Incoming takes what others told, directly or passed on.
+func (mc *Machine) Incoming(now time.Duration, demands []Demand) {
+	mc.advance(now)
+	for _, de := range demands {
+		mc.hear(de)
+	}
+}
+
+func (mc *Machine) hear(de Demand) {
+	if de.VM == mc.cfg.Self || !(de.Rate >= 0) {
+		return
+	}
+	pe, ok := mc.heard[de.VM]
+	if !ok {
+		pe = new(peer)
+		mc.heard[de.VM] = pe
+	}
+	if pe.ever && de.Sequence < pe.sequence {
+		// Passed on by a longer way than a newer one.
+		return
+	}
+	if !pe.ever || de.Sequence > pe.sequence {
+		pe.at, pe.sequence, pe.ever = mc.now, de.Sequence, true
+	}
+	if sp, ok := mc.teams[de.Team]; ok {
+		sp.demands[de.VM] = de.Rate
+	}
+}
+
+// Outgoing is what to tell the others now. The slice is valid until the next
+// call.
+func (mc *Machine) Outgoing(now time.Duration) []Demand {
+	mc.advance(now)
+	mc.sequence++
+	mc.told = mc.told[:0]
+	for _, sp := range mc.teams {
+		rate := mc.bounded(sp, sp.bucket.measure(mc.now))
+		sp.told.add(mc.now, rate)
+		mc.told = append(mc.told, Demand{
+			Team:     sp.name,
+			Rate:     rate,
+			Share:    sp.share,
+			VM:       mc.cfg.Self,
+			Sequence: mc.sequence,
+		})
+	}
+	return mc.told
+}
+
+// bounded keeps a demand between the floor and the whole limit: beyond it there
+// is nothing to get, and a team that asks for a hundred times its limit on one
+// VM must not leave its callers on the others without any.
+func (mc *Machine) bounded(sp *split, rate float64) float64 {
+	limit := sp.limit.Rate
+	if limit <= 0 {
+		limit = max(1, float64(sp.limit.Concurrent))
+	}
+	return min(max(rate, mc.cfg.Floor*limit/float64(mc.count())), limit)
+}
+
+// young tells whether this VM has not told its demand for a Window yet.
+func (mc *Machine) young() bool {
+	return mc.now < mc.born+mc.cfg.Window
+}
+
+// even is the part of a new VM. Before it knows who else there is, it takes a
+// small one: to have no VM list yet does not mean to be alone.
+func (mc *Machine) even() float64 {
+	if !mc.listed {
+		return min(unlistedShare, 1/float64(mc.count()))
+	}
+	return 1 / float64(mc.count())
+}
+
+// unlistedShare is the part of a VM that has seen no VM list.
+const unlistedShare = 0.1
+
+// count is the number of VMs known, this one included.
+func (mc *Machine) count() int {
+	return len(mc.heard) + 1
+}
+
+// Step works out the parts anew.
+func (mc *Machine) Step(now time.Duration) {
+	mc.advance(now)
+	lo := mc.look()
+	for _, sp := range mc.teams {
+		sp.share = mc.shareOf(sp, lo)
+		mc.apply(sp)
+	}
+}
+
+// look is what the VM sees of the others.
+type look struct {
+	// fresh: all were heard lately, and have been for a Window, so that they
+	// have heard this VM again too before it raises its part.
+	fresh bool
+	// lost is the number silent for longer than Forget, fewer is set where no
+	// more than half are left.
+	lost  int
+	fewer bool
+	young bool
+}
+
+func (mc *Machine) look() look {
+	var lo look
+	missed := false
+	for _, pe := range mc.heard {
+		silent := mc.now - pe.at
+		if silent > mc.cfg.Forget {
+			lo.lost++
+			continue
+		}
+		// Half of the Window is for the message's way.
+		if silent > mc.cfg.Window/2 || !pe.ever {
+			missed = true
+		}
+	}
+	if missed {
+		mc.missedAt = mc.now
+	}
+	lo.fresh = !missed && mc.now >= mc.missedAt+mc.cfg.Window
+	lo.fewer = 2*(mc.count()-lo.lost) <= mc.count()
+	lo.young = mc.young()
+	return lo
+}
+
+func (mc *Machine) shareOf(sp *split, lo look) float64 {
+	even := mc.even()
+	low, ok := sp.told.low(mc.now - mc.cfg.Window)
+	if !ok || lo.young || !sp.told.covers(mc.now-mc.cfg.Window) {
+		// Too new for the others to have heard of all that is claimed here.
+		return even
+	}
+	part := low / (low + mc.others(sp))
+	switch {
+	case lo.lost > 0 && lo.fewer:
+		// The others divide the limit among themselves by now.
+		return min(sp.share, even)
+	case !lo.fresh:
+		return min(sp.share, part)
+	default:
+		return part
+	}
+}
+
+// others sums the demands of those not given up. One never heard of this team
+// counts with the floor, as it will when it is.
+func (mc *Machine) others(sp *split) float64 {
+	sum := 0.0
+	floor := mc.bounded(sp, 0)
+	for vm, pe := range mc.heard {
+		if mc.now-pe.at > mc.cfg.Forget {
+			continue
+		}
+		if rate, ok := sp.demands[vm]; ok {
+			sum += rate
+		} else {
+			sum += floor
+		}
+	}
+	return sum
+}
+
+// apply puts a team's part in force.
+func (mc *Machine) apply(sp *split) {
+	rate, most := math.Inf(1), math.MaxInt
+	if sp.limit.Rate > 0 {
+		rate = sp.share * sp.limit.Rate
+	}
+	if sp.limit.Concurrent > 0 {
+		// A VM with less than a whole place keeps one: otherwise a small
+		// limit would admit nothing anywhere.
+		most = max(1, int(sp.share*float64(sp.limit.Concurrent)))
+	}
+	sp.bucket.set(mc.now, rate, most)
+}
+
+// Share is this VM's part of a team's limits, 0 to 1.
+func (mc *Machine) Share(team string) float64 {
+	if sp, ok := mc.teams[team]; ok {
+		return sp.share
+	}
+	return 0
+}
+
+func (mc *Machine) advance(now time.Duration) {
+	if !mc.started {
+		mc.started = true
+		mc.born, mc.now = now, now
+	}
+	mc.now = max(mc.now, now)
+}
