change, spread: smaller values, seeds that wait, an alarm for a dead service

Cause: a watching VM got 200 KB with each change of a 6 KB document, for the value held 32 documents as they were; and each of the two watching VMs handed the document to the root of a tree that had long begun. Change: the past is deflated and 64 ids are kept; a watching VM waits 200 ms for a push before it begins a tree; the read-back is stretched with what is held; four failed calls in a row raise serviceDown. The command line names a change itself, so that a lost reply can be asked about. Checked: tests of the three packages, 20 s of fuzzing Decode.

--- a/cmd/laburnumvane/config.go
+++ b/cmd/laburnumvane/config.go
@@ -123,7 +123,7 @@
 		printChangeText(cmd, rep)
 	}
 	switch rep.Result {
-	case wire.ChangeConflict:
+	case wire.ChangeConflict, wire.ChangeRefused:
 		return silent(cmd.FullName(), KindNotAccepted)
 	case wire.ChangeUnknown:
 		return silent(cmd.FullName(), KindUnknown)
--- a/cmd/laburnumvane/config_set.go
+++ b/cmd/laburnumvane/config_set.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 
@@ -24,9 +26,13 @@
 document yet. Without it, the revision in force when the command starts is
 taken, which protects only against changes made while the command runs.
 
-Exit codes: 0 accepted, 2 a fault in the document, 3 a conflict with another
-change, which is shown, 4 unknown: the change may have been accepted. Ask
-"config status" with the change's id, or "config history" where there is none.
+The change gets an id, printed in any case. The same id is never applied twice:
+after an answer was lost, repeating the command with --id and --if-revision is
+safe and tells what became of the first attempt.
+
+Exit codes: 0 accepted, 2 a fault in the document, 3 not accepted, for another
+change came first, which is shown, or nothing could be written; 4 unknown: the
+change may have been accepted. Ask "config status" with the change's id.
 
 Examples:
    laburnumvane config set wash.json --team wash --if-revision 12
@@ -36,6 +42,7 @@
 		Flags: operatorFlags(
 			teamFlag(),
 			&cli.Uint64Flag{Name: "if-revision", Usage: "the revision that the change was made from"},
+			changeIDFlag(),
 			&cli.BoolFlag{Name: "dry-run", Usage: "have the VM check the change and not make it"},
 			&cli.BoolFlag{Name: "skip-check", Usage: "leave the check to the VM, which may be newer than this program"},
 		),
@@ -76,15 +83,34 @@
 			return err
 		}
 	}
+	id := cmd.String("id")
+	if id == "" {
+		id = newChangeID()
+	}
 	rep, err := opr.SetConfig(ctx, client.Change{
-		Team: cmd.String("team"), Document: doc, IfRevision: rev, DryRun: cmd.Bool("dry-run"),
+		Team: cmd.String("team"), Document: doc, IfRevision: rev, DryRun: cmd.Bool("dry-run"), ID: id,
 	})
 	if err != nil {
-		return changeLost(cmd, rev, err)
+		return changeLost(cmd, id, rev, err)
 	}
 	return printChange(cmd, rep)
 }
 
+func changeIDFlag() cli.Flag {
+	return &cli.StringFlag{Name: "id", Usage: "the change's `ID`, to repeat one whose answer was lost; without it a new one"}
+}
+
+const changeIDBytes = 10
+
+// newChangeID is made here and not by the VM, so that a change can be asked
+// about whose reply never came.
+func newChangeID() string {
+	id := make([]byte, changeIDBytes)
+	// Read never fails: the program would end.
+	_, _ = rand.Read(id)
+	return hex.EncodeToString(id)
+}
+
 func revisionInForce(ctx context.Context, cmd *cli.Command, opr *client.Operator) (uint64, error) {
 	cfg, err := opr.Config(ctx, cmd.String("team"))
 	if client.KindOf(err) == client.KindNotFound {
@@ -93,15 +119,14 @@
 	return cfg.Revision, err
 }
 
-// changeLost adds to an error in doubt how to settle it: the reply with the id
-// of the change is lost, and the history is the only place to look.
-func changeLost(cmd *cli.Command, rev uint64, err error) error {
+// changeLost adds to an error in doubt how to settle it.
+func changeLost(cmd *cli.Command, id string, rev uint64, err error) error {
 	if client.KindOf(err) != client.KindUnknown {
 		return err
 	}
 	return &Error{
 		Op: cmd.FullName(), Kind: KindUnknown, Err: err,
-		Msg: fmt.Sprintf("the change may have been accepted; see whether \"config history\" shows it after revision %d", rev),
+		Msg: fmt.Sprintf("change %s may have been accepted; ask \"config status %s\", or repeat with --id %s --if-revision %d", id, id, id, rev),
 	}
 }
 
@@ -142,6 +167,7 @@
 			teamFlag(),
 			&cli.Uint64Flag{Name: "to", Required: true, Usage: "the `REVISION` to go back to"},
 			&cli.Uint64Flag{Name: "if-revision", Usage: "the revision that must still be in force"},
+			changeIDFlag(),
 			&cli.BoolFlag{Name: "dry-run", Usage: "have the VM check the change and not make it"},
 		),
 		Action: configRollbackAction,
--- a/core/change/decode.go
+++ b/core/change/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"encoding/json"
 	"io"
 
@@ -11,39 +12,77 @@
 // Decode reads a value. It is strict: a proposer writes the whole value back,
 // so that a field it does not know would be lost to the newer build that wrote
 // it.
-func Decode(value []byte) (Envelope, error) {
+func Decode(raw []byte) (Envelope, error) {
 	var head struct {
 		Format int `json:"format"`
 	}
-	if err := json.Unmarshal(value, &head); err != nil {
+	if err := json.Unmarshal(raw, &head); err != nil {
 		return Envelope{}, corrupt(err)
 	}
 	if head.Format > format {
 		return Envelope{}, &Error{Op: "change.Decode", Kind: KindNewer, Err: errors.Errorf("format %d, this build reads %d", head.Format, format)}
 	}
-	dec := json.NewDecoder(bytes.NewReader(value))
-	dec.DisallowUnknownFields()
-	var en Envelope
-	if err := dec.Decode(&en); err != nil {
+	var va value
+	if err := strict(raw, &va); err != nil {
 		return Envelope{}, corrupt(err)
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return Envelope{}, corrupt(errors.New("more follows after the value"))
-	}
-	if err := en.check(); err != nil {
+	en, err := va.envelope()
+	if err != nil {
 		return Envelope{}, corrupt(err)
 	}
 	return en, nil
 }
 
+// strict reads exactly one JSON value without unknown fields.
+func strict(raw []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("more follows after the value")
+	}
+	return nil
+}
+
+func (va value) envelope() (Envelope, error) {
+	if va.Format != format {
+		return Envelope{}, errors.Errorf("format %d", va.Format)
+	}
+	en := Envelope{Cut: va.Cut}
+	if va.Current != nil {
+		en.Changes = append(en.Changes, *va.Current)
+	}
+	past, err := inflate(va.Past)
+	if err != nil {
+		return Envelope{}, errors.Wrap(err, "past")
+	}
+	en.Changes = append(en.Changes, past...)
+	return en, en.check()
+}
+
+// maxPast bounds what a deflated past may grow to. It is twice what Encode can
+// put in, so that no value it wrote is refused.
+const maxPast = 2 * (documentBytes + idLimit*(maxIDLen+maxActorLen+256))
+
+func inflate(past []byte) ([]Entry, error) {
+	if len(past) == 0 {
+		return nil, nil
+	}
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(past)), maxPast))
+	if err != nil {
+		return nil, err
+	}
+	var ets []Entry
+	return ets, strict(raw, &ets)
+}
+
 func corrupt(err error) error {
 	return &Error{Op: "change.Decode", Kind: KindCorrupt, Err: err}
 }
 
 func (en Envelope) check() error {
-	if en.Format != format {
-		return errors.Errorf("format %d", en.Format)
-	}
 	if cur, ok := en.Current(); ok && len(cur.Document) == 0 {
 		return errors.New("the change in force has no document")
 	}
--- a/core/change/envelope.go
+++ b/core/change/envelope.go
@@ -34,7 +34,7 @@
 const (
 	documentLimit = 32
 	documentBytes = 512 << 10
-	idLimit       = 512
+	idLimit       = 64
 )
 
 // MaxDocument is the largest document in bytes. With the bounds above a value
@@ -87,26 +87,10 @@
 
 // Envelope is the value of a team's key: its changes, newest first.
 type Envelope struct {
-	Format  int     `json:"format"`
-	Changes []Entry `json:"changes"`
+	Changes []Entry
 	// Cut is the highest revision that the history no longer lists; 0 while
 	// it is whole.
-	Cut uint64 `json:"cut,omitempty"`
-}
-
-const format = 1
-
-// Encode writes the value.
-func (en Envelope) Encode() ([]byte, error) {
-	en.Format = format
-	var bu bytes.Buffer
-	ec := json.NewEncoder(&bu)
-	// Escaping would rewrite what the operator wrote.
-	ec.SetEscapeHTML(false)
-	if err := ec.Encode(en); err != nil {
-		return nil, &Error{Op: "change.Encode", Kind: KindCorrupt, Err: err}
-	}
-	return bytes.TrimRight(bu.Bytes(), "\n"), nil
+	Cut uint64
 }
 
 // Current is the change in force; ok is false before the first.
--- a/core/change/envelope_test.go
+++ b/core/change/envelope_test.go
@@ -1,28 +1,48 @@
 package change
 
 import (
+	"bytes"
+	"compress/flate"
+	"encoding/base64"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 )
 
 func TestDecode(t *testing.T) {
+	past := func(raw string) string {
+		var bu bytes.Buffer
+		wr, _ := flate.NewWriter(&bu, flate.BestSpeed)
+		_, _ = wr.Write([]byte(raw))
+		_ = wr.Close()
+		return `,"past":"` + base64.StdEncoding.EncodeToString(bu.Bytes()) + `"}`
+	}
+	const current = `{"format":1,"current":{"id":"a","revision":3,"unixMs":1,"document":{"a":1}}`
 	cases := []struct {
 		name  string
 		value string
 		kind  Kind
 	}{
-		{"empty history", `{"format":1,"changes":[]}`, ""},
-		{"one", `{"format":1,"changes":[{"id":"a","revision":3,"unixMs":1,"document":{"a":1}}],"cut":2}`, ""},
+		{"empty history", `{"format":1}`, ""},
+		{"one", current + `,"cut":2}`, ""},
+		{"two", current + past(`[{"id":"b","revision":2,"unixMs":1,"document":{}}]`), ""},
 		{"no JSON", `{`, KindCorrupt},
-		{"trailing", `{"format":1,"changes":[]}{}`, KindCorrupt},
-		{"no format", `{"changes":[]}`, KindCorrupt},
+		{"trailing", `{"format":1}{}`, KindCorrupt},
+		{"no format", `{}`, KindCorrupt},
 		{"newer", `{"format":2,"changes":[],"more":true}`, KindNewer},
-		{"unknown field", `{"format":1,"changes":[],"more":true}`, KindCorrupt},
-		{"id twice", `{"format":1,"changes":[{"id":"a","revision":2,"document":1},{"id":"a","revision":1,"document":1}]}`, KindCorrupt},
-		{"revisions rise", `{"format":1,"changes":[{"id":"a","revision":1,"document":1},{"id":"b","revision":2,"document":1}]}`, KindCorrupt},
-		{"below cut", `{"format":1,"changes":[{"id":"a","revision":2,"document":1}],"cut":2}`, KindCorrupt},
-		{"no document", `{"format":1,"changes":[{"id":"a","revision":2}]}`, KindCorrupt},
+		{"unknown field", `{"format":1,"more":true}`, KindCorrupt},
+		{"unknown field in the past", current + past(`[{"id":"b","revision":2,"more":1}]`), KindCorrupt},
+		{"past no array", current + past(`{}`), KindCorrupt},
+		{"past not deflated", current + `,"past":"AAAA"}`, KindCorrupt},
+		{"past without end", current + past(strings.Repeat(" ", 2*maxPast)), KindCorrupt},
+		{"id twice", current + past(`[{"id":"a","revision":2}]`), KindCorrupt},
+		{"revisions rise", current + past(`[{"id":"b","revision":4}]`), KindCorrupt},
+		{"below cut", current + `,"cut":3}`, KindCorrupt},
+		{"no document", `{"format":1,"current":{"id":"a","revision":2}}`, KindCorrupt},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -55,16 +75,17 @@
 	// A team changes its largest document for ever: the value stays below what
 	// the service takes, ids outlive documents, and Cut tells where it ends.
 	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(1, 1))
 	big := make([]byte, MaxDocument-2)
 	for i := range big {
-		big[i] = 'a'
+		big[i] = byte('a' + rnd.IntN(26)) // hard to compress
 	}
 	doc := append(append([]byte{'"'}, big...), '"')
 	en := Envelope{}
 	for i, id := range many(idLimit + 10) {
 		et := Entry{ID: id, Actor: string(big[:maxActorLen]), UnixMs: 1 << 41, Document: doc}
 		if i < idLimit {
-			et.Document = doc[:documentBytes/documentLimit]
+			et.Document = append(doc[:documentBytes/documentLimit:documentBytes/documentLimit], '"')
 		}
 		en = en.WithChange(et, 0)
 	}
@@ -79,11 +100,49 @@
 	is.NoErr(err)
 }
 
+// BenchmarkEnvelope is the size of a value of a team that changes a line of its
+// document each time.
+func BenchmarkEnvelope(b *testing.B) {
+	en := Envelope{}
+	rnd := rand.New(rand.NewPCG(1, 1))
+	servers := ""
+	for range 130 {
+		servers += fmt.Sprintf(`{"addr":"10.%d.%d.%d:7001","dataCentre":"east"},`, rnd.IntN(256), rnd.IntN(256), rnd.IntN(256))
+	}
+	for i := range 2 * idLimit {
+		id := strconv.FormatUint(rnd.Uint64(), 16)
+		doc := fmt.Appendf(nil, `{"concurrent":%d,"servers":[%s{}]}`, i, servers)
+		en = en.WithChange(Entry{ID: id, Actor: "ann", UnixMs: 1 << 40, Document: doc}, 0)
+	}
+	size := 0
+	for b.Loop() {
+		raw, err := en.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(raw)
+		if _, err := Decode(raw); err != nil {
+			b.Fatal(err)
+		}
+	}
+	cur, _ := en.Current()
+	b.ReportMetric(float64(len(cur.Document)), "B-document")
+	b.ReportMetric(float64(size), "B-value")
+}
+
 func FuzzDecode(f *testing.F) {
+	en := Envelope{}
+	for i := range 3 {
+		en = en.WithChange(Entry{ID: many(3)[i], Actor: "ann", UnixMs: 1, Document: document(i)}, 0)
+	}
+	whole, err := en.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
 	for _, seed := range []string{
-		``, `{}`, `{"format":1,"changes":[]}`, `{"format":2}`,
-		`{"format":1,"changes":[{"id":"a","revision":3,"actor":"ann","unixMs":1,"document":{"a":1}},{"id":"b","revision":2,"unixMs":0,"sum":"1f"}],"cut":1}`,
-		`{"format":1,"changes":[{"id":"a","revision":18446744073709551615,"document":null}]}`,
+		``, `{}`, `{"format":1}`, `{"format":2}`, string(whole),
+		`{"format":1,"current":{"id":"a","revision":3,"unixMs":1,"document":{"a":1}},"cut":2}`,
+		`{"format":1,"current":{"id":"a","revision":18446744073709551615,"document":null}}`,
 	} {
 		f.Add([]byte(seed))
 	}
--- a/core/spread/config.go
+++ b/core/spread/config.go
@@ -32,6 +32,9 @@
 	// ReadBack is the mean time after which a watching VM reads everything
 	// again, should a watch have missed something.
 	ReadBack time.Duration
+	// ReadBackRate stretches ReadBack so that reading everything again takes
+	// no more than so many bytes a second.
+	ReadBackRate float64
 	// ConfirmBehind is how long the service must go on holding a lower
 	// revision before it is believed.
 	ConfirmBehind time.Duration
@@ -46,6 +49,9 @@
 	// CompareGrace is waited before a difference is pulled, as most are pushes
 	// still on their way.
 	CompareGrace time.Duration
+	// SeedGrace is the mean time for which a watching VM waits for a tree that
+	// another VM began before it begins one.
+	SeedGrace time.Duration
 	// PeerTimeout bounds pushes and comparisons.
 	PeerTimeout time.Duration
 	// PullTimeout bounds a pull, whose answer may be large.
@@ -63,11 +69,13 @@
 		ServiceBurst:    4,
 		MaxBackoff:      30 * time.Second,
 		ReadBack:        5 * time.Minute,
+		ReadBackRate:    1 << 10,
 		ConfirmBehind:   5 * time.Second,
 		LonelyRate:      100,
 		LonelyUnlisted:  time.Minute,
 		CompareEvery:    time.Second,
 		CompareGrace:    200 * time.Millisecond,
+		SeedGrace:       200 * time.Millisecond,
 		PeerTimeout:     500 * time.Millisecond,
 		PullTimeout:     1500 * time.Millisecond,
 		BootPeers:       3,
@@ -83,11 +91,13 @@
 	fill(&pa.ServiceBurst, df.ServiceBurst)
 	fill(&pa.MaxBackoff, df.MaxBackoff)
 	fill(&pa.ReadBack, df.ReadBack)
+	fill(&pa.ReadBackRate, df.ReadBackRate)
 	fill(&pa.ConfirmBehind, df.ConfirmBehind)
 	fill(&pa.LonelyRate, df.LonelyRate)
 	fill(&pa.LonelyUnlisted, df.LonelyUnlisted)
 	fill(&pa.CompareEvery, df.CompareEvery)
 	fill(&pa.CompareGrace, df.CompareGrace)
+	fill(&pa.SeedGrace, df.SeedGrace)
 	fill(&pa.PeerTimeout, df.PeerTimeout)
 	fill(&pa.PullTimeout, df.PullTimeout)
 	fill(&pa.BootPeers, df.BootPeers)
--- a/core/spread/event.go
+++ b/core/spread/event.go
@@ -152,6 +152,8 @@
 	AlarmBroken AlarmKind = "broken"
 	// AlarmServiceBehind: the service holds a lower revision than the fleet.
 	AlarmServiceBehind AlarmKind = "serviceBehind"
+	// AlarmServiceDown: the service has not answered for some calls in a row.
+	AlarmServiceDown AlarmKind = "serviceDown"
 	// AlarmServicePast: the service's own revision went down.
 	AlarmServicePast AlarmKind = "servicePast"
 	// AlarmSameRevision: two changes of one team share a revision.
--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -38,6 +38,7 @@
 	digest Digest
 	recent []Revision
 
+	seeds []seed
 	calls []call
 	last  Call
 
@@ -72,6 +73,7 @@
 	}
 	ma.take(ev)
 	ma.expire()
+	ma.sow()
 	ma.askPeers()
 	ma.askService()
 	return ma.acts
@@ -80,6 +82,9 @@
 // Next is when the machine wants its next Tick.
 func (ma *Machine) Next() time.Duration {
 	at := min(ma.service.wake, ma.gossip.next())
+	for _, sd := range ma.seeds {
+		at = min(at, sd.at)
+	}
 	for _, ca := range ma.calls {
 		at = min(at, ca.deadline)
 	}
@@ -106,6 +111,7 @@
 			ma.failed(ca)
 		}
 	case Pushed:
+		ma.unseed(ev.Updates)
 		ma.learnAll(ev.Updates, originOf(ev.From.DataCentre == ma.cfg.Self.DataCentre, originPush, originFar))
 	case Acked:
 		ma.endCall(ev.Call)
--- a/core/spread/measure_test.go
+++ b/core/spread/measure_test.go
@@ -17,6 +17,9 @@
 	measureTeams    = 20
 	measureChanges  = 60
 	measureDocument = 6 << 10
+	// measurePast is what a value in the service has beyond a document of that
+	// size, in base64 as it travels; see BenchmarkEnvelope of core/change.
+	measurePast = 9_200
 	// changesPerSecond is 21,000 changes a day.
 	changesPerSecond = 0.243
 )
@@ -35,7 +38,6 @@
 	missed int
 	peak   int
 	calls  int
-	bytes  int
 	steps  int
 	busy   time.Duration
 }
@@ -48,7 +50,10 @@
 	}
 	fl.run(30 * time.Second)
 	me := measured{fl: fl}
-	fl.sv.perSec, fl.sv.calls, fl.bytes, fl.steps, fl.busy = map[int]int{}, 0, 0, 0, 0
+	fl.sv.perSec, fl.sv.calls, fl.steps, fl.busy = map[int]int{}, 0, 0, 0
+	for _, v := range fl.vms {
+		v.bytes = 0
+	}
 	begun := fl.now
 	for i := range measureChanges {
 		fl.run(time.Duration(fl.rnd.ExpFloat64() / changesPerSecond * float64(time.Second)))
@@ -58,7 +63,7 @@
 	}
 	fl.run(25 * time.Second)
 	me.length = fl.now - begun
-	me.calls, me.bytes, me.steps, me.busy = fl.sv.calls, fl.bytes, fl.steps, fl.busy
+	me.calls, me.steps, me.busy = fl.sv.calls, fl.steps, fl.busy
 	for _, n := range fl.sv.perSec {
 		me.peak = max(me.peak, n)
 	}
@@ -93,7 +98,13 @@
 	b.ReportMetric(float64(me.missed), "missed")
 	b.ReportMetric(float64(me.calls)/me.length.Seconds(), "calls/s")
 	b.ReportMetric(float64(me.peak), "calls-peak/s")
-	b.ReportMetric(float64(me.bytes)/perVM, "B/VM/s")
+	sum, most := 0, 0
+	for _, v := range me.fl.vms {
+		sum += v.bytes
+		most = max(most, v.bytes)
+	}
+	b.ReportMetric(float64(sum)/perVM, "B/VM/s")
+	b.ReportMetric(float64(most)/me.length.Seconds(), "B/s-busiest-VM")
 	b.ReportMetric(float64(me.steps)/perVM, "steps/VM/s")
 	b.ReportMetric(100*me.busy.Seconds()/perVM, "%core/VM")
 }
@@ -108,7 +119,7 @@
 			b.Run(fmt.Sprintf("vms=%d/%s", sz.centres*sz.each, name), func(b *testing.B) {
 				for b.Loop() {
 					fl := newFleet(1, sz.centres, sz.each)
-					fl.loss, fl.baseline = 0.01, baseline
+					fl.loss, fl.baseline, fl.past = 0.01, baseline, measurePast
 					me := measure(fl)
 					me.report(b)
 				}
--- a/core/spread/push.go
+++ b/core/spread/push.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"laburnumvane/core/rank"
 )
@@ -16,8 +17,13 @@
 	case originPull:
 	case originPush:
 		ma.pushChildren(up, self.Addr)
-	case originFar, originService:
+	case originFar:
 		ma.seed(up, self.DataCentre)
+	case originService:
+		// Nearly always the VM that carried the change has begun a tree here
+		// itself. Only where it has not, as it died or cannot reach this data
+		// centre, does it fall to those who watch.
+		ma.seeds = append(ma.seeds, seed{update: up, at: ma.now + ma.spread(ma.pace.SeedGrace)})
 	case originSelf:
 		for _, dc := range ma.table.DataCentres() {
 			ma.seed(up, dc)
@@ -25,6 +31,37 @@
 	}
 }
 
+// seed is an update that waits to be handed to the root of its tree.
+type seed struct {
+	update Update
+	at     time.Duration
+}
+
+// unseed drops what a push has brought meanwhile: its tree has begun.
+func (ma *Machine) unseed(ups []Update) {
+	if len(ma.seeds) == 0 {
+		return
+	}
+	for _, up := range ups {
+		ma.seeds = slices.DeleteFunc(ma.seeds, func(sd seed) bool { return sd.update.Name() == up.Name() })
+	}
+}
+
+// sow hands on the updates whose time has come.
+func (ma *Machine) sow() {
+	var due []seed
+	ma.seeds = slices.DeleteFunc(ma.seeds, func(sd seed) bool {
+		if sd.at > ma.now {
+			return false
+		}
+		due = append(due, sd)
+		return true
+	})
+	for _, sd := range due {
+		ma.seed(sd.update, ma.cfg.Self.DataCentre)
+	}
+}
+
 // seed hands an update to the root of its tree in a data centre. Several VMs
 // may do so; a root that has the update already does nothing.
 func (ma *Machine) seed(up Update, dataCentre string) {
--- a/core/spread/service.go
+++ b/core/spread/service.go
@@ -34,6 +34,8 @@
 
 const (
 	maxShift = 10
+	// downFailures in a row mean that the service is down.
+	downFailures = 4
 	// tokenSlack keeps a wake-up from coming a rounding error too early.
 	tokenSlack = time.Millisecond
 )
@@ -137,10 +139,14 @@
 	sv.failures++
 	sv.notBefore = ma.now + ma.spread(pause)
 	sv.lonelyAt = ma.now + ma.spread(ma.lonelyEvery())
+	if sv.failures >= downFailures {
+		ma.alarm(AlarmServiceDown, "", "the service does not answer; configuration goes on as it is, and nothing can be changed")
+	}
 }
 
 func (ma *Machine) serviceAnswered(revision uint64) {
 	sv := &ma.service
+	ma.settled(AlarmServiceDown, "")
 	sv.failures = 0
 	sv.lonelyAt = ma.now + ma.spread(ma.lonelyEvery())
 	if revision < sv.highest {
@@ -162,10 +168,19 @@
 	sv := &ma.service
 	ma.serviceAnswered(ev.Revision)
 	sv.known, sv.from = true, ev.Revision
-	sv.readBack = ma.now + ma.spread(ma.pace.ReadBack)
+	sv.readBack = ma.now + ma.spread(ma.readBackEvery(ev.Updates))
 	ma.compareService(ev)
 }
 
+// readBackEvery is the mean time until everything is read again.
+func (ma *Machine) readBackEvery(ups []Update) time.Duration {
+	size := 0
+	for _, up := range ups {
+		size += len(up.Document)
+	}
+	return max(ma.pace.ReadBack, time.Duration(float64(size)/ma.pace.ReadBackRate*float64(time.Second)))
+}
+
 func (ma *Machine) takeWatched(ev Watched) {
 	_, awaited := ma.endCall(ev.Call)
 	ma.learnAll(ev.Updates, originService)
--- a/core/spread/sim_test.go
+++ b/core/spread/sim_test.go
@@ -54,10 +54,11 @@
 	cut    func(a, b string) bool
 	// baseline lets every VM watch by itself.
 	baseline bool
-	bytes    int
-	steps    int
-	busy     time.Duration
-	log      *strings.Builder
+	// past is how many bytes a value in the service has beyond the document.
+	past  int
+	steps int
+	busy  time.Duration
+	log   *strings.Builder
 }
 
 // vm is one VM and what is in force on it.
@@ -73,6 +74,8 @@
 	inbox  []Event
 	life   int
 	fell   string
+	// bytes sent and received.
+	bytes int
 }
 
 const (
@@ -95,6 +98,9 @@
 	return fl
 }
 
+// count adds a message to what the VM sent or received.
+func (v *vm) count(size int) { v.bytes += size + overhead }
+
 func (fl *fleet) list() []rank.VM {
 	out := make([]rank.VM, len(fl.vms))
 	for i, v := range fl.vms {
@@ -132,7 +138,8 @@
 
 // send carries a message of so many bytes of payload.
 func (fl *fleet) send(from, to *vm, size int, run func()) {
-	fl.bytes += size + overhead
+	from.count(size)
+	to.count(size)
 	if fl.rnd.Float64() < fl.loss || fl.cut(from.self.DataCentre, to.self.DataCentre) {
 		return
 	}
@@ -330,7 +337,7 @@
 	if sv.down || sv.fl.cut(v.self.DataCentre, "service") {
 		return
 	}
-	sv.fl.bytes += size + overhead
+	v.count(size)
 	sv.fl.later(sv.fl.delay(near), func() {
 		if v.life == life {
 			v.step(ev)
@@ -351,7 +358,7 @@
 	for _, team := range slices.Sorted(maps.Keys(rd.held)) {
 		ups = append(ups, rd.held[team])
 	}
-	sv.answer(v, v.life, sizeOf(ups), Ranged{Call: ac.Call, Revision: rd.revision, Updates: ups})
+	sv.answer(v, v.life, sizeOf(ups)+sv.fl.past*len(ups), Ranged{Call: ac.Call, Revision: rd.revision, Updates: ups})
 }
 
 func (sv *fakeService) watch(v *vm, ac Watch) {
@@ -390,7 +397,7 @@
 	if len(ups) == 0 && !over {
 		return false
 	}
-	sv.answer(wt.v, wt.life, sizeOf(ups), Watched{Call: wt.ac.Call, Revision: rd.revision, Updates: ups})
+	sv.answer(wt.v, wt.life, sizeOf(ups)+sv.fl.past*len(ups), Watched{Call: wt.ac.Call, Revision: rd.revision, Updates: ups})
 	return true
 }
 
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -135,12 +135,27 @@
 	fl.vms[7].boot()
 	fl.run(2 * time.Second)
 	is.Equal(fl.vms[7].force["wash"], up.Name())
+	is.Equal(fl.alarms(AlarmServiceDown), 6)
 	fl.sv.down = false
 	fl.sv.perSec = nil
 	fl.run(2 * time.Minute)
 	for _, calls := range fl.sv.perSec {
 		is.True(calls <= 12)
 	}
+	is.Equal(fl.alarms(AlarmServiceDown), 0)
+}
+
+// alarms counts the VMs on which an alarm stands.
+func (fl *fleet) alarms(kind AlarmKind) int {
+	n := 0
+	for _, v := range fl.vms {
+		for key := range v.ma.alarms {
+			if key.kind == kind {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 func TestPausedForAnHour(t *testing.T) {
--- a/io/node/config_test.go
+++ b/io/node/config_test.go
@@ -163,7 +163,7 @@
 			is.Equal(reply.Current.ChangeID, accepted)
 		}
 	}
-	is.Equal(st.KV().Counts().Writes() > 0, true)
+	is.Equal(held(t, st).Revision(), uint64(2))
 }
 
 func TestChangeUnderFaults(t *testing.T) {
@@ -257,3 +257,46 @@
 	st.KV().SetFaults(emul.KVFaults{})
 	eventually(t, "the configuration is back", func() bool { return revision(nd) == 1 })
 }
+
+func TestQuietChange(t *testing.T) {
+	// A VM dies right after its swap took effect, so that it tells nobody; and
+	// the service has forgotten its events. The VMs that watch read everything
+	// anew and hand it on, and the change can be asked about by its id.
+	is := is.New(t)
+	st := startSite(t, 3)
+	cl := plat.New(plat.Config{Addrs: []string{st.KV().Addr()}, Timeout: patience})
+	defer cl.Close()
+	key := change.KeyOf(wash)
+	pair, _, err := cl.Get(context.Background(), key)
+	is.NoErr(err)
+	next := held(t, st).WithChange(change.Entry{ID: "quiet", Document: document(t, st, 8)}, 0)
+	value, err := next.Encode()
+	is.NoErr(err)
+	rp, err := cl.Swap(context.Background(), wire.KVSwapRequest{Key: key, Value: value, Expect: pair.Revision})
+	is.NoErr(err)
+	is.True(rp.Swapped)
+	st.KV().Compact()
+	inForceOn(t, st.Nodes(), 2)
+	cs := st.Nodes()[2].ChangeStatus(context.Background(), "quiet")
+	is.True(cs.Known)
+	is.Equal(cs.Revision, uint64(2))
+}
+
+func TestSameIDThroughTwoVMs(t *testing.T) {
+	// An operator's answer was lost, and the change is repeated with its id
+	// through another VM: it is accepted as before, and nothing is written.
+	is := is.New(t)
+	st := startSite(t, 2)
+	raw, expect := document(t, st, 8), uint64(1)
+	pr := oper.Proposal{ID: "mine", Team: wash, Document: raw, Expect: &expect}
+	first, err := st.Nodes()[0].Change(context.Background(), pr)
+	is.NoErr(err)
+	again, err := st.Nodes()[1].Change(context.Background(), pr)
+	is.NoErr(err)
+	is.Equal(first, again)
+	is.Equal(first.Result, wire.ChangeAccepted)
+	is.Equal(held(t, st).Revision(), uint64(2))
+	pr.ID = "not an id"
+	_, err = st.Nodes()[0].Change(context.Background(), pr)
+	is.True(err != nil)
+}
