spread: a VM that learnt of a change by watch still hands it to its children

Cause: a push that came after the watch event was taken as old news, and the subtree below that VM waited for a digest to repair it. Change: each VM hands a change to its children once, however it learnt of it, when the tree reaches it.

--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -34,6 +34,8 @@
 
 	held   map[string]Update
 	force  map[string]Revision
+	// handed is what this VM has pushed to its children.
+	handed map[string]Revision
 	alarms map[alarmKey]string
 	digest Digest
 	recent []Revision
@@ -60,6 +62,7 @@
 		table:  rank.New(rank.Config{Self: cfg.Self}),
 		held:   make(map[string]Update),
 		force:  make(map[string]Revision),
+		handed: make(map[string]Revision),
 		alarms: make(map[alarmKey]string),
 	}
 }
@@ -112,6 +115,9 @@
 		}
 	case Pushed:
 		ma.unseed(ev.Updates)
+		if ev.From.DataCentre == ma.cfg.Self.DataCentre {
+			ma.handOnHeld(ev.Updates)
+		}
 		ma.learnAll(ev.Updates, originOf(ev.From.DataCentre == ma.cfg.Self.DataCentre, originPush, originFar))
 	case Acked:
 		ma.endCall(ev.Call)
--- a/core/spread/push.go
+++ b/core/spread/push.go
@@ -16,7 +16,7 @@
 	switch from {
 	case originPull:
 	case originPush:
-		ma.pushChildren(up, self.Addr)
+		ma.handOn(up)
 	case originFar:
 		ma.seed(up, self.DataCentre)
 	case originService:
@@ -69,12 +69,31 @@
 	switch {
 	case !ok:
 	case root.Addr == ma.cfg.Self.Addr:
-		ma.pushChildren(up, root.Addr)
+		ma.handOn(up)
 	default:
 		ma.push(call{kind: callPush, to: root, update: up})
 	}
 }
 
+// handOn pushes an update to this VM's own children, once.
+func (ma *Machine) handOn(up Update) {
+	if ma.handed[up.Team] == up.Name() {
+		return
+	}
+	ma.handed[up.Team] = up.Name()
+	ma.pushChildren(up, ma.cfg.Self.Addr)
+}
+
+// handOnHeld pushes on what a watch or a pull had brought before the push came:
+// without it, the subtree of a VM that watches would wait for a repair.
+func (ma *Machine) handOnHeld(ups []Update) {
+	for _, up := range ups {
+		if ma.held[up.Team].Name() == up.Name() {
+			ma.handOn(up)
+		}
+	}
+}
+
 func (ma *Machine) pushChildren(up Update, of string) {
 	for _, vm := range ma.table.Children(ma.cfg.Self.DataCentre, up.ChangeID, of) {
 		if vm.Addr != ma.cfg.Self.Addr {
