inner: documents travel deflated between VMs

Cause: a VM that watches sent and received 10 KB/s at 0.24 changes a second of 6 KB documents, against an aim of 8 KB/s for control. Change: TeamConfig carries the document deflated; inflating is bounded.

--- a/io/node/config_calls.go
+++ b/io/node/config_calls.go
@@ -115,7 +115,7 @@
 		nd.meter.Count(meterConfig, "pullFailed")
 		return spread.Failed{Call: ac.Call}
 	}
-	return spread.Pulled{Call: ac.Call, Updates: updatesIn(rp.GetTeams()), More: rp.GetMore()}
+	return spread.Pulled{Call: ac.Call, Updates: nd.updatesIn(rp.GetTeams()), More: rp.GetMore()}
 }
 
 // restoreConfig gives the service back a change that it has lost. The swap
@@ -153,18 +153,6 @@
 	}
 }
 
-func messageOf(up spread.Update) *inner.TeamConfig {
-	return &inner.TeamConfig{Team: up.Team, Revision: up.Revision, ChangeId: up.ChangeID, Document: up.Document}
-}
-
-func updatesIn(tcs []*inner.TeamConfig) []spread.Update {
-	ups := make([]spread.Update, 0, len(tcs))
-	for _, tc := range tcs {
-		ups = append(ups, spread.Update{Team: tc.GetTeam(), Revision: tc.GetRevision(), ChangeID: tc.GetChangeId(), Document: tc.GetDocument()})
-	}
-	return ups
-}
-
 func revisionsOf(rvs []spread.Revision) []*inner.TeamRevision {
 	out := make([]*inner.TeamRevision, 0, len(rvs))
 	for _, rv := range rvs {
--- a/io/node/service_config.go
+++ b/io/node/service_config.go
@@ -13,7 +13,7 @@
 	if err := se.checkVersion(rq.GetVersion()); err != nil {
 		return nil, err
 	}
-	se.nd.post(configEvent{ev: spread.Pushed{From: rankOf(rq.GetFrom()), Updates: updatesIn(rq.GetTeams())}})
+	se.nd.post(configEvent{ev: spread.Pushed{From: rankOf(rq.GetFrom()), Updates: se.nd.updatesIn(rq.GetTeams())}})
 	return &inner.PushReply{Version: inner.Version}, nil
 }
 
