--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -32,8 +32,8 @@
 	table  *rank.Table
 	listed bool
 
-	held   map[string]Update
-	force  map[string]Revision
+	held  map[string]Update
+	force map[string]Revision
 	// handed is what this VM has pushed to its children.
 	handed map[string]Revision
 	alarms map[alarmKey]string
