--- a/cmd/laburnumvane/config_status.go
+++ b/cmd/laburnumvane/config_status.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 
 	"github.com/urfave/cli/v3"
 
@@ -15,10 +14,9 @@
 		Name:      "status",
 		Usage:     "tell what became of a change and where it is in force",
 		ArgsUsage: "ID",
-		Description: `Asks for a change by its id, and shows for each data centre on how many VMs
-the change, or a later one, is in force, and then each VM that lacks it or did
-not answer; --all shows every VM. One that cannot be reached takes the change up
-when it is back.
+		Description: `Asks for a change by its id, and shows for each data centre and each VM whether
+the change, or a later one, is in force there. What did not answer is shown as
+not reachable: it takes the change up when it is back.
 
 Exit codes: 0 in force on every VM, 1 not on all of them yet, 4 the change is
 not known: it was not accepted, or is older than the history.
@@ -26,9 +24,7 @@
 Examples:
    laburnumvane config status 01j9-7f3a
    until laburnumvane config status 01j9-7f3a >/dev/null; do sleep 1; done`,
-		Flags: operatorFlags(
-			&cli.BoolFlag{Name: "all", Usage: "show every VM"},
-		),
+		Flags:  operatorFlags(),
 		Action: configStatusAction,
 	}
 }
@@ -63,57 +59,49 @@
 		fmt.Fprintf(out, "change %s is not known\n", cs.ChangeID)
 		return
 	}
+	inForce, vms := countInForce(cs)
 	fmt.Fprintf(out, "change %s is revision %d of team %s, in force on %d of %d VMs\n\n",
-		cs.ChangeID, cs.Revision, cs.Team, countInForce(cs), len(cs.VMs))
-	dcs := newTable(out, "DATA CENTRE", "IN FORCE", "VMS", "REACHABLE")
+		cs.ChangeID, cs.Revision, cs.Team, inForce, vms)
+	tbl := newTable(out, "DATA CENTRE", "VMS", "IN FORCE", "REACHABLE")
 	for _, dc := range cs.DataCentres {
-		dcs.row(dc.DataCentre, strconv.Itoa(dc.InForce), strconv.Itoa(dc.VMs), yesNo(dc.Reachable))
-	}
-	dcs.flush()
-	vms := shownVMs(cmd, cs)
-	if len(vms) == 0 {
-		return
+		tbl.row(dc.DataCentre, number(dc.VMs), number(dc.InForce), yesNo(dc.Reachable))
 	}
+	tbl.flush()
 	fmt.Fprintln(out)
-	tbl := newTable(out, "VM", "DATA CENTRE", "REVISION", "IN FORCE", "REACHABLE")
-	for _, vm := range vms {
+	tbl = newTable(out, "VM", "DATA CENTRE", "REVISION", "IN FORCE", "REACHABLE")
+	for _, vm := range cs.VMs {
 		tbl.row(vm.Addr, vm.DataCentre, number(vm.Revision), yesNo(vm.InForce), yesNo(vm.Reachable))
 	}
 	tbl.flush()
 }
 
-// shownVMs are the VMs that lack the change, or with --all every one.
-func shownVMs(cmd *cli.Command, cs wire.ChangeStatus) []wire.ChangeStatusOfVM {
-	if cmd.Bool("all") {
-		return cs.VMs
-	}
-	var vms []wire.ChangeStatusOfVM
-	for _, vm := range cs.VMs {
-		if !vm.InForce {
-			vms = append(vms, vm)
-		}
-	}
-	return vms
-}
-
 func changeStatusError(cmd *cli.Command, cs wire.ChangeStatus) error {
 	if !cs.Known {
 		return silent(cmd.FullName(), KindUnknown)
 	}
-	if countInForce(cs) < len(cs.VMs) {
+	if inForce, vms := countInForce(cs); inForce < vms || anyUnreachable(cs) {
 		return silent(cmd.FullName(), KindFailure)
 	}
 	return nil
 }
 
-func countInForce(cs wire.ChangeStatus) int {
-	cnt := 0
-	for _, vm := range cs.VMs {
-		if vm.InForce {
-			cnt++
+// countInForce sums up the data centres; the rows of single VMs may leave out
+// those of a data centre that did not answer.
+func countInForce(cs wire.ChangeStatus) (inForce, vms int) {
+	for _, dc := range cs.DataCentres {
+		inForce += dc.InForce
+		vms += dc.VMs
+	}
+	return inForce, vms
+}
+
+func anyUnreachable(cs wire.ChangeStatus) bool {
+	for _, dc := range cs.DataCentres {
+		if !dc.Reachable {
+			return true
 		}
 	}
-	return cnt
+	return false
 }
 
 func yesNo(val bool) string {
