--- a/core/change/envelope_test.go
+++ b/core/change/envelope_test.go
@@ -6,10 +6,12 @@
 	"encoding/base64"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 )
 
@@ -52,8 +54,8 @@
 				is.NoErr(err)
 				return
 			}
-			ce, ok := err.(*Error)
-			is.True(ok)
+			var ce *Error
+			is.True(errors.As(err, &ce))
 			is.Equal(ce.Kind, tc.kind)
 		})
 	}
@@ -85,7 +87,7 @@
 	for i, id := range many(idLimit + 10) {
 		et := Entry{ID: id, Actor: string(big[:maxActorLen]), UnixMs: 1 << 41, Document: doc}
 		if i < idLimit {
-			et.Document = append(doc[:documentBytes/documentLimit:documentBytes/documentLimit], '"')
+			et.Document = slices.Concat(doc[:documentBytes/documentLimit], []byte{'"'})
 		}
 		en = en.WithChange(et, 0)
 	}
--- a/core/change/example_test.go
+++ b/core/change/example_test.go
@@ -15,7 +15,7 @@
 	var pair change.Pair
 	now := time.Duration(0)
 	pr := change.NewProposer(change.Config{
-		Proposal: change.Proposal{ID: "c1", Fresh: true, Team: "wash", Document: []byte(`{"version":1,"team":"wash"}`)},
+		Proposal: change.Proposal{ID: "c1", Fresh: true, Team: "wash", Document: []byte(`{"version":1,"team":"wash","limits":{},"searches":{},"registers":{}}`)},
 		Deadline: now + 10*time.Second,
 		Rand:     rand.New(rand.NewPCG(1, 1)),
 	})
--- a/core/spread/gossip.go
+++ b/core/spread/gossip.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"time"
 
 	"laburnumvane/core/rank"
@@ -77,7 +78,7 @@
 			far = append(far, ma.table.Members(dc)...)
 		}
 	}
-	peers := append(near, ma.shuffled(far)...)
+	peers := slices.Concat(near, ma.shuffled(far))
 	return peers[:min(len(peers), ma.pace.BootPeers)]
 }
 
--- a/core/spread/property_test.go
+++ b/core/spread/property_test.go
@@ -20,57 +20,68 @@
 	return ch.fl.vms[rapid.IntRange(0, len(ch.fl.vms)-1).Draw(ch.t, "vm")]
 }
 
+// happening is one thing that chaos brings about.
+type happening struct {
+	name string
+	do   func(ch *chaos)
+}
+
+func happenings() []happening {
+	return []happening{
+		{"change", (*chaos).change},
+		{"quiet", (*chaos).quiet},
+		{"down", func(ch *chaos) { ch.fl.sv.down = true }},
+		{"up", func(ch *chaos) { ch.fl.sv.down = false }},
+		{"past", func(ch *chaos) { ch.fl.sv.past = ch.fl.sv.copy() }},
+		{"present", func(ch *chaos) { ch.fl.sv.past = nil }},
+		{"silent", func(ch *chaos) { ch.fl.sv.silent = true }},
+		{"heard", func(ch *chaos) { ch.fl.sv.silent = false }},
+		{"slow", func(ch *chaos) { ch.fl.sv.slow = 10 * time.Second }},
+		{"quick", func(ch *chaos) { ch.fl.sv.slow = 0 }},
+		{"compact", func(ch *chaos) { ch.fl.sv.compact() }},
+		{"backup", func(ch *chaos) { ch.backup = ch.fl.sv.copy() }},
+		{"restore", (*chaos).restore},
+		{"cut", (*chaos).cut},
+		{"heal", func(ch *chaos) { ch.fl.cut = uncut }},
+		{"pause", func(ch *chaos) { ch.vm().paused = true }},
+		{"resume", func(ch *chaos) { ch.vm().resume() }},
+		{"boot", func(ch *chaos) { ch.vm().boot() }},
+		{"loss", func(ch *chaos) { ch.fl.loss = rapid.Float64Range(0, 0.5).Draw(ch.t, "share") }},
+	}
+}
+
 func (ch *chaos) step() {
-	fl := ch.fl
-	switch rapid.SampledFrom([]string{"change", "quiet", "down", "up", "past", "present", "silent", "heard", "slow", "quick", "compact", "backup", "restore", "cut", "heal", "pause", "resume", "boot", "loss"}).Draw(ch.t, "what") {
-	case "change":
-		ch.changes++
-		if v := ch.vm(); !fl.sv.down && !v.paused && !fl.cut(v.self.DataCentre, "service") {
-			fl.change(v, "wash", fmt.Sprint("c", ch.changes), 10)
-		}
-	case "quiet":
-		ch.changes++
-		fl.sv.put(Update{Team: "wash", Revision: max(fl.sv.held["wash"].Revision, ch.highest()) + 1, ChangeID: fmt.Sprint("q", ch.changes)})
-	case "down":
-		fl.sv.down = true
-	case "up":
-		fl.sv.down = false
-	case "past":
-		fl.sv.past = fl.sv.copy()
-	case "present":
-		fl.sv.past = nil
-	case "silent":
-		fl.sv.silent = true
-	case "heard":
-		fl.sv.silent = false
-	case "slow":
-		fl.sv.slow = 10 * time.Second
-	case "quick":
-		fl.sv.slow = 0
-	case "compact":
-		fl.sv.compact()
-	case "backup":
-		ch.backup = fl.sv.copy()
-	case "restore":
-		if ch.backup != nil {
-			fl.sv.back(ch.backup)
-		}
-	case "cut":
-		dc := ch.vm().self.DataCentre
-		fl.cut = func(a, b string) bool { return (a == dc) != (b == dc) }
-	case "heal":
-		fl.cut = func(a, b string) bool { return false }
-	case "pause":
-		ch.vm().paused = true
-	case "resume":
-		ch.vm().resume()
-	case "boot":
-		ch.vm().boot()
-	case "loss":
-		fl.loss = rapid.Float64Range(0, 0.5).Draw(ch.t, "share")
+	all := happenings()
+	ha := all[rapid.IntRange(0, len(all)-1).Draw(ch.t, "what")]
+	ch.t.Log(ha.name)
+	ha.do(ch)
+}
+
+func (ch *chaos) change() {
+	ch.changes++
+	v := ch.vm()
+	if !ch.fl.sv.down && !v.paused && !ch.fl.cut(v.self.DataCentre, "service") {
+		ch.fl.change(v, "wash", fmt.Sprint("c", ch.changes), 10)
+	}
+}
+
+func (ch *chaos) quiet() {
+	ch.changes++
+	revision := max(ch.fl.sv.held["wash"].Revision, ch.highest()) + 1
+	ch.fl.sv.put(Update{Team: "wash", Revision: revision, ChangeID: fmt.Sprint("q", ch.changes)})
+}
+
+func (ch *chaos) restore() {
+	if ch.backup != nil {
+		ch.fl.sv.back(ch.backup)
 	}
 }
 
+func (ch *chaos) cut() {
+	dc := ch.vm().self.DataCentre
+	ch.fl.cut = func(a, b string) bool { return (a == dc) != (b == dc) }
+}
+
 func (ch *chaos) highest() uint64 {
 	highest := uint64(0)
 	for _, v := range ch.fl.vms {
@@ -82,7 +93,7 @@
 // heal ends all faults and gives the fleet time.
 func (ch *chaos) heal() {
 	fl := ch.fl
-	fl.cut = func(a, b string) bool { return false }
+	fl.cut = uncut
 	fl.loss, fl.jitter = 0, time.Millisecond
 	fl.sv.down, fl.sv.past, fl.sv.silent, fl.sv.slow = false, nil, false, 0
 	for _, v := range fl.vms {
--- a/core/spread/sim_test.go
+++ b/core/spread/sim_test.go
@@ -84,8 +84,11 @@
 	overhead = 250 // bytes of a request or reply before its payload
 )
 
+// uncut is the network without a partition.
+func uncut(_, _ string) bool { return false }
+
 func newFleet(seed uint64, centres, each int) *fleet {
-	fl := &fleet{index: map[string]*vm{}, rnd: rand.New(rand.NewPCG(seed, 7)), jitter: time.Millisecond, cut: func(a, b string) bool { return false }}
+	fl := &fleet{index: map[string]*vm{}, rnd: rand.New(rand.NewPCG(seed, 7)), jitter: time.Millisecond, cut: uncut}
 	fl.sv = &fakeService{fl: fl, held: map[string]Update{}}
 	for c := range centres {
 		for i := range each {
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -84,7 +84,7 @@
 		{"data centre cut off", cutOff, false, 5 * time.Second, 8},
 		{"data centre cut off for a while", func(fl *fleet) {
 			cutOff(fl)
-			fl.later(time.Minute, func() { fl.cut = func(a, b string) bool { return false } })
+			fl.later(time.Minute, func() { fl.cut = uncut })
 		}, false, 70 * time.Second, 0},
 	}
 	for i, tc := range cases {
--- a/io/node/config_calls.go
+++ b/io/node/config_calls.go
@@ -27,7 +27,7 @@
 	rp, err := nd.kv.Range(ctx, change.Prefix)
 	if err != nil {
 		nd.platformFailed(ctx, "range", err)
-		return spread.Failed{Call: ac.Call}
+		return spread.Failed(ac)
 	}
 	ups, broken := updatesOf(rp.Pairs)
 	return spread.Ranged{Call: ac.Call, Revision: rp.Revision, Updates: ups, Broken: broken}
