--- a/io/drive/search.go
+++ b/io/drive/search.go
@@ -96,20 +96,17 @@
 		rq:       rq,
 		kd:       kd,
 		register: conf.Register,
-		box:      newMailbox(sn.Shards()),
-		timer:    time.NewTimer(time.Hour),
-		sent:     make([]view.ServerID, 0, sn.Shards()),
+		once:     once,
 	}
-	se.machine = search.New(dr.planOf(vw, rq, kd, sn, once))
+	cf := dr.planOf(vw, rq, kd, sn, once)
+	se.open(cf.Number, cf.Hard, sn.Shards())
+	se.machine = search.New(cf)
 	return answerOf(se.run(ctx))
 }
 
 func (dr *Driver) planOf(vw *view.View, rq wire.SearchRequest, kd *kind, sn view.Snapshot, once bool) search.Config {
 	now := dr.now()
-	hard := min(kd.conf.HardDeadline(), dr.cfg.MaxDeadline)
-	if rq.DeadlineMs > 0 {
-		hard = min(hard, time.Duration(rq.DeadlineMs)*time.Millisecond)
-	}
+	hard := dr.budgetOf(rq, kd.conf)
 	least := kd.conf.MinCoverage
 	if rq.MinCoverage != nil {
 		least = *rq.MinCoverage
@@ -128,7 +125,7 @@
 		MinCoverage:   least,
 		Once:          once,
 		HitLimit:      kd.conf.HitLimit,
-		Chooser:       dr.cfg.Table.Chooser(vw, dr.random(number)),
+		Chooser:       dr.chooser(now, vw, number, once),
 		HedgeDelay:    delay,
 		LostDelay:     lostTimes * delay,
 		HedgeBudget:   kd.hedges,
--- a/io/node/config_test.go
+++ b/io/node/config_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -22,12 +23,9 @@
 	"laburnumvane/io/wire"
 )
 
-const (
-	patience = 30 * time.Second // for what must come
-	wash     = "wash"
-)
+const wash = "wash"
 
-func startSite(t *testing.T, vms int) *site.Site {
+func startWash(t *testing.T, vms int) *site.Site {
 	t.Helper()
 	is := is.New(t)
 	rg, err := emul.SampleRegister("members", 2, 20)
@@ -40,7 +38,7 @@
 	})
 	is.NoErr(err)
 	t.Cleanup(st.Close)
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
 	is.NoErr(st.WaitReady(ctx))
 	// The list of VMs lags: those that started first know only themselves.
@@ -72,17 +70,6 @@
 	return cr.Revision
 }
 
-// eventually waits for what must come true.
-func eventually(t *testing.T, what string, cond func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		if cond() {
-			return
-		}
-	}
-	t.Fatalf("never came true: %s", what)
-}
-
 func inForceOn(t *testing.T, nds []*node.Node, rev uint64) {
 	t.Helper()
 	for i, nd := range nds {
@@ -95,7 +82,7 @@
 	// is accepted, comes into force on all, and its status shows both data
 	// centres; the documents come back as they were written.
 	is := is.New(t)
-	st := startSite(t, 4)
+	st := startWash(t, 4)
 	for i, nd := range st.Nodes() {
 		raw := document(t, st, 100+i)
 		reply := propose(t, nd, raw, uint64(i+1))
@@ -122,15 +109,15 @@
 	// The VMs of one data centre die without a word. The status of a change
 	// says so of that data centre, and that all others have it.
 	is := is.New(t)
-	st := startSite(t, 4)
-	for _, i := range []int{1, 3} {
-		stopped, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = st.Nodes()[i].Stop(stopped)
+	st := startWash(t, 4)
+	for _, nd := range slices.Clone(st.Nodes()) {
+		if nd.Status().DataCentre == "west" {
+			st.Kill(nd)
+		}
 	}
 	reply := propose(t, st.Nodes()[0], document(t, st, 7), 1)
 	is.Equal(reply.Result, wire.ChangeAccepted)
-	inForceOn(t, []*node.Node{st.Nodes()[0], st.Nodes()[2]}, 2)
+	inForceOn(t, st.Nodes(), 2)
 	cs := st.Nodes()[0].ChangeStatus(context.Background(), reply.ChangeID)
 	is.Equal(cs.DataCentres, []wire.ChangeStatusOfDataCentre{
 		{DataCentre: "east", Reachable: true, VMs: 2, InForce: 2},
@@ -142,7 +129,7 @@
 	// Operators of one team change the same revision at once through all VMs.
 	// One is accepted; each other one gets a conflict that shows it.
 	is := is.New(t)
-	st := startSite(t, 4)
+	st := startWash(t, 4)
 	replies := make([]wire.ChangeReply, 8)
 	var wg sync.WaitGroup
 	for i := range replies {
@@ -181,7 +168,7 @@
 		{"answers from the past", emul.KVFaults{Past: true}, wire.ChangeAccepted},
 		{"watches silent", emul.KVFaults{SilentWatches: true}, wire.ChangeAccepted},
 	}
-	st := startSite(t, 2)
+	st := startWash(t, 2)
 	for i, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
@@ -202,7 +189,7 @@
 func held(t *testing.T, st *site.Site) change.Envelope {
 	t.Helper()
 	is := is.New(t)
-	cl := plat.New(plat.Config{Addrs: []string{st.KV().Addr()}, Timeout: patience})
+	cl := plat.New(plat.Config{Addrs: []string{st.KV().Addr()}, Timeout: bound})
 	defer cl.Close()
 	pair, ok, err := cl.Get(context.Background(), change.KeyOf(wash))
 	is.NoErr(err)
@@ -217,7 +204,7 @@
 	// its peers and serves; so does one that the service would have told of an
 	// older one.
 	is := is.New(t)
-	st := startSite(t, 3)
+	st := startWash(t, 3)
 	st.KV().Remember()
 	reply := propose(t, st.Nodes()[0], document(t, st, 9), 1)
 	is.Equal(reply.Result, wire.ChangeAccepted)
@@ -238,16 +225,14 @@
 	// and finds nobody to ask. It refuses searches with noConfig, nothing runs,
 	// and it works once the service is back.
 	is := is.New(t)
-	st := startSite(t, 2)
+	st := startWash(t, 2)
 	st.KV().SetFaults(emul.KVFaults{Refuse: true})
-	for _, nd := range st.Nodes() {
-		stopped, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = nd.Stop(stopped)
+	for _, nd := range slices.Clone(st.Nodes()) {
+		st.Kill(nd)
 	}
 	nd, err := st.Boot("east")
 	is.NoErr(err)
-	cl, err := client.NewCaller(client.Config{URL: "http://" + nd.Addrs().Caller, Timeout: patience})
+	cl, err := client.NewCaller(client.Config{URL: "http://" + nd.Addrs().Caller, Timeout: bound})
 	is.NoErr(err)
 	rq := wire.SearchRequest{Team: wash, Search: "kiosk", Query: json.RawMessage(`{"plate":"AAA-000"}`), DeadlineMs: 1000}
 	an, err := cl.Search(context.Background(), rq)
@@ -263,8 +248,8 @@
 	// the service has forgotten its events. The VMs that watch read everything
 	// anew and hand it on, and the change can be asked about by its id.
 	is := is.New(t)
-	st := startSite(t, 3)
-	cl := plat.New(plat.Config{Addrs: []string{st.KV().Addr()}, Timeout: patience})
+	st := startWash(t, 3)
+	cl := plat.New(plat.Config{Addrs: []string{st.KV().Addr()}, Timeout: bound})
 	defer cl.Close()
 	key := change.KeyOf(wash)
 	pair, _, err := cl.Get(context.Background(), key)
@@ -286,7 +271,7 @@
 	// An operator's answer was lost, and the change is repeated with its id
 	// through another VM: it is accepted as before, and nothing is written.
 	is := is.New(t)
-	st := startSite(t, 2)
+	st := startWash(t, 2)
 	raw, expect := document(t, st, 8), uint64(1)
 	pr := oper.Proposal{ID: "mine", Team: wash, Document: raw, Expect: &expect}
 	first, err := st.Nodes()[0].Change(context.Background(), pr)
