--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -13,7 +13,7 @@
 	recentLimit = 1024
 	// answerBytes bounds the documents in one answer to a pull, which is
 	// reached only by a VM that boots.
-	answerBytes = 1 << 20
+	answerBytes = 256 << 10
 	// bulk is a number of updates beyond which they are not news but a first
 	// load, which peers get by comparing.
 	bulk = 64
@@ -32,12 +32,15 @@
 	table  *rank.Table
 	listed bool
 
-	held   map[string]Update
-	force  map[string]Revision
+	held  map[string]Update
+	force map[string]Revision
+	// handed is what this VM has pushed to its children.
+	handed map[string]Revision
 	alarms map[alarmKey]string
 	digest Digest
 	recent []Revision
 
+	seeds []seed
 	calls []call
 	last  Call
 
@@ -59,6 +62,7 @@
 		table:  rank.New(rank.Config{Self: cfg.Self}),
 		held:   make(map[string]Update),
 		force:  make(map[string]Revision),
+		handed: make(map[string]Revision),
 		alarms: make(map[alarmKey]string),
 	}
 }
@@ -72,6 +76,7 @@
 	}
 	ma.take(ev)
 	ma.expire()
+	ma.sow()
 	ma.askPeers()
 	ma.askService()
 	return ma.acts
@@ -80,6 +85,9 @@
 // Next is when the machine wants its next Tick.
 func (ma *Machine) Next() time.Duration {
 	at := min(ma.service.wake, ma.gossip.next())
+	for _, sd := range ma.seeds {
+		at = min(at, sd.at)
+	}
 	for _, ca := range ma.calls {
 		at = min(at, ca.deadline)
 	}
@@ -106,6 +114,10 @@
 			ma.failed(ca)
 		}
 	case Pushed:
+		ma.unseed(ev.Updates)
+		if ev.From.DataCentre == ma.cfg.Self.DataCentre {
+			ma.handOnHeld(ev.Updates)
+		}
 		ma.learnAll(ev.Updates, originOf(ev.From.DataCentre == ma.cfg.Self.DataCentre, originPush, originFar))
 	case Acked:
 		ma.endCall(ev.Call)
