guard: requests must arrive in time, and errors are JSON

Cause: the library bounds each read and not the request, sets no deadline at all before the first request of a connection, and answers its own errors in plain text. Nothing uses it yet.

--- /dev/null
+++ b/io/guard/conn.go
@@ -0,0 +1,125 @@
+package guard
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// listener hands out connections whose requests must arrive in time.
+type listener struct {
+	net.Listener
+	cfg Config
+}
+
+func (ln *listener) Accept() (net.Conn, error) {
+	nc, err := ln.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	cn := &conn{Conn: nc, cfg: ln.cfg}
+	cn.begin()
+	return cn, nil
+}
+
+// state says what the server does with a connection. It is learnt from the
+// deadlines that the library sets: none at all while a handler runs, for it then
+// watches for the client's going away, and one ahead while it waits for a
+// request.
+type state uint8
+
+const (
+	// waiting for the first byte of a request.
+	waiting state = iota
+	// reading a request that has begun.
+	reading
+	// serving: a handler runs, or its answer is being written.
+	serving
+	// refused: the library's own error was replaced, and the end follows.
+	refused
+)
+
+// conn bounds the time that a whole request takes to arrive, and puts the
+// errors that the library writes by itself into the form of all others.
+type conn struct {
+	net.Conn
+	cfg Config
+
+	mu    sync.Mutex
+	state state
+	// asked is the read deadline that the library set last.
+	asked time.Time
+	// until is when the request being read must be whole.
+	until time.Time
+}
+
+// begin bounds the wait for the first request, which the library does not.
+func (cn *conn) begin() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.until = time.Now().Add(cn.cfg.RequestTime)
+	// A connection that cannot take a deadline fails at its first read.
+	_ = cn.Conn.SetReadDeadline(cn.until)
+}
+
+// Read notes when a request begins.
+func (cn *conn) Read(p []byte) (int, error) {
+	n, err := cn.Conn.Read(p)
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if n > 0 && cn.state == waiting {
+		cn.state = reading
+		cn.until = time.Now().Add(cn.cfg.RequestTime)
+		if derr := cn.apply(); err == nil {
+			err = derr
+		}
+	}
+	return n, err
+}
+
+// SetReadDeadline lets the library shorten the time of a request, not lengthen
+// it.
+func (cn *conn) SetReadDeadline(at time.Time) error {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.asked = at
+	switch {
+	case at.IsZero():
+		cn.state = serving
+		cn.until = time.Time{}
+	case cn.state == serving && time.Until(at) > 0:
+		cn.state = waiting
+	}
+	return cn.apply()
+}
+
+func (cn *conn) apply() error {
+	at := cn.asked
+	if !cn.until.IsZero() && (at.IsZero() || cn.until.Before(at)) {
+		at = cn.until
+	}
+	return cn.Conn.SetReadDeadline(at)
+}
+
+// Write bounds the time of each write, and replaces what is no handler's.
+func (cn *conn) Write(p []byte) (int, error) {
+	cn.mu.Lock()
+	was := cn.state
+	own := was != serving && !isContinue(p)
+	if own {
+		cn.state = refused
+	}
+	cn.mu.Unlock()
+	if err := cn.SetWriteDeadline(time.Now().Add(cn.cfg.WriteTime)); err != nil {
+		return 0, err
+	}
+	if !own {
+		return cn.Conn.Write(p)
+	}
+	if was != refused {
+		if _, err := cn.Conn.Write(replacement(p)); err != nil {
+			return 0, err
+		}
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/io/guard/guard.go
@@ -0,0 +1,125 @@
+package guard
+
+import (
+	"context"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cloudwego/hertz/pkg/route"
+
+	"laburnumvane/io/wire"
+)
+
+// Defaults of a Config.
+const (
+	DefaultRequestTime = 10 * time.Second
+	DefaultWriteTime   = 10 * time.Second
+	DefaultMaxHeader   = 16 << 10
+)
+
+// Config sets a listener. All but Listener and MaxBody have defaults.
+type Config struct {
+	Listener net.Listener
+	// MaxBody bounds a request's body, in bytes.
+	MaxBody int
+	// MaxHeader bounds a request's headers, in bytes.
+	MaxHeader int
+	// RequestTime bounds how long a request takes to arrive, and how long a
+	// connection is kept without one.
+	RequestTime time.Duration
+	// WriteTime bounds each write of an answer.
+	WriteTime time.Duration
+}
+
+// New makes the library's server behind a guarded listener. Routes are added by
+// the caller.
+func New(cfg Config) *server.Hertz {
+	cfg = cfg.withDefaults()
+	hz := server.New(
+		server.WithListener(&listener{Listener: cfg.Listener, cfg: cfg}),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(cfg.MaxBody),
+		server.WithMaxHeaderBytes(cfg.MaxHeader),
+		server.WithReadTimeout(cfg.RequestTime),
+		server.WithIdleTimeout(cfg.RequestTime),
+		// Besides ending the context of a client that went away, this sets the
+		// deadlines by which conn tells a handler's answer from the library's.
+		server.WithSenseClientDisconnection(true),
+		// Forms would be written to a disk that VMs do not have.
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithRedirectTrailingSlash(false),
+		server.WithHandleMethodNotAllowed(true),
+		server.WithDisablePrintRoute(true),
+	)
+	hz.Use(checkHost)
+	hz.NoRoute(noRoute)
+	hz.NoMethod(noMethod(hz.Engine))
+	return hz
+}
+
+func (cfg Config) withDefaults() Config {
+	if cfg.RequestTime <= 0 {
+		cfg.RequestTime = DefaultRequestTime
+	}
+	if cfg.WriteTime <= 0 {
+		cfg.WriteTime = DefaultWriteTime
+	}
+	if cfg.MaxHeader <= 0 {
+		cfg.MaxHeader = DefaultMaxHeader
+	}
+	return cfg
+}
+
+// checkHost stands before all handlers: the library sets the status of a request
+// without a host or path, runs them, and adds a plain text if none spoke.
+func checkHost(ctx context.Context, rc *app.RequestContext) {
+	if rc.Response.StatusCode() == consts.StatusBadRequest {
+		Refuse(rc, consts.StatusBadRequest, wire.ErrorReply{Error: "the request has no host or no path", Reason: ReasonBadRequest})
+		return
+	}
+	rc.Next(ctx)
+}
+
+func noRoute(_ context.Context, rc *app.RequestContext) {
+	Refuse(rc, consts.StatusNotFound, wire.ErrorReply{Error: "there is no such route", Reason: ReasonNoRoute})
+}
+
+func noMethod(eng *route.Engine) app.HandlerFunc {
+	return func(_ context.Context, rc *app.RequestContext) {
+		allowed := allowedOn(eng.Routes(), string(rc.Path()))
+		rc.Header("Allow", strings.Join(allowed, ", "))
+		Refuse(rc, consts.StatusMethodNotAllowed, wire.ErrorReply{
+			Error:  "the route takes " + strings.Join(allowed, " and ") + " only",
+			Reason: ReasonNoMethod,
+		})
+	}
+}
+
+func allowedOn(routes route.RoutesInfo, path string) []string {
+	var methods []string
+	for _, ri := range routes {
+		if matches(ri.Path, path) {
+			methods = append(methods, ri.Method)
+		}
+	}
+	return methods
+}
+
+// matches tells whether a path fits a route whose parameters begin with a colon.
+func matches(pattern, path string) bool {
+	ps, ss := strings.Split(pattern, "/"), strings.Split(path, "/")
+	if len(ps) != len(ss) {
+		return false
+	}
+	for i, part := range ps {
+		if !strings.HasPrefix(part, ":") && part != ss[i] {
+			return false
+		}
+	}
+	return true
+}
