front: every malformed, oversized or slow request gets one clear error

Cause: a trial over raw sockets showed plain-text errors of the library, a connection without a first request held for ever, an explicit deadlineMs of 0 taken for an absent one, invalid UTF-8 searched for with replacement characters, ids with line breaks echoed into headers, and a 413 lost to a reset where the body was longer than a buffer. Change: the callers' listener stands behind package guard; fields are checked with their paths; refusals are counted by reason; a refused client may finish sending before its connection ends.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -10,18 +10,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"laburnumvane/core/fault"
 	"laburnumvane/io/accept"
+	"laburnumvane/io/guard"
 	"laburnumvane/io/wire"
 )
 
@@ -39,7 +38,8 @@
 	Leaving func() bool
 	// MaxBody bounds a request's body, in bytes.
 	MaxBody int
-	// ReadTimeout bounds how long a client may take to send a request.
+	// ReadTimeout bounds how long a client may take to send a whole request,
+	// and how long a connection is kept without one.
 	ReadTimeout time.Duration
 	// MaxDeadline bounds deadlineMs.
 	MaxDeadline time.Duration
@@ -47,6 +47,8 @@
 	TicketTTL time.Duration
 	// NewID names requests whose caller did not.
 	NewID func() string
+	// Refused is told of each request that was no search, with the reason.
+	Refused func(reason string)
 	// Log is given each answer.
 	Log func(rq wire.SearchRequest, an wire.SearchAnswer)
 }
@@ -64,15 +66,9 @@
 
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Front {
-	fr := &Front{cfg: cfg, ln: accept.New(cfg.Listener)}
-	fr.srv = server.New(
-		server.WithListener(fr.ln),
-		server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(cfg.MaxBody),
-		server.WithReadTimeout(cfg.ReadTimeout),
-		server.WithIdleTimeout(cfg.ReadTimeout),
-		server.WithSenseClientDisconnection(true),
-		server.WithDisablePrintRoute(true),
+	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout}
+	fr := &Front{cfg: cfg, ln: accept.New(guard.Listen(cfg.Listener, gc))}
+	fr.srv = guard.New(fr.ln, gc,
 		server.WithOnAccept(accept.Context),
 		server.WithExitWaitTime(stopBound),
 	)
@@ -107,28 +103,33 @@
 }
 
 func (fr *Front) search(ctx context.Context, rc *app.RequestContext) {
-	rq, fault := fr.decode(rc)
-	if fault != nil {
-		fr.reply(rc, consts.StatusBadRequest, fault)
+	rq, refusal := fr.decode(rc)
+	if rq.ID != "" {
+		rc.Header(wire.HeaderRequestID, rq.ID)
+	}
+	if refusal != nil {
+		refusal.ID = rq.ID
+		fr.reply(rc, refusal.status, refusal.ErrorReply)
 		return
 	}
 	an := fr.cfg.Search.Search(ctx, rq)
 	fr.cfg.Log(rq, an)
 	if an.RetryAfterMs > 0 {
-		rc.Header("Retry-After", strconv.FormatInt((an.RetryAfterMs+999)/1000, 10))
+		rc.Header("Retry-After", strconv.FormatInt(retryAfterSeconds(an.RetryAfterMs), 10))
 	}
-	rc.Header(wire.HeaderRequestID, an.ID)
 	fr.reply(rc, statusOf(an), an)
 }
 
+// retryAfterSeconds rounds up: the header has whole seconds, and coming back too
+// early earns another refusal.
+func retryAfterSeconds(ms int64) int64 {
+	return (ms + 999) / 1000
+}
+
 func (fr *Front) tickets(_ context.Context, rc *app.RequestContext) {
-	var rq wire.TicketRequest
-	if err := json.Unmarshal(rc.Request.Body(), &rq); err != nil {
-		fr.reply(rc, consts.StatusBadRequest, badRequest("", err.Error()))
-		return
-	}
-	if fault := checkTickets(&rq); fault != nil {
-		fr.reply(rc, consts.StatusBadRequest, fault)
+	rq, refusal := fr.decodeTickets(rc)
+	if refusal != nil {
+		fr.reply(rc, refusal.status, refusal.ErrorReply)
 		return
 	}
 	fr.reply(rc, consts.StatusOK, wire.TicketReply{
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -1,83 +1,200 @@
 package front
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"laburnumvane/io/guard"
 	"laburnumvane/io/wire"
 )
 
 const (
 	maxIDLen   = 128
 	maxTickets = 1000
+	// maxNameLen bounds names of teams, searches and registers: a longer one
+	// cannot be configured, and would be repeated in the answer's message.
+	maxNameLen = 256
+	// maxTicketLen is far above the length of any ticket that was issued.
+	maxTicketLen = 1024
 )
 
-// Reasons of refusals that are no answers to a search.
-const reasonBadRequest = "badRequest"
+// searchBody is a search as it arrives. The deadline is a pointer, for an
+// explicit 0 is a mistake where an absent one means the search's own.
+type searchBody struct {
+	ID          string          `json:"id"`
+	Team        string          `json:"team"`
+	Search      string          `json:"search"`
+	Register    string          `json:"register"`
+	Query       json.RawMessage `json:"query"`
+	DeadlineMs  *int64          `json:"deadlineMs"`
+	MinCoverage *float64        `json:"minCoverage"`
+	Repeat      wire.Repeat     `json:"repeat"`
+	Ticket      string          `json:"ticket"`
+}
+
+func (sb searchBody) request() wire.SearchRequest {
+	rq := wire.SearchRequest{
+		ID:          sb.ID,
+		Team:        sb.Team,
+		Search:      sb.Search,
+		Register:    sb.Register,
+		Query:       sb.Query,
+		MinCoverage: sb.MinCoverage,
+		Repeat:      sb.Repeat,
+		Ticket:      sb.Ticket,
+	}
+	if sb.DeadlineMs != nil {
+		rq.DeadlineMs = *sb.DeadlineMs
+	}
+	return rq
+}
+
+// refusal is an error that is no answer to a search, with its HTTP status.
+type refusal struct {
+	wire.ErrorReply
+	status int
+}
 
 // decode reads a search. Everything that outlives the handler is copied by the
-// decoder: the library recycles the body's buffer.
-func (fr *Front) decode(rc *app.RequestContext) (wire.SearchRequest, *wire.ErrorReply) {
-	var rq wire.SearchRequest
-	if err := json.Unmarshal(rc.Request.Body(), &rq); err != nil {
-		return rq, decodeFault(err)
+// decoder: the library recycles the body's buffer. The request's id is set also
+// where it is refused, unless the id itself cannot be echoed.
+func (fr *Front) decode(rc *app.RequestContext) (wire.SearchRequest, *refusal) {
+	id := string(rc.GetHeader(wire.HeaderRequestID))
+	if id == "" {
+		id = fr.cfg.NewID()
+	}
+	if er := checkID(id); er != nil {
+		return wire.SearchRequest{}, fr.refuse(er)
+	}
+	var sb searchBody
+	if rf := fr.body(rc, &sb); rf != nil {
+		return wire.SearchRequest{ID: id}, rf
+	}
+	if sb.ID == "" {
+		sb.ID = id
 	}
-	if rq.ID == "" {
-		rq.ID = string(rc.GetHeader(wire.HeaderRequestID))
+	rq := sb.request()
+	if er := checkID(rq.ID); er != nil {
+		return wire.SearchRequest{ID: id}, fr.refuse(er)
 	}
-	if rq.ID == "" {
-		rq.ID = fr.cfg.NewID()
+	if er := fr.check(sb); er != nil {
+		return rq, fr.refuse(er)
 	}
-	return rq, fr.check(rq)
+	return rq, nil
 }
 
-func (fr *Front) check(rq wire.SearchRequest) *wire.ErrorReply {
-	switch {
-	case len(rq.ID) > maxIDLen:
-		return badRequest("id", fmt.Sprintf("is longer than %d bytes", maxIDLen))
-	case rq.Team == "":
-		return badRequest("team", "is absent")
-	case rq.Search == "":
-		return badRequest("search", "is absent")
-	case len(rq.Query) == 0:
-		return badRequest("query", "is absent")
-	case rq.DeadlineMs < 0 || rq.DeadlineMs > fr.cfg.MaxDeadline.Milliseconds():
-		return badRequest("deadlineMs", fmt.Sprintf("must be between 1 and %d", fr.cfg.MaxDeadline.Milliseconds()))
-	case rq.MinCoverage != nil && (*rq.MinCoverage < 0 || *rq.MinCoverage > 1):
-		return badRequest("minCoverage", "must be between 0 and 1")
-	case rq.Repeat != "" && rq.Repeat != wire.RepeatSafe && rq.Repeat != wire.RepeatNever:
-		return badRequest("repeat", `must be "safe" or "never"`)
+func (fr *Front) decodeTickets(rc *app.RequestContext) (wire.TicketRequest, *refusal) {
+	var tb struct {
+		Team  string `json:"team"`
+		Count *int   `json:"count"`
+	}
+	if rf := fr.body(rc, &tb); rf != nil {
+		return wire.TicketRequest{}, rf
+	}
+	rq := wire.TicketRequest{Team: tb.Team, Count: 1}
+	if tb.Count != nil {
+		rq.Count = *tb.Count
+	}
+	if er := checkTickets(rq); er != nil {
+		return rq, fr.refuse(er)
+	}
+	return rq, nil
+}
+
+// body decodes a body into out.
+func (fr *Front) body(rc *app.RequestContext, out any) *refusal {
+	body, er := guard.Body(rc)
+	if er != nil {
+		return fr.refuse(er)
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return fr.refuse(guard.DecodeError(err))
 	}
 	return nil
 }
 
-func checkTickets(rq *wire.TicketRequest) *wire.ErrorReply {
-	if rq.Count == 0 {
-		rq.Count = 1
+func (fr *Front) refuse(er *wire.ErrorReply) *refusal {
+	fr.cfg.Refused(er.Reason)
+	status := consts.StatusBadRequest
+	if er.Reason == guard.ReasonMediaType {
+		status = consts.StatusUnsupportedMediaType
 	}
-	switch {
-	case rq.Team == "":
-		return badRequest("team", "is absent")
-	case rq.Count < 0 || rq.Count > maxTickets:
-		return badRequest("count", fmt.Sprintf("must be between 1 and %d", maxTickets))
+	return &refusal{ErrorReply: *er, status: status}
+}
+
+// checkID lets only ids pass that can stand in a header and in one line of a
+// log: a line break in one would forge another header.
+func checkID(id string) *wire.ErrorReply {
+	if len(id) > maxIDLen {
+		return guard.BadField("id", fmt.Sprintf("is longer than %d bytes", maxIDLen))
+	}
+	for _, c := range []byte(id) {
+		if c <= ' ' || c > '~' {
+			return guard.BadField("id", "must be of visible ASCII characters")
+		}
+	}
+	return nil
+}
+
+func (fr *Front) check(sb searchBody) *wire.ErrorReply {
+	for _, nm := range []struct {
+		path, value string
+		most        int
+		needed      bool
+	}{
+		{"team", sb.Team, maxNameLen, true},
+		{"search", sb.Search, maxNameLen, true},
+		{"register", sb.Register, maxNameLen, false},
+		{"ticket", sb.Ticket, maxTicketLen, false},
+	} {
+		switch {
+		case nm.needed && nm.value == "":
+			return guard.BadField(nm.path, "is absent")
+		case len(nm.value) > nm.most:
+			return guard.BadField(nm.path, fmt.Sprintf("is longer than %d bytes", nm.most))
+		}
+	}
+	if er := checkQuery(sb.Query); er != nil {
+		return er
+	}
+	return fr.checkBounds(sb)
+}
+
+func checkQuery(query json.RawMessage) *wire.ErrorReply {
+	switch trimmed := bytes.TrimLeft(query, " \t\r\n"); {
+	case len(trimmed) == 0 || string(trimmed) == "null":
+		return guard.BadField("query", "is absent")
+	case trimmed[0] != '{':
+		return guard.BadField("query", "must be an object")
 	}
 	return nil
 }
 
-func decodeFault(err error) *wire.ErrorReply {
-	var te *json.UnmarshalTypeError
-	if ok := asType(err, &te); ok {
-		return badRequest(te.Field, "must be a "+te.Type.String()+", not a "+te.Value)
+func (fr *Front) checkBounds(sb searchBody) *wire.ErrorReply {
+	most := fr.cfg.MaxDeadline.Milliseconds()
+	switch {
+	case sb.DeadlineMs != nil && (*sb.DeadlineMs < 1 || *sb.DeadlineMs > most):
+		return guard.BadField("deadlineMs", fmt.Sprintf("must be between 1 and %d; leave it out for the search's own", most))
+	case sb.MinCoverage != nil && (*sb.MinCoverage < 0 || *sb.MinCoverage > 1):
+		return guard.BadField("minCoverage", "must be between 0 and 1")
+	case sb.Repeat != "" && sb.Repeat != wire.RepeatSafe && sb.Repeat != wire.RepeatNever:
+		return guard.BadField("repeat", `must be "safe" or "never"`)
 	}
-	return badRequest("", "not a JSON object: "+err.Error())
+	return nil
 }
 
-func badRequest(path, msg string) *wire.ErrorReply {
-	text := msg
-	if path != "" {
-		text = path + " " + msg
+func checkTickets(rq wire.TicketRequest) *wire.ErrorReply {
+	switch {
+	case rq.Team == "":
+		return guard.BadField("team", "is absent")
+	case len(rq.Team) > maxNameLen:
+		return guard.BadField("team", fmt.Sprintf("is longer than %d bytes", maxNameLen))
+	case rq.Count < 1 || rq.Count > maxTickets:
+		return guard.BadField("count", fmt.Sprintf("must be between 1 and %d", maxTickets))
 	}
-	return &wire.ErrorReply{Error: text, Reason: reasonBadRequest, Path: path}
+	return nil
 }
--- a/io/front/status.go
+++ b/io/front/status.go
@@ -2,16 +2,11 @@
 
 import (
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
-	"github.com/go-faster/errors"
 
 	"laburnumvane/io/drive"
 	"laburnumvane/io/wire"
 )
 
-func asType[E error](err error, target *E) bool {
-	return errors.As(err, target)
-}
-
 // statusOf is the HTTP status of an answer.
 func statusOf(an wire.SearchAnswer) int {
 	switch an.Outcome {
--- a/io/guard/body.go
+++ b/io/guard/body.go
@@ -7,7 +7,6 @@
 	"unicode/utf8"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/go-faster/errors"
 
 	"laburnumvane/io/wire"
@@ -19,21 +18,19 @@
 	typeForm = "application/x-www-form-urlencoded"
 )
 
-// Body gives a request's body if it can be JSON; otherwise it has refused the
-// request. The bytes are the library's and must not outlive the handler.
-func Body(rc *app.RequestContext) ([]byte, bool) {
+// Body gives a request's body if it can be JSON. The bytes are the library's and
+// must not outlive the handler.
+func Body(rc *app.RequestContext) ([]byte, *wire.ErrorReply) {
 	if msg := checkType(rc); msg != "" {
-		Refuse(rc, consts.StatusUnsupportedMediaType, wire.ErrorReply{Error: msg, Reason: ReasonMediaType})
-		return nil, false
+		return nil, &wire.ErrorReply{Error: msg, Reason: ReasonMediaType}
 	}
 	body := rc.Request.Body()
 	if !utf8.Valid(body) {
 		// The decoder would put a replacement character for what is not
 		// UTF-8, and a plate with one in it finds nobody.
-		Refuse(rc, consts.StatusBadRequest, wire.ErrorReply{Error: "the body is not valid UTF-8", Reason: ReasonBadRequest})
-		return nil, false
+		return nil, &wire.ErrorReply{Error: "the body is not valid UTF-8", Reason: ReasonBadRequest}
 	}
-	return body, true
+	return body, nil
 }
 
 func checkType(rc *app.RequestContext) string {
@@ -57,17 +54,20 @@
 }
 
 // DecodeError tells what is wrong with a body that the JSON decoder refused.
-func DecodeError(err error) wire.ErrorReply {
+func DecodeError(err error) *wire.ErrorReply {
 	var te *json.UnmarshalTypeError
-	if errors.As(err, &te) && te.Field != "" {
+	switch {
+	case errors.As(err, &te) && te.Field != "":
 		return BadField(te.Field, "must be "+kindOf(te)+", not "+te.Value)
+	case te != nil:
+		return &wire.ErrorReply{Error: "the body must be a JSON object, not " + te.Value, Reason: ReasonBadRequest}
 	}
-	return wire.ErrorReply{Error: "the body is not a JSON object: " + err.Error(), Reason: ReasonBadRequest}
+	return &wire.ErrorReply{Error: "the body is not a JSON object: " + err.Error(), Reason: ReasonBadRequest}
 }
 
 // BadField is the refusal of one field.
-func BadField(path, msg string) wire.ErrorReply {
-	return wire.ErrorReply{Error: path + " " + msg, Reason: ReasonBadRequest, Path: path}
+func BadField(path, msg string) *wire.ErrorReply {
+	return &wire.ErrorReply{Error: path + " " + msg, Reason: ReasonBadRequest, Path: path}
 }
 
 func kindOf(te *json.UnmarshalTypeError) string {
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -39,6 +40,12 @@
 	refused
 )
 
+// What a refused client may still send before its connection is cut.
+const (
+	lingerTime  = time.Second
+	lingerBytes = 16 << 20
+)
+
 // conn bounds the time that a whole request takes to arrive, and puts the
 // errors that the library writes by itself into the form of all others.
 type conn struct {
@@ -123,3 +130,20 @@
 	}
 	return len(p), nil
 }
+
+// Close lets a refused client finish sending, within bounds. To close with
+// unread bytes makes TCP reset the connection, and a client that was still
+// sending its too large body would see that and never the reason.
+func (cn *conn) Close() error {
+	cn.mu.Lock()
+	linger := cn.state == refused
+	cn.state = serving
+	cn.mu.Unlock()
+	if half, ok := cn.Conn.(interface{ CloseWrite() error }); ok && linger && half.CloseWrite() == nil {
+		if cn.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+			// Whatever ends the copy, the connection is closed next.
+			_, _ = io.CopyN(io.Discard, cn.Conn, lingerBytes)
+		}
+	}
+	return cn.Conn.Close()
+}
--- a/io/guard/doc.go
+++ b/io/guard/doc.go
@@ -4,12 +4,14 @@
 //
 // # Usage
 //
-//	hz := guard.New(guard.Config{Listener: ln, MaxBody: 1 << 20, RequestTime: 10 * time.Second})
+//	cfg := guard.Config{MaxBody: 1 << 20, RequestTime: 10 * time.Second}
+//	hz := guard.New(guard.Listen(ln, cfg), cfg)
 //	hz.POST("/v1/search", handler)
 //	err := hz.Run()
 //
-// In a handler, guard.Body checks the content type and gives the body, and
-// guard.Refuse answers with an error.
+// In a handler, guard.Body checks the content type and gives the body;
+// guard.DecodeError and guard.BadField put what is wrong with it into the form
+// of all errors, and guard.Refuse answers with one.
 //
 // # What it bounds
 //
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -8,6 +8,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/route"
@@ -22,9 +23,8 @@
 	DefaultMaxHeader   = 16 << 10
 )
 
-// Config sets a listener. All but Listener and MaxBody have defaults.
+// Config sets the bounds. All but MaxBody have defaults.
 type Config struct {
-	Listener net.Listener
 	// MaxBody bounds a request's body, in bytes.
 	MaxBody int
 	// MaxHeader bounds a request's headers, in bytes.
@@ -36,12 +36,17 @@
 	WriteTime time.Duration
 }
 
-// New makes the library's server behind a guarded listener. Routes are added by
-// the caller.
-func New(cfg Config) *server.Hertz {
+// Listen puts the bounds on all connections of a listener.
+func Listen(ln net.Listener, cfg Config) net.Listener {
+	return &listener{Listener: ln, cfg: cfg.withDefaults()}
+}
+
+// New makes the library's server on a listener that Listen made, or on one
+// around that. Routes are added by the caller.
+func New(ln net.Listener, cfg Config, more ...config.Option) *server.Hertz {
 	cfg = cfg.withDefaults()
-	hz := server.New(
-		server.WithListener(&listener{Listener: cfg.Listener, cfg: cfg}),
+	opts := []config.Option{
+		server.WithListener(ln),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(cfg.MaxBody),
 		server.WithMaxHeaderBytes(cfg.MaxHeader),
@@ -55,7 +60,8 @@
 		server.WithRedirectTrailingSlash(false),
 		server.WithHandleMethodNotAllowed(true),
 		server.WithDisablePrintRoute(true),
-	)
+	}
+	hz := server.New(append(opts, more...)...)
 	hz.Use(checkHost)
 	hz.NoRoute(noRoute)
 	hz.NoMethod(noMethod(hz.Engine))
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -182,6 +182,7 @@
 		MaxDeadline: nd.set.MaxDeadline,
 		TicketTTL:   nd.set.TicketTTL,
 		NewID:       nd.newID,
+		Refused:     func(reason string) { nd.meter.Count(meter.Refusal, reason) },
 		Log:         nd.logSearch,
 	})
 	nd.oper = oper.New(oper.Config{
--- a/io/oper/auth.go
+++ b/io/oper/auth.go
@@ -16,12 +16,12 @@
 		rc.Next(ctx)
 		return
 	}
-	token, ok := strings.CutPrefix(string(rc.GetHeader("Authorization")), "Bearer ")
+	token, ok := bearer(string(rc.GetHeader("Authorization")))
 	switch {
 	case ok && equal(token, op.cfg.Token):
 		rc.Next(ctx)
 	case !ok:
-		refuse(rc, consts.StatusUnauthorized, "unauthorized", "a bearer token is needed")
+		refuse(rc, consts.StatusUnauthorized, ReasonUnauthorized, "a bearer token is needed")
 	default:
 		op.authorizeTeam(ctx, rc, token)
 	}
@@ -30,7 +30,7 @@
 func (op *Oper) authorizeTeam(ctx context.Context, rc *app.RequestContext, token string) {
 	team, ok := op.teamOf(token)
 	if !ok {
-		refuse(rc, consts.StatusUnauthorized, "unauthorized", "the bearer token is not known")
+		refuse(rc, consts.StatusUnauthorized, ReasonUnauthorized, "the bearer token is not known")
 		return
 	}
 	reads := string(rc.Method()) == consts.MethodGet
@@ -38,7 +38,14 @@
 		rc.Next(ctx)
 		return
 	}
-	refuse(rc, consts.StatusForbidden, "otherTeam", "the token changes only team "+team)
+	refuse(rc, consts.StatusForbidden, ReasonOtherTeam, "the token changes only team "+team)
+}
+
+// bearer gives the token of an Authorization header; the scheme's case does not
+// matter.
+func bearer(header string) (string, bool) {
+	scheme, token, ok := strings.Cut(header, " ")
+	return token, ok && strings.EqualFold(scheme, "Bearer")
 }
 
 func (op *Oper) teamOf(token string) (string, bool) {
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -7,26 +7,27 @@
 //	go op.Serve()
 //	op.Shutdown(ctx)
 //
-// With a token set every call needs it as a bearer token; a team's own token
-// reads everything and changes that team's configuration only.
+// With a token set every call but the health check needs it as a bearer token; a
+// team's own token reads everything and changes that team's configuration only.
+//
+// A change names the revision that it was made from in If-Match, as GET gave it
+// in ETag; "*" overwrites whatever is in force. Without If-Match it is refused
+// with 428, and where another change came first, with 412 and that change.
 package oper
 
 import (
 	"context"
 	"encoding/json"
 	"net"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
-	"github.com/go-faster/errors"
 
 	"laburnumvane/core/fault"
 	"laburnumvane/io/accept"
+	"laburnumvane/io/guard"
 	"laburnumvane/io/wire"
 )
 
@@ -68,6 +69,19 @@
 	ReadTimeout time.Duration
 }
 
+// Reasons of this listener's refusals, beside those of package guard.
+const (
+	ReasonUnauthorized = "unauthorized"
+	ReasonOtherTeam    = "otherTeam"
+	ReasonNoConfig     = "noConfig"
+	ReasonInvalid      = "invalid"
+	ReasonPlatform     = "platform"
+	ReasonLeaving      = "leaving"
+	// ReasonNoRevision refuses a change that does not say which revision it
+	// was made from: it would overwrite one that its operator has not seen.
+	ReasonNoRevision = "preconditionRequired"
+)
+
 // Oper is the operators' listener.
 type Oper struct {
 	cfg Config
@@ -81,14 +95,9 @@
 
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Oper {
-	op := &Oper{cfg: cfg, ln: accept.New(cfg.Listener)}
-	op.srv = server.New(
-		server.WithListener(op.ln),
-		server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(cfg.MaxBody),
-		server.WithReadTimeout(cfg.ReadTimeout),
-		server.WithIdleTimeout(cfg.ReadTimeout),
-		server.WithDisablePrintRoute(true),
+	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout}
+	op := &Oper{cfg: cfg, ln: accept.New(guard.Listen(cfg.Listener, gc))}
+	op.srv = guard.New(op.ln, gc,
 		server.WithOnAccept(accept.Context),
 		server.WithExitWaitTime(stopBound),
 	)
@@ -135,34 +144,13 @@
 func (op *Oper) getConfig(_ context.Context, rc *app.RequestContext) {
 	cr, ok := op.cfg.Operator.Config(rc.Param("team"))
 	if !ok {
-		refuse(rc, consts.StatusNotFound, "noConfig", "this VM holds no configuration of the team")
+		refuse(rc, consts.StatusNotFound, ReasonNoConfig, "this VM holds no configuration of the team")
 		return
 	}
 	rc.Header("ETag", etag(cr.Revision))
 	rc.JSON(consts.StatusOK, cr)
 }
 
-func (op *Oper) putConfig(ctx context.Context, rc *app.RequestContext) {
-	expect, err := ifMatch(string(rc.GetHeader("If-Match")))
-	if err != nil {
-		refuse(rc, consts.StatusBadRequest, "badRequest", err.Error())
-		return
-	}
-	reply, err := op.cfg.Operator.Change(ctx, Proposal{
-		ID:       rc.Query("id"),
-		Team:     rc.Param("team"),
-		Document: append([]byte(nil), rc.Request.Body()...),
-		Actor:    string(rc.GetHeader("X-Actor")),
-		Expect:   expect,
-		DryRun:   rc.Query("dryRun") == "true",
-	})
-	if err != nil {
-		refuse(rc, consts.StatusBadRequest, "invalid", err.Error())
-		return
-	}
-	rc.JSON(statusOf(reply.Result), reply)
-}
-
 func statusOf(result wire.ChangeResult) int {
 	switch result {
 	case wire.ChangeAccepted, wire.ChangeDryRun:
@@ -177,7 +165,7 @@
 func (op *Oper) history(ctx context.Context, rc *app.RequestContext) {
 	hr, err := op.cfg.Operator.History(ctx, rc.Param("team"))
 	if err != nil {
-		refuse(rc, consts.StatusServiceUnavailable, "platform", err.Error())
+		refuse(rc, consts.StatusServiceUnavailable, ReasonPlatform, err.Error())
 		return
 	}
 	rc.JSON(consts.StatusOK, hr)
@@ -199,12 +187,17 @@
 	var rq struct {
 		Level string `json:"level"`
 	}
-	err := json.Unmarshal(rc.Request.Body(), &rq)
-	if err == nil {
-		err = op.cfg.Operator.SetLogLevel(rq.Level)
+	body, er := guard.Body(rc)
+	if er != nil {
+		guard.Refuse(rc, consts.StatusUnsupportedMediaType, *er)
+		return
 	}
-	if err != nil {
-		refuse(rc, consts.StatusBadRequest, "badRequest", err.Error())
+	if err := json.Unmarshal(body, &rq); err != nil {
+		guard.Refuse(rc, consts.StatusBadRequest, *guard.DecodeError(err))
+		return
+	}
+	if err := op.cfg.Operator.SetLogLevel(rq.Level); err != nil {
+		guard.Refuse(rc, consts.StatusBadRequest, *guard.BadField("level", err.Error()))
 		return
 	}
 	rc.JSON(consts.StatusOK, rq)
@@ -212,7 +205,7 @@
 
 func (op *Oper) health(_ context.Context, rc *app.RequestContext) {
 	if op.cfg.Operator.Leaving() {
-		refuse(rc, consts.StatusServiceUnavailable, "leaving", "a planned stop has begun")
+		refuse(rc, consts.StatusServiceUnavailable, ReasonLeaving, "a planned stop has begun")
 		return
 	}
 	rc.JSON(consts.StatusOK, struct {
@@ -221,21 +214,5 @@
 }
 
 func refuse(rc *app.RequestContext, status int, reason, message string) {
-	rc.AbortWithStatusJSON(status, wire.ErrorReply{Error: message, Reason: reason})
-}
-
-func etag(revision uint64) string {
-	return strconv.Quote(strconv.FormatUint(revision, 10))
-}
-
-// ifMatch reads the revision that the operator saw. "*" and nothing mean any.
-func ifMatch(header string) (*uint64, error) {
-	if header == "" || header == "*" {
-		return nil, nil
-	}
-	revision, err := strconv.ParseUint(strings.Trim(header, `"`), 10, 64)
-	if err != nil {
-		return nil, errors.Errorf("If-Match must be a revision in quotes, not %s", header)
-	}
-	return &revision, nil
+	guard.Refuse(rc, status, wire.ErrorReply{Error: message, Reason: reason})
 }
--- a/io/wire/caller.go
+++ b/io/wire/caller.go
@@ -35,7 +35,8 @@
 	// Register may be empty: the search's configuration then names it.
 	Register string          `json:"register,omitempty"`
 	Query    json.RawMessage `json:"query"`
-	// DeadlineMs counts from the arrival of the request; 0 means absent.
+	// DeadlineMs counts from the arrival of the request; 0 is left out when
+	// encoded, and is refused when it arrives.
 	DeadlineMs  int64    `json:"deadlineMs,omitempty"`
 	MinCoverage *float64 `json:"minCoverage,omitempty"`
 	Repeat      Repeat   `json:"repeat,omitempty"`
@@ -106,4 +107,6 @@
 	Reason string `json:"reason"`
 	// Path names the offending field, where there is one.
 	Path string `json:"path,omitempty"`
+	// ID is the request's id, where the request is a search.
+	ID string `json:"id,omitempty"`
 }
