--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -197,7 +197,7 @@
 		return
 	}
 	if err := op.cfg.Operator.SetLogLevel(rq.Level); err != nil {
-		guard.Refuse(rc, consts.StatusBadRequest, *guard.BadField("level", err.Error()))
+		guard.Refuse(rc, consts.StatusBadRequest, wire.ErrorReply{Error: err.Error(), Reason: guard.ReasonBadRequest, Path: "level"})
 		return
 	}
 	rc.JSON(consts.StatusOK, rq)
--- /dev/null
+++ b/io/oper/oper_test.go
@@ -0,0 +1,243 @@
+package oper_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"laburnumvane/io/contr"
+	"laburnumvane/io/oper"
+	"laburnumvane/io/wire"
+)
+
+var update = contr.UpdateFlag()
+
+// patience ends a test that hangs; no verdict depends on it.
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) {
+	hlog.SetLevel(hlog.LevelFatal)
+	goleak.VerifyTestMain(m, contr.LibraryGoroutines()...)
+}
+
+// fake holds documents in memory and keeps to what the interface promises.
+type fake struct {
+	mu       sync.Mutex
+	held     map[string]wire.ConfigReply
+	made     []oper.Proposal
+	level    string
+	cut      bool // the platform cannot be reached
+	doubtful bool // the platform's replies are lost
+}
+
+func (fk *fake) Config(team string) (wire.ConfigReply, bool) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	cr, ok := fk.held[team]
+	return cr, ok
+}
+
+func (fk *fake) Change(_ context.Context, pr oper.Proposal) (wire.ChangeReply, error) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.made = append(fk.made, pr)
+	if !json.Valid(pr.Document) {
+		return wire.ChangeReply{}, errors.New("the document is not JSON")
+	}
+	cur := fk.held[pr.Team]
+	reply := wire.ChangeReply{ChangeID: pr.ID, Revision: cur.Revision}
+	switch {
+	case pr.Expect != nil && *pr.Expect != cur.Revision:
+		reply.Result, reply.Current = wire.ChangeConflict, &cur
+		return reply, nil
+	case pr.DryRun:
+		reply.Result = wire.ChangeDryRun
+		return reply, nil
+	}
+	reply.Revision++
+	reply.Result = wire.ChangeAccepted
+	fk.held[pr.Team] = wire.ConfigReply{Team: pr.Team, Revision: reply.Revision, ChangeID: pr.ID, Document: pr.Document}
+	if fk.doubtful {
+		return wire.ChangeReply{Result: wire.ChangeUnknown, ChangeID: pr.ID}, nil
+	}
+	return reply, nil
+}
+
+func (fk *fake) History(_ context.Context, team string) (wire.HistoryReply, error) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	if fk.cut {
+		return wire.HistoryReply{}, errors.New("the key-value service cannot be reached")
+	}
+	cr := fk.held[team]
+	return wire.HistoryReply{Team: team, Entries: []wire.HistoryEntry{{Revision: cr.Revision, ChangeID: cr.ChangeID}}}, nil
+}
+
+func (fk *fake) ChangeStatus(_ context.Context, id string) wire.ChangeStatus {
+	return wire.ChangeStatus{ChangeID: id, VMs: []wire.ChangeStatusOfVM{}}
+}
+
+func (fk *fake) Status() wire.Status { return wire.Status{VM: "vm1", Phase: "serving"} }
+
+func (fk *fake) Metrics() map[string]float64 { return map[string]float64{"refusal.shed": 1} }
+
+func (fk *fake) SetLogLevel(level string) error {
+	if level != "debug" {
+		return errors.New("there is no such level")
+	}
+	fk.level = level
+	return nil
+}
+
+func (fk *fake) Leaving() bool { return false }
+
+func start(t *testing.T, token string, teamTokens map[string]string) (*fake, string) {
+	t.Helper()
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	fk := &fake{held: map[string]wire.ConfigReply{
+		"wash": {Team: "wash", Revision: 3, ChangeID: "c3", Document: json.RawMessage(`{"team":"wash"}`)},
+	}}
+	op := oper.New(oper.Config{Listener: ln, Operator: fk, Token: token, TeamTokens: teamTokens, MaxBody: 4096, ReadTimeout: patience})
+	ended := make(chan error, 1)
+	go func() { ended <- op.Serve() }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		is.NoErr(op.Shutdown(ctx))
+		is.NoErr(<-ended)
+	})
+	return fk, ln.Addr().String()
+}
+
+func ask(method, path, headers, body string) []contr.Step {
+	length := ""
+	if body != "" {
+		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return []contr.Step{{Send: fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\n%s%s\r\n%s", method, path, headers, length, body)}}
+}
+
+const config = "/v1/teams/wash/config"
+
+// Two operators read revision 3 and both change it: the second is shown the
+// first one's change and overwrites nothing. Changes that do not say what they
+// were made from are refused, and so is whatever else cannot be understood.
+func TestSessions(t *testing.T) {
+	fk, addr := start(t, "", nil)
+	cases := []struct {
+		name  string
+		steps []contr.Step
+		given func()
+	}{
+		{"read", ask("GET", config, "", ""), nil},
+		{"read another team", ask("GET", "/v1/teams/hr/config", "", ""), nil},
+		{"try", ask("PUT", config+"?dryRun=true&id=c4", `If-Match: "3"`+"\r\n", `{"team":"wash"}`), nil},
+		{"first change", ask("PUT", config+"?id=c4", `If-Match: "3"`+"\r\nX-Actor: Ada\r\n", `{"team":"wash","n":4}`), nil},
+		{"second change", ask("PUT", config+"?id=c5", `If-Match: "3"`+"\r\n", `{"team":"wash","n":5}`), nil},
+		{"second change made anew", ask("PUT", config+"?id=c5", `If-Match: "4"`+"\r\n", `{"team":"wash","n":5}`), nil},
+		{"whatever is in force", ask("PUT", config+"?id=c6", "If-Match: *\r\n", `{"team":"wash","n":6}`), nil},
+		{"first document of a team", ask("PUT", "/v1/teams/hr/config?id=h1", "If-Match: \"0\"\r\n", `{"team":"hr"}`), nil},
+		{"reply lost", ask("PUT", config+"?id=c7", "If-Match: *\r\n", `{}`), func() { fk.doubtful = true }},
+		{"no revision named", ask("PUT", config, "", `{}`), nil},
+		{"weak tag", ask("PUT", config, "If-Match: W/\"3\"\r\n", `{}`), nil},
+		{"list of tags", ask("PUT", config, "If-Match: \"3\", \"4\"\r\n", `{}`), nil},
+		{"not a revision", ask("PUT", config, "If-Match: \"x\"\r\n", `{}`), nil},
+		{"faulty document", ask("PUT", config, "If-Match: *\r\n", `{`), nil},
+		{"dry run misspelt", ask("PUT", config+"?dryRun=yes", "If-Match: *\r\n", `{}`), nil},
+		{"id too long", ask("PUT", config+"?id="+strings.Repeat("x", 129), "If-Match: *\r\n", `{}`), nil},
+		{"YAML", ask("PUT", config, "If-Match: *\r\nContent-Type: application/yaml\r\n", `team: wash`), nil},
+		{"oversized", ask("PUT", config, "If-Match: *\r\n", strings.Repeat(" ", 4097)), nil},
+		{"history", ask("GET", "/v1/teams/wash/history", "", ""), nil},
+		{"history in an outage", ask("GET", "/v1/teams/wash/history", "", ""), func() { fk.cut = true }},
+		{"change", ask("GET", "/v1/changes/c4", "", ""), nil},
+		{"status", ask("GET", "/v1/status", "", ""), nil},
+		{"metrics", ask("GET", "/v1/metrics", "", ""), nil},
+		{"log level", ask("PUT", "/v1/log", "", `{"level":"debug"}`), nil},
+		{"unknown log level", ask("PUT", "/v1/log", "", `{"level":"loud"}`), nil},
+		{"log level of the wrong type", ask("PUT", "/v1/log", "", `{"level":3}`), nil},
+		{"health", ask("GET", "/v1/health", "", ""), nil},
+		{"unknown route", ask("GET", "/v1/teams", "", ""), nil},
+		{"unknown method", ask("DELETE", config, "", ""), nil},
+	}
+	var all strings.Builder
+	for _, tc := range cases {
+		if tc.given != nil {
+			tc.given()
+		}
+		all.WriteString(contr.Transcript(tc.name, tc.steps, contr.Talk(t, addr, tc.steps...)))
+	}
+	contr.Golden(t, update, "testdata/sessions.golden", all.String())
+	is := is.New(t)
+	is.Equal(fk.made[1].Actor, "Ada")
+	is.Equal(fk.level, "debug")
+}
+
+// A team holds a token of its own. It may read everything, and change nothing
+// but its own subtree, whatever the way in which it names another.
+func TestTokens(t *testing.T) {
+	fk, addr := start(t, "root", map[string]string{"wash": "w", "hr": "h"})
+	const (
+		put  = "If-Match: *\r\n"
+		hr   = "/v1/teams/hr/config"
+		logs = "/v1/log"
+	)
+	cases := []struct {
+		name         string
+		auth         string
+		method, path string
+		status       string
+	}{
+		{"no token", "", "GET", config, "401"},
+		{"no scheme", "root", "GET", config, "401"},
+		{"other scheme", "Basic root", "GET", config, "401"},
+		{"unknown token", "Bearer x", "GET", config, "401"},
+		{"empty token", "Bearer ", "GET", config, "401"},
+		{"token cut short", "Bearer roo", "GET", config, "401"},
+		{"operators read", "Bearer root", "GET", config, "200"},
+		{"operators change", "Bearer root", "PUT", config, "200"},
+		{"operators set the log level", "Bearer root", "PUT", logs, "200"},
+		{"scheme in small letters", "bearer root", "GET", config, "200"},
+		{"team reads its own", "Bearer w", "GET", config, "200"},
+		{"team reads another's", "Bearer h", "GET", config, "200"},
+		{"team reads the status", "Bearer w", "GET", "/v1/status", "200"},
+		{"team changes its own", "Bearer w", "PUT", config, "200"},
+		{"team changes another's", "Bearer w", "PUT", hr, "403"},
+		{"team changes another's behind its own", "Bearer w", "PUT", "/v1/teams/wash/../hr/config", "403"},
+		{"team changes another's in escapes", "Bearer w", "PUT", "/v1/teams/%68r/config", "403"},
+		{"team changes another's with two slashes", "Bearer w", "PUT", "/v1/teams//hr/config", "403"},
+		{"team sets the log level", "Bearer w", "PUT", logs, "403"},
+		{"unknown route without a token", "", "GET", "/v1/x", "401"},
+		{"health needs none", "", "GET", "/v1/health", "200"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			headers, body := "", ""
+			if tc.auth != "" {
+				headers = "Authorization: " + tc.auth + "\r\n"
+			}
+			if tc.method == "PUT" {
+				headers += put
+				body = `{"level":"debug"}`
+			}
+			said := contr.Talk(t, addr, ask(tc.method, tc.path, headers, body)...)
+			is.True(strings.HasPrefix(said, "HTTP/1.1 "+tc.status))
+		})
+	}
+	is := is.New(t)
+	for _, pr := range fk.made {
+		is.Equal(pr.Team, "wash") // nobody changed the other team
+	}
+}
