meter: listed reasons, found without an allocation, bounded where unlisted

Cause: each count made its counter's name anew (16 B, 1 allocation), and a reason from a server's reply made a counter of its own, without bound. Change: handles are kept by family and reason; at most 64 unlisted reasons get a counter, the rest count as other; listeners count what they refuse; docs/METRICS.md lists all, and a test reads the source and the page both ways. Conclusion: a made-up reason costs no memory; TestUnlistedReasonsAreBounded.

--- a/io/contr/talk.go
+++ b/io/contr/talk.go
@@ -1,7 +1,6 @@
 package contr
 
 import (
-	"errors"
 	"flag"
 	"io"
 	"net"
@@ -11,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 )
@@ -34,7 +34,8 @@
 func Talk(tb testing.TB, addr string, steps ...Step) string {
 	tb.Helper()
 	is := is.New(tb)
-	nc, err := net.Dial("tcp", addr)
+	var dl net.Dialer
+	nc, err := dl.DialContext(tb.Context(), "tcp", addr)
 	is.NoErr(err)
 	defer nc.Close()
 	is.NoErr(nc.SetDeadline(time.Now().Add(patience)))
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -66,7 +66,7 @@
 
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Front {
-	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout}
+	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout, Refused: cfg.Refused}
 	fr := &Front{cfg: cfg, ln: accept.New(guard.Listen(cfg.Listener, gc))}
 	fr.srv = guard.New(fr.ln, gc,
 		server.WithOnAccept(accept.Context),
@@ -109,7 +109,7 @@
 	}
 	if refusal != nil {
 		refusal.ID = rq.ID
-		fr.reply(rc, refusal.status, refusal.ErrorReply)
+		fr.refuse(rc, refusal)
 		return
 	}
 	an := fr.cfg.Search.Search(ctx, rq)
@@ -127,9 +127,9 @@
 }
 
 func (fr *Front) tickets(_ context.Context, rc *app.RequestContext) {
-	rq, refusal := fr.decodeTickets(rc)
+	rq, refusal := decodeTickets(rc)
 	if refusal != nil {
-		fr.reply(rc, refusal.status, refusal.ErrorReply)
+		fr.refuse(rc, refusal)
 		return
 	}
 	fr.reply(rc, consts.StatusOK, wire.TicketReply{
@@ -148,11 +148,21 @@
 	}{"serving"})
 }
 
+func (fr *Front) refuse(rc *app.RequestContext, rf *refusal) {
+	fr.closeIfLeaving(rc)
+	guard.Refuse(rc, rf.status, rf.ErrorReply)
+}
+
 func (fr *Front) reply(rc *app.RequestContext, status int, body any) {
+	fr.closeIfLeaving(rc)
+	rc.JSON(status, body)
+}
+
+// closeIfLeaving ends the connection with the answer of a VM that is leaving:
+// the balancer may still send requests on it, and so the client moves to
+// another VM without a cut.
+func (fr *Front) closeIfLeaving(rc *app.RequestContext) {
 	if fr.cfg.Leaving() {
-		// The balancer may still send requests on this connection: closing
-		// it with the answer moves the client to another VM without a cut.
 		rc.SetConnectionClose()
 	}
-	rc.JSON(status, body)
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
@@ -274,8 +275,7 @@
 			close(stop)
 			dripping.Wait()
 			var ne net.Error
-			timedOut := asNetError(err, &ne) && ne.Timeout()
-			is.True(!timedOut) // the server never closed
+			is.True(!errors.As(err, &ne) || !ne.Timeout()) // the server never closed
 			is.True(strings.HasPrefix(string(said), tc.status))
 		})
 	}
@@ -297,12 +297,6 @@
 	}
 }
 
-func asNetError(err error, target *net.Error) bool {
-	ne, ok := err.(net.Error)
-	*target = ne
-	return ok
-}
-
 // The caller goes away, or closes its sending side, while its search runs. The
 // search's context must end, so that its sub-requests are given up; a search
 // that waits longer than a request may take to arrive is not cut off.
@@ -369,5 +363,8 @@
 	contr.Talk(t, be.addr, one(post(wire.RouteSearch, "", `{}`))...)
 	contr.Talk(t, be.addr, one(post(wire.RouteTickets, "", `{}`))...)
 	contr.Talk(t, be.addr, one(post(wire.RouteSearch, "Content-Type: text/xml\r\n", `{}`))...)
-	is.Equal(be.refused, map[string]int{"badRequest": 2, "mediaType": 1})
+	contr.Talk(t, be.addr, one(post(wire.RouteSearch, "", strings.Repeat(" ", 1025)))...)
+	contr.Talk(t, be.addr, one(post("/v2", "", good))...)
+	contr.Talk(t, be.addr, one(post(wire.RouteSearch, "", good))...)
+	is.Equal(be.refused, map[string]int{"badRequest": 2, "mediaType": 1, "tooLarge": 1, "noSuchRoute": 1})
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -68,10 +68,10 @@
 		id = fr.cfg.NewID()
 	}
 	if er := checkID(id); er != nil {
-		return wire.SearchRequest{}, fr.refuse(er)
+		return wire.SearchRequest{}, refusalOf(er)
 	}
 	var sb searchBody
-	if rf := fr.body(rc, &sb); rf != nil {
+	if rf := decodeBody(rc, &sb); rf != nil {
 		return wire.SearchRequest{ID: id}, rf
 	}
 	if sb.ID == "" {
@@ -79,20 +79,20 @@
 	}
 	rq := sb.request()
 	if er := checkID(rq.ID); er != nil {
-		return wire.SearchRequest{ID: id}, fr.refuse(er)
+		return wire.SearchRequest{ID: id}, refusalOf(er)
 	}
 	if er := fr.check(sb); er != nil {
-		return rq, fr.refuse(er)
+		return rq, refusalOf(er)
 	}
 	return rq, nil
 }
 
-func (fr *Front) decodeTickets(rc *app.RequestContext) (wire.TicketRequest, *refusal) {
+func decodeTickets(rc *app.RequestContext) (wire.TicketRequest, *refusal) {
 	var tb struct {
 		Team  string `json:"team"`
 		Count *int   `json:"count"`
 	}
-	if rf := fr.body(rc, &tb); rf != nil {
+	if rf := decodeBody(rc, &tb); rf != nil {
 		return wire.TicketRequest{}, rf
 	}
 	rq := wire.TicketRequest{Team: tb.Team, Count: 1}
@@ -100,25 +100,24 @@
 		rq.Count = *tb.Count
 	}
 	if er := checkTickets(rq); er != nil {
-		return rq, fr.refuse(er)
+		return rq, refusalOf(er)
 	}
 	return rq, nil
 }
 
-// body decodes a body into out.
-func (fr *Front) body(rc *app.RequestContext, out any) *refusal {
+// decodeBody decodes a body into out.
+func decodeBody(rc *app.RequestContext, out any) *refusal {
 	body, er := guard.Body(rc)
 	if er != nil {
-		return fr.refuse(er)
+		return refusalOf(er)
 	}
 	if err := json.Unmarshal(body, out); err != nil {
-		return fr.refuse(guard.DecodeError(err))
+		return refusalOf(guard.DecodeError(err))
 	}
 	return nil
 }
 
-func (fr *Front) refuse(er *wire.ErrorReply) *refusal {
-	fr.cfg.Refused(er.Reason)
+func refusalOf(er *wire.ErrorReply) *refusal {
 	status := consts.StatusBadRequest
 	if er.Reason == guard.ReasonMediaType {
 		status = consts.StatusUnsupportedMediaType
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -124,7 +124,9 @@
 		return cn.Conn.Write(p)
 	}
 	if was != refused {
-		if _, err := cn.Conn.Write(replacement(p)); err != nil {
+		answer, reason := replacement(p)
+		cn.cfg.Refused(reason)
+		if _, err := cn.Conn.Write(answer); err != nil {
 			return 0, err
 		}
 	}
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -34,6 +34,8 @@
 	RequestTime time.Duration
 	// WriteTime bounds each write of an answer.
 	WriteTime time.Duration
+	// Refused is told of each refusal, with its reason; it may be nil.
+	Refused func(reason string)
 }
 
 // Listen puts the bounds on all connections of a listener.
@@ -62,7 +64,7 @@
 		server.WithDisablePrintRoute(true),
 	}
 	hz := server.New(append(opts, more...)...)
-	hz.Use(checkHost)
+	hz.Use(count(cfg.Refused), checkHost)
 	hz.NoRoute(noRoute)
 	hz.NoMethod(noMethod(hz.Engine))
 	return hz
@@ -78,9 +80,22 @@
 	if cfg.MaxHeader <= 0 {
 		cfg.MaxHeader = DefaultMaxHeader
 	}
+	if cfg.Refused == nil {
+		cfg.Refused = func(string) {}
+	}
 	return cfg
 }
 
+// count tells of what Refuse answered with.
+func count(refused func(string)) app.HandlerFunc {
+	return func(ctx context.Context, rc *app.RequestContext) {
+		rc.Next(ctx)
+		if reason := rc.GetString(keyReason); reason != "" {
+			refused(reason)
+		}
+	}
+}
+
 // checkHost stands before all handlers: the library sets the status of a request
 // without a host or path, runs them, and adds a plain text if none spoke.
 func checkHost(ctx context.Context, rc *app.RequestContext) {
--- a/io/guard/refuse.go
+++ b/io/guard/refuse.go
@@ -25,8 +25,12 @@
 	ReasonExpectation = "expectation"
 )
 
+// keyReason is where Refuse leaves the reason for the middleware that counts.
+const keyReason = "refused"
+
 // Refuse answers with an error and runs no further handler.
 func Refuse(rc *app.RequestContext, status int, er wire.ErrorReply) {
+	rc.Set(keyReason, er.Reason)
 	rc.AbortWithStatusJSON(status, er)
 }
 
@@ -35,18 +39,19 @@
 	return bytes.HasPrefix(p, []byte("HTTP/1.1 100 "))
 }
 
-// replacement is what is sent for the library's own error, which is plain text.
-// The library closes the connection after it.
-func replacement(p []byte) []byte {
+// replacement is what is sent for the library's own error, which is plain text,
+// with its reason. The library closes the connection after it.
+func replacement(p []byte) (answer []byte, reason string) {
 	status := statusOf(p)
-	body, err := json.Marshal(errorOf(status))
+	er := errorOf(status)
+	body, err := json.Marshal(er)
 	if err != nil {
 		// A struct of strings always encodes.
 		panic(err)
 	}
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
 		status, http.StatusText(status), len(body))
-	return append([]byte(head), body...)
+	return append([]byte(head), body...), er.Reason
 }
 
 // statusOf reads the status of an answer's first line.
--- /dev/null
+++ b/io/meter/families.go
@@ -0,0 +1,105 @@
+package meter
+
+// Families of counters; each is counted by reason.
+const (
+	// Refusal counts requests that this VM refused itself, by reason.
+	Refusal = "refusal"
+	// Operator counts requests of operators that were refused, by reason.
+	Operator = "operator"
+	// Outcome counts searches by outcome.
+	Outcome = "outcome"
+	// Incomplete counts searches that were not complete, by reason.
+	Incomplete = "incomplete"
+	// Retry counts sub-requests sent again, by reason of the failure before.
+	Retry = "retry"
+	// Upstream counts refusals and failures of sub-requests, by reason.
+	Upstream = "upstream"
+	// Dropped counts replies that matched nothing, by reason.
+	Dropped = "dropped"
+	// Sent counts sub-requests by kind of attempt.
+	Sent = "sent"
+	// Connection counts what happened to connections to upstreams, by event.
+	Connection = "connection"
+	// Platform counts failed calls to the platform, by operation.
+	Platform = "platform"
+	// Change counts operators' changes by result.
+	Change = "change"
+	// Logged counts what became of log lines.
+	Logged = "logged"
+)
+
+// Histograms, in milliseconds.
+const (
+	SearchLatency = "latency.searchMs"
+	SubLatency    = "latency.subRequestMs"
+)
+
+// Gauges.
+const (
+	InFlight    = "inFlight.searches"
+	Connections = "connections"
+	Workers     = "workers.running"
+)
+
+// Other is the reason under which a family counts what there is no room to
+// count by name.
+const Other = "other"
+
+// listed gives the reasons of all families. A test compares them with the source
+// of the packages that count, and with docs/METRICS.md.
+func listed() map[string][]string {
+	refusals := []string{"shed", "draining", "snapshotGone", "cold", "expired", "notHeld"}
+	failures := []string{
+		"dial", "noConnection", "write", "timeout", "reset", "status", "decode", "canceled",
+		"workers", "foreignReply", "internal",
+	}
+	tickets := []string{
+		"ticketNeeded", "ticketForged", "ticketOfOtherTeam", "ticketOfOtherRequest", "ticketTableFull",
+		"ticketExpired", "ticketVoid", "ticketRunning", "ticketIssuerUnreachable", "ticketForwardedTwice",
+	}
+	machine := []string{"deadline", "softDeadline", "cancelled", "noReplica", "noSnapshot"}
+	// What both listeners refuse before a handler is asked.
+	border := []string{
+		"badRequest", "mediaType", "tooLarge", "headersTooLarge", "requestTimeout", "noSuchRoute",
+		"methodNotAllowed", "expectation",
+	}
+	operators := []string{"unauthorized", "otherTeam", "noConfig", "invalid", "platform", "leaving", "preconditionRequired"}
+	own := []string{"noConfig", "unknownSearch", "noUpstreams"}
+	return map[string][]string{
+		Refusal:    join(border, own, tickets),
+		Operator:   join(border, operators),
+		Outcome:    {"complete", "partial", "notRun", "unknown"},
+		Incomplete: join(own, tickets, machine, refusals, failures, []string{"badRequest"}),
+		Retry:      join(refusals, failures),
+		Upstream:   join(refusals, failures, []string{"cancelFailed"}),
+		Dropped:    {"foreign", "afterAnswer"},
+		Sent:       {"primary", "hedge", "retry"},
+		Connection: {},
+		Platform:   {"rangeFailed", "watchFailed", "vmsFailed"},
+		Change:     {"accepted", "conflict", "unknown", "dryRun"},
+		Logged:     {"searches", "sampledOut", "lost"},
+	}
+}
+
+func join(lists ...[]string) []string {
+	var all []string
+	for _, list := range lists {
+		all = append(all, list...)
+	}
+	return all
+}
+
+// Reasons lists the reasons of each family of counters.
+func Reasons() map[string][]string {
+	return listed()
+}
+
+// Histograms lists the names of all histograms.
+func Histograms() []string {
+	return []string{SearchLatency, SubLatency}
+}
+
+// Gauges lists the names of all gauges.
+func Gauges() []string {
+	return []string{InFlight, Connections, Workers}
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -8,6 +8,8 @@
 //	snapshot := mt.Snapshot()
 //
 // Names are a family and, for counters by reason, the reason behind a dot.
+// docs/METRICS.md lists them. A reason that is in no list is given a counter of
+// its own while there is room, and is counted as "other" after that.
 package meter
 
 import (
@@ -16,39 +18,6 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// Families of counters; each is counted by reason.
-const (
-	// Refusal counts searches refused by this VM, by reason.
-	Refusal = "refusal"
-	// Outcome counts searches by outcome.
-	Outcome = "outcome"
-	// Retry counts sub-requests sent again, by reason of the failure before.
-	Retry = "retry"
-	// Upstream counts refusals and failures of sub-requests, by reason.
-	Upstream = "upstream"
-	// Dropped counts replies that matched nothing, by reason.
-	Dropped = "dropped"
-	// Sent counts sub-requests by kind of attempt.
-	Sent = "sent"
-	// Platform counts calls to the platform, by operation.
-	Platform = "platform"
-	// Change counts operators' changes by result.
-	Change = "change"
-)
-
-// Histograms, in milliseconds.
-const (
-	SearchLatency = "latency.searchMs"
-	SubLatency    = "latency.subRequestMs"
-)
-
-// Gauges.
-const (
-	InFlight    = "inFlight.searches"
-	Connections = "connections"
-	Workers     = "workers.running"
-)
-
 const (
 	sampleSize  = 1028
 	sampleAlpha = 0.015
@@ -57,37 +26,69 @@
 
 // Meter is the registry of one VM; it may be used from many goroutines.
 type Meter struct {
-	reg metrics.Registry
+	reg        metrics.Registry
+	counters   *counters
+	histograms map[string]metrics.Histogram
+	gauges     map[string]metrics.Gauge
 }
 
-// New makes an empty meter.
+// New makes a meter in which all that is listed stands at 0, so that an alarm
+// can be set on a counter before it first moves.
 func New() *Meter {
-	return &Meter{reg: metrics.NewRegistry()}
+	mt := &Meter{
+		reg:        metrics.NewRegistry(),
+		histograms: make(map[string]metrics.Histogram),
+		gauges:     make(map[string]metrics.Gauge),
+	}
+	mt.counters = newCounters(mt.reg)
+	for _, name := range Histograms() {
+		mt.histograms[name] = mt.reg.GetOrRegister(name, newHistogram).(metrics.Histogram)
+	}
+	for _, name := range Gauges() {
+		mt.gauges[name] = metrics.GetOrRegisterGauge(name, mt.reg)
+	}
+	return mt
 }
 
 // Count adds one to a family's counter for a reason.
 func (mt *Meter) Count(family, reason string) {
-	mt.Add(family, reason, 1)
+	mt.counters.of(family, reason).Inc(1)
 }
 
 // Add adds n to a family's counter for a reason.
 func (mt *Meter) Add(family, reason string, n int64) {
-	metrics.GetOrRegisterCounter(family+"."+reason, mt.reg).Inc(n)
+	mt.counters.of(family, reason).Inc(n)
 }
 
 // Value reads a family's counter for a reason.
 func (mt *Meter) Value(family, reason string) int64 {
-	return metrics.GetOrRegisterCounter(family+"."+reason, mt.reg).Count()
+	return mt.counters.of(family, reason).Count()
 }
 
 // Observe adds a duration to a histogram; it is kept in microseconds.
 func (mt *Meter) Observe(name string, d time.Duration) {
-	hi := mt.reg.GetOrRegister(name, newHistogram)
-	hi.(metrics.Histogram).Update(d.Microseconds())
+	mt.Histogram(name).Update(d.Microseconds())
+}
+
+// Counter is a family's counter for a reason, for callers that count often.
+func (mt *Meter) Counter(family, reason string) metrics.Counter {
+	return mt.counters.of(family, reason)
+}
+
+// Histogram is a histogram by name, in microseconds.
+func (mt *Meter) Histogram(name string) metrics.Histogram {
+	if hi, ok := mt.histograms[name]; ok {
+		return hi
+	}
+	return mt.reg.GetOrRegister(name, newHistogram).(metrics.Histogram)
 }
 
 // Set sets a gauge.
 func (mt *Meter) Set(name string, value int64) {
+	if ga, ok := mt.gauges[name]; ok {
+		ga.Update(value)
+		return
+	}
 	metrics.GetOrRegisterGauge(name, mt.reg).Update(value)
 }
 
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -67,6 +67,8 @@
 	TeamTokens  map[string]string
 	MaxBody     int
 	ReadTimeout time.Duration
+	// Refused is told of each refusal, with its reason; it may be nil.
+	Refused func(reason string)
 }
 
 // Reasons of this listener's refusals, beside those of package guard.
@@ -95,7 +97,7 @@
 
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Oper {
-	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout}
+	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout, Refused: cfg.Refused}
 	op := &Oper{cfg: cfg, ln: accept.New(guard.Listen(cfg.Listener, gc))}
 	op.srv = guard.New(op.ln, gc,
 		server.WithOnAccept(accept.Context),
--- a/io/oper/oper_test.go
+++ b/io/oper/oper_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"strings"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
