lines, node: log lines are queued, and a sample of complete searches is logged

Cause: every line was written by whoever logged, control goroutine and searches alike, so that a pipe nobody reads stopped the VM; all complete searches stood at debug, with no way to see a few.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -18,6 +18,7 @@
 	"laburnumvane/io/drive"
 	"laburnumvane/io/front"
 	"laburnumvane/io/inner"
+	"laburnumvane/io/lines"
 	"laburnumvane/io/meter"
 	"laburnumvane/io/oper"
 	"laburnumvane/io/peer"
@@ -49,6 +50,7 @@
 	set      setup.Settings
 	addr     string
 	log      *log.Logger
+	lines    *lines.Queue
 	meter    *meter.Meter
 	view     atomic.Pointer[view.View]
 	servers  atomic.Pointer[[]*upst.Server]
@@ -69,6 +71,8 @@
 	lns      listeners
 	started  time.Time
 	requests atomic.Uint64
+	// complete counts complete searches, of which a sample is logged.
+	complete atomic.Uint64
 }
 
 type listeners struct {
@@ -89,13 +93,13 @@
 	nd := &Node{
 		cfg:     cfg,
 		set:     cfg.Settings,
-		log:     cfg.Log,
 		meter:   meter.New(),
 		table:   pick.New(pick.Config{DataCentre: cfg.Settings.DataCentre}),
 		events:  make(chan event, eventRoom),
 		lns:     lns,
 		started: time.Now(),
 	}
+	nd.queueLog(cfg.Log)
 	nd.addr = cfg.Settings.AdvertiseAddr
 	if nd.addr == "" {
 		nd.addr = lns.inner.Addr().String()
@@ -105,6 +109,7 @@
 	nd.stopping, nd.stop = context.WithCancel(context.Background())
 	if err := nd.build(); err != nil {
 		nd.stop()
+		nd.lines.Close()
 		return nil, err
 	}
 	nd.serve()
@@ -192,6 +197,7 @@
 		TeamTokens:  nd.set.TeamTokens,
 		MaxBody:     operatorMaxBody,
 		ReadTimeout: readTimeout,
+		Refused:     func(reason string) { nd.meter.Count(meter.Operator, reason) },
 	})
 	return nil
 }
--- /dev/null
+++ b/io/node/searchlog_test.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"laburnumvane/io/meter"
+	"laburnumvane/io/setup"
+	"laburnumvane/io/wire"
+)
+
+// kept is an output that holds its lines.
+type kept struct {
+	lines []map[string]any
+}
+
+func (ke *kept) WriteEntry(en *log.Entry) (int, error) {
+	var line map[string]any
+	err := json.Unmarshal(en.Value(), &line)
+	ke.lines = append(ke.lines, line)
+	return 0, err
+}
+
+// An operator reads the log to learn which searches went wrong. Each of them
+// must have its line with the caller's id; of the complete ones, which are the
+// mass, a sample says enough. The level can be raised while the VM runs.
+func TestSearchLog(t *testing.T) {
+	complete := wire.SearchAnswer{ID: "c", Outcome: wire.OutcomeComplete}
+	partial := wire.SearchAnswer{
+		ID: "p", Outcome: wire.OutcomePartial, Reason: "deadline", Snapshot: 7,
+		Coverage: wire.Coverage{Shards: 4, Answered: 3}, Work: wire.Work{Primaries: 4, Hedges: 1},
+	}
+	cases := []struct {
+		name    string
+		sample  int
+		level   string
+		answers []wire.SearchAnswer
+		ids     []string
+		logged  int64
+		left    int64
+	}{
+		{"one in three", 3, "info", []wire.SearchAnswer{complete, complete, complete, complete}, []string{"c"}, 1, 3},
+		{"none", 0, "info", []wire.SearchAnswer{complete, complete}, nil, 0, 2},
+		{"all", 1, "info", []wire.SearchAnswer{complete, complete}, []string{"c", "c"}, 2, 0},
+		{"not complete", 0, "info", []wire.SearchAnswer{partial, complete, partial}, []string{"p", "p"}, 2, 1},
+		{"at warn, not complete ones only", 1, "warn", []wire.SearchAnswer{partial, complete}, []string{"p"}, 1, 0},
+		{"at error, none", 1, "error", []wire.SearchAnswer{partial, complete}, nil, 0, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ke := &kept{}
+			nd := &Node{set: setup.Settings{LogSample: tc.sample}, meter: meter.New()}
+			nd.queueLog(&log.Logger{Level: log.InfoLevel, TimeFormat: time.RFC3339Nano, Writer: ke})
+			is.NoErr(nd.SetLogLevel(tc.level))
+			for _, an := range tc.answers {
+				nd.logSearch(wire.SearchRequest{Team: "wash", Search: "kiosk"}, an)
+			}
+			nd.lines.Close()
+			var ids []string
+			for _, line := range ke.lines {
+				ids = append(ids, line["id"].(string))
+				is.Equal(line["team"], "wash")
+			}
+			is.Equal(ids, tc.ids)
+			is.Equal(nd.meter.Value(meter.Logged, "searches"), tc.logged)
+			is.Equal(nd.meter.Value(meter.Logged, "sampledOut"), tc.left)
+		})
+	}
+	is := is.New(t)
+	ke := &kept{}
+	nd := &Node{meter: meter.New()}
+	nd.queueLog(&log.Logger{Writer: ke})
+	nd.logSearch(wire.SearchRequest{Team: "wash", Search: "history"}, partial)
+	nd.lines.Close()
+	line := ke.lines[0]
+	for key, want := range map[string]any{
+		"level": "warn", "outcome": "partial", "reason": "deadline", "snapshot": 7.0,
+		"shards": 4.0, "answered": 3.0, "primaries": 4.0, "hedges": 1.0, "message": "search",
+	} {
+		is.Equal(line[key], want)
+	}
+	is.Equal(nd.meter.Value(meter.Incomplete, "deadline"), int64(1))
+}
+
+func TestSetLogLevel(t *testing.T) {
+	is := is.New(t)
+	nd := &Node{meter: meter.New()}
+	given := &log.Logger{Level: log.InfoLevel, Writer: &kept{}}
+	nd.queueLog(given)
+	defer nd.lines.Close()
+	is.NoErr(nd.SetLogLevel("debug"))
+	is.Equal(nd.log.Level, log.DebugLevel)
+	is.Equal(given.Level, log.InfoLevel) // another VM of the process keeps its own
+	is.True(nd.SetLogLevel("loud") != nil)
+	is.True(nd.SetLogLevel("") != nil)
+}
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -181,17 +181,3 @@
 		}
 	}
 }
-
-// logSearch writes each search that was not plainly complete, and a sample of
-// the rest.
-func (nd *Node) logSearch(rq wire.SearchRequest, an wire.SearchAnswer) {
-	entry := nd.log.Debug()
-	if an.Outcome != wire.OutcomeComplete {
-		entry = nd.log.Info()
-	}
-	entry.Str("id", an.ID).Str("team", rq.Team).Str("search", rq.Search).
-		Str("outcome", string(an.Outcome)).Str("reason", an.Reason).
-		Uint64("snapshot", an.Snapshot).Int("shards", an.Coverage.Shards).Int("answered", an.Coverage.Answered).
-		Float64("elapsedMs", an.ElapsedMs).Int("hedges", an.Work.Hedges).Int("retries", an.Work.Retries).
-		Msg("search")
-}
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -28,6 +28,7 @@
 		sv.Close()
 	}
 	nd.log.Info().Int("inFlight", nd.driver.InFlight()).Msg("stopped")
+	nd.lines.Close()
 	return err
 }
 
--- a/io/setup/check.go
+++ b/io/setup/check.go
@@ -15,6 +15,7 @@
 const (
 	MinWorkers      = 1
 	MaxWorkers      = 1_000_000
+	MaxLogSample    = 1_000_000
 	MinMaxBodyBytes = 1 << 10
 	MaxMaxBodyBytes = 64 << 20
 	MaxBalancerLag  = 5 * time.Minute
@@ -218,6 +219,7 @@
 	if !slices.Contains(levels(), ck.se.LogLevel) {
 		ck.add(FlagLogLevel, KindMalformed, "%q is not one of %v", ck.se.LogLevel, levels())
 	}
+	within(ck, FlagLogSample, ck.se.LogSample, 0, MaxLogSample)
 	within(ck, FlagWorkers, ck.se.Workers, MinWorkers, MaxWorkers)
 	within(ck, FlagMaxBodyBytes, ck.se.MaxBodyBytes, MinMaxBodyBytes, MaxMaxBodyBytes)
 	within(ck, FlagTicketCap, ck.se.TicketCap, MinTicketCap, MaxTicketCap)
--- a/io/setup/flags.go
+++ b/io/setup/flags.go
@@ -18,6 +18,7 @@
 	FlagOperatorToken = "operator-token"
 	FlagTeamTokens    = "team-tokens"
 	FlagLogLevel      = "log-level"
+	FlagLogSample     = "log-sample"
 	FlagWorkers       = "workers"
 	FlagMaxBodyBytes  = "max-body-bytes"
 	FlagBalancerLag   = "balancer-lag"
@@ -137,6 +138,11 @@
 			usage: "least `LEVEL` that is logged: trace, debug, info, warn or error",
 			put:   func(se *Settings, s string) error { return putText(&se.LogLevel, s) },
 		},
+		{
+			flag: FlagLogSample, category: categoryWork, def: formatInt(DefaultLogSample),
+			usage: "log one in `NUMBER` of the complete searches; 0 for none. Others are all logged",
+			put:   func(se *Settings, s string) error { return putInt(&se.LogSample, s) },
+		},
 		{
 			flag: FlagWorkers, category: categoryWork, def: formatInt(DefaultWorkers),
 			usage: "`NUMBER` of goroutines for traffic",
--- a/io/setup/settings.go
+++ b/io/setup/settings.go
@@ -8,6 +8,7 @@
 	DefaultOperatorAddr = "127.0.0.1:7702"
 	DefaultInnerAddr    = "127.0.0.1:7703"
 	DefaultLogLevel     = "info"
+	DefaultLogSample    = 100
 	DefaultWorkers      = 4096
 	DefaultMaxBodyBytes = 1 << 20
 	DefaultBalancerLag  = 5 * time.Second
@@ -48,6 +49,9 @@
 
 	// LogLevel is trace, debug, info, warn or error.
 	LogLevel string
+	// LogSample logs one in so many complete searches; 0 logs none. Searches
+	// that were not complete are all logged.
+	LogSample int
 	// Workers is the size of the pool that runs traffic.
 	Workers int
 	// MaxBodyBytes bounds the body of a request.
@@ -80,6 +84,7 @@
 		OperatorAddr: DefaultOperatorAddr,
 		InnerAddr:    DefaultInnerAddr,
 		LogLevel:     DefaultLogLevel,
+		LogSample:    DefaultLogSample,
 		Workers:      DefaultWorkers,
 		MaxBodyBytes: DefaultMaxBodyBytes,
 		BalancerLag:  DefaultBalancerLag,
--- a/io/setup/setup_test.go
+++ b/io/setup/setup_test.go
@@ -311,6 +311,7 @@
 		{
 			"numbers too small",
 			func(se *setup.Settings) {
+				se.LogSample = -1
 				se.Workers = 0
 				se.MaxBodyBytes = 1023
 				se.TicketCap = 0
@@ -318,6 +319,7 @@
 				se.BalancerLag = -time.Second
 			},
 			[]fault{
+				{"log-sample", setup.KindRange},
 				{"workers", setup.KindRange},
 				{"max-body-bytes", setup.KindRange},
 				{"ticket-cap", setup.KindRange},
@@ -407,8 +409,8 @@
 	is.NoErr(cmd.Run(t.Context(), []string{"serve", "--help"}))
 
 	names := flagNames()
-	is.Equal(len(names), 19)
-	is.Equal(len(slices.Compact(slices.Sorted(slices.Values(names)))), 19)
+	is.Equal(len(names), 20)
+	is.Equal(len(slices.Compact(slices.Sorted(slices.Values(names)))), 20)
 	for _, name := range names {
 		is.True(strings.Contains(help.String(), "--"+name+" "))
 		is.True(strings.Contains(help.String(), "$"+setup.Variable(name)))
