--- a/io/plat/error.go
+++ b/io/plat/error.go
@@ -11,13 +11,14 @@
 	KindTimeout     Kind = "timeout"
 	KindStatus      Kind = "status"
 	KindDecode      Kind = "decode"
+	KindTooLarge    Kind = "tooLarge"
 )
 
 // Error is a failed call to the platform.
 type Error struct {
 	Op   string
 	Kind Kind
-	// Doubtful is set if the call may have taken effect.
+	// Doubtful is set if the call may have taken effect; never for a read.
 	Doubtful bool
 	Err      error
 }
