--- /dev/null
+++ b/io/contr/platform_test.go
@@ -0,0 +1,126 @@
+package contr_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"laburnumvane/io/contr"
+	"laburnumvane/io/emul"
+	"laburnumvane/io/upst"
+	"laburnumvane/io/wire"
+)
+
+func TestMain(m *testing.M) {
+	hlog.SetLevel(hlog.LevelFatal)
+	goleak.VerifyTestMain(m, contr.LibraryGoroutines()...)
+}
+
+// patience ends a test that hangs; no verdict depends on it.
+const patience = 30 * time.Second
+
+func TestStandInKV(t *testing.T) {
+	contr.KV(t, func(t *testing.T) contr.KVService {
+		kv := emul.NewKV(emul.KVConfig{Sweep: time.Millisecond})
+		is.New(t).NoErr(kv.Start())
+		t.Cleanup(kv.Close)
+		return contr.KVService{Addr: kv.Addr(), Compact: kv.Compact}
+	})
+}
+
+func TestStandInVMList(t *testing.T) {
+	contr.VMList(t, func(t *testing.T) contr.VMListService {
+		vs := emul.NewVMs(emul.VMsConfig{})
+		is.New(t).NoErr(vs.Start())
+		t.Cleanup(vs.Close)
+		return contr.VMListService{Addr: vs.Addr(), Set: vs.Set, Remove: vs.Remove}
+	})
+}
+
+func TestStandInUpstream(t *testing.T) {
+	contr.Upstream(t, func(t *testing.T) contr.UpstreamServer {
+		is := is.New(t)
+		rg, err := emul.SampleRegister("members", 1, 40)
+		is.NoErr(err)
+		sn, err := rg.Snapshot(4)
+		is.NoErr(err)
+		st := &stall{}
+		up := emul.NewUpstream(emul.UpstreamConfig{Slots: 1, Queue: 1, Service: st.service})
+		is.NoErr(up.Start())
+		t.Cleanup(up.Close)
+		up.Hold(sn, []int{0, 2})
+		return contr.UpstreamServer{
+			Addr: up.Addr(), Register: "members", Snapshot: sn.Version, Shards: 4, Held: 2, NotHeld: 1,
+			All: json.RawMessage(`{}`), SetState: up.SetState, Runs: up.Runs,
+			Busy: func(t *testing.T) func() { return busy(t, up, st, sn.Version) },
+		}
+	})
+}
+
+// stall makes sub-requests last until they are cancelled, while it is set.
+type stall struct{ on atomic.Bool }
+
+func (st *stall) service(*rand.Rand) time.Duration {
+	if st.on.Load() {
+		return time.Hour
+	}
+	return 0
+}
+
+// busy fills the one slot and the one place in the queue.
+func busy(t *testing.T, up *emul.Upstream, st *stall, snapshot uint64) func() {
+	t.Helper()
+	is := is.New(t)
+	st.on.Store(true)
+	cl := upst.New(upst.Config{Addr: up.Addr(), MaxConns: 4, DialTimeout: patience})
+	var waiting sync.WaitGroup
+	for i := range 2 {
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			// How it ends is no matter here.
+			_, _ = cl.Search(ctx, wire.ShardRequest{
+				ID: fmt.Sprintf("busy.%d", i), Register: "members", Shard: 2, Snapshot: snapshot,
+				DeadlineMs: patience.Milliseconds(), Query: json.RawMessage(`{}`), Limit: 1,
+			})
+		}()
+	}
+	for up.Load().InFlight+up.Load().Queued < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	return func() {
+		st.on.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		is.NoErr(cl.Cancel(ctx, "busy.0"))
+		is.NoErr(cl.Cancel(ctx, "busy.1"))
+		waiting.Wait()
+		cl.Close()
+	}
+}
+
+func TestUpstreamClient(t *testing.T) {
+	contr.UpstreamClient(t, contr.UpstreamClientConfig{
+		New: func(t *testing.T, addr string) contr.UpstreamCaller {
+			sv := upst.New(upst.Config{Addr: addr, MaxConns: 4, DialTimeout: patience})
+			t.Cleanup(sv.Close)
+			return sv
+		},
+		Sent: func(err error) bool {
+			var ue *upst.Error
+			return !errors.As(err, &ue) || ue.Sent
+		},
+	})
+}
