--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -20,10 +20,12 @@
 	Sent = "sent"
 	// Connection counts what happened to connections to upstreams, by event.
 	Connection = "connection"
-	// Platform counts failed calls to the platform, by operation.
+	// Platform counts calls to the platform and those that failed, by operation.
 	Platform = "platform"
 	// Change counts operators' changes by result.
 	Change = "change"
+	// Config counts what happened to teams' configurations on this VM.
+	Config = "config"
 	// Logged counts what became of log lines.
 	Logged = "logged"
 )
@@ -57,27 +59,34 @@
 		"ticketNeeded", "ticketForged", "ticketOfOtherTeam", "ticketOfOtherRequest", "ticketTableFull",
 		"ticketExpired", "ticketVoid", "ticketRunning", "ticketIssuerUnreachable", "ticketForwardedTwice",
 	}
-	machine := []string{"deadline", "softDeadline", "cancelled", "noReplica", "noSnapshot"}
+	machine := []string{"deadline", "softDeadline", "cancelled", "noReplica", "retryBudget"}
 	// What both listeners refuse before a handler is asked.
 	border := []string{
 		"badRequest", "mediaType", "tooLarge", "headersTooLarge", "requestTimeout", "noSuchRoute",
 		"methodNotAllowed", "expectation",
 	}
 	operators := []string{"unauthorized", "otherTeam", "noConfig", "invalid", "platform", "leaving", "preconditionRequired"}
+	replies := []string{"otherSnapshot", "wrongReply"}
 	own := []string{"noConfig", "unknownSearch", "noUpstreams"}
 	return map[string][]string{
 		Refusal:    join(border, own, tickets),
 		Operator:   join(border, operators),
 		Outcome:    {"complete", "partial", "notRun", "unknown"},
-		Incomplete: join(own, tickets, machine, refusals, failures, []string{"badRequest"}),
-		Retry:      join(refusals, failures),
+		Incomplete: join(own, tickets, machine, replies, refusals, failures, []string{"badRequest"}),
+		Retry:      join(replies, refusals, failures),
 		Upstream:   join(refusals, failures, []string{"cancelFailed"}),
 		Dropped:    {"foreign", "afterAnswer"},
 		Sent:       {"primary", "hedge", "retry"},
 		Connection: {},
-		Platform:   {"rangeFailed", "watchFailed", "vmsFailed"},
-		Change:     {"accepted", "conflict", "unknown", "dryRun"},
-		Logged:     {"searches", "sampledOut", "lost"},
+		Platform: {
+			"get", "getFailed", "range", "rangeFailed", "swap", "swapFailed", "watch", "watchFailed", "vmsFailed",
+		},
+		Change: {"accepted", "conflict", "unknown", "dryRun", "refused"},
+		Config: {
+			"applied", "pushed", "pushFailed", "pulled", "pullFailed", "compareFailed", "restored", "restoreUnreadable",
+			"abandoned", "alarm.unreadable", "alarm.broken", "alarm.serviceBehind", "alarm.servicePast", "alarm.sameRevision",
+		},
+		Logged: {"searches", "sampledOut", "lost"},
 	}
 }
 
--- a/io/meter/source_test.go
+++ b/io/meter/source_test.go
@@ -27,8 +27,8 @@
 	typed map[string][]string
 	// literals are all strings in the code, constants among them.
 	literals map[string]bool
-	// uses are the calls that count: the family's name in package meter, and
-	// the reason where the call gives it.
+	// uses are the calls that count: the family's name in package meter or its
+	// value, and the reason where the call gives it.
 	uses []use
 }
 
@@ -101,13 +101,19 @@
 	if !ok || len(call.Args) < 2 || !slices.Contains([]string{"Count", "Add", "Counter"}, sel.Sel.Name) {
 		return
 	}
-	family := ""
-	if from, ok := call.Args[0].(*ast.SelectorExpr); ok && nameOf(from.X) == "meter" {
-		family = from.Sel.Name
-	}
-	if family == "" {
+	counts := strings.EqualFold(lastName(sel.X), "meter") || lastName(sel.X) == "mt"
+	if !counts {
 		return
 	}
+	family := "?"
+	switch from := call.Args[0].(type) {
+	case *ast.SelectorExpr:
+		family = from.Sel.Name
+	case *ast.Ident:
+		family = sc.consts[pkg+"."+from.Name]
+	case *ast.BasicLit:
+		family, _ = literal(from)
+	}
 	reason, _ := literal(call.Args[1])
 	switch arg := call.Args[1].(type) {
 	case *ast.Ident:
@@ -118,6 +124,14 @@
 	sc.uses = append(sc.uses, use{at: fset.Position(call.Pos()).String(), family: family, reason: reason})
 }
 
+// lastName is what stands after the last dot of an expression.
+func lastName(ex ast.Expr) string {
+	if sel, ok := ex.(*ast.SelectorExpr); ok {
+		return sel.Sel.Name
+	}
+	return nameOf(ex)
+}
+
 func nameOf(ex ast.Expr) string {
 	if id, ok := ex.(*ast.Ident); ok {
 		return id.Name
@@ -159,9 +173,12 @@
 		}
 	}
 	for _, us := range sc.uses {
-		family, ok := fams[us.family]
-		if !ok {
-			t.Errorf("%s: there is no family meter.%s", us.at, us.family)
+		family := us.family
+		if value, ok := fams[family]; ok {
+			family = value
+		}
+		if lists[family] == nil {
+			t.Errorf("%s: there is no family %s", us.at, family)
 		}
 		if us.reason != "" {
 			want(us.at, family, us.reason)
@@ -188,6 +205,9 @@
 			want(from.typ, from.family, reason)
 		}
 	}
+	for _, kind := range sc.typed["spread.AlarmKind"] {
+		want("spread.AlarmKind", meter.Config, "alarm."+kind)
+	}
 	for name, reason := range sc.consts {
 		pkg, id, _ := strings.Cut(name, ".")
 		if !strings.HasPrefix(id, "Reason") {
@@ -211,7 +231,9 @@
 	sc := scan(t)
 	for family, reasons := range meter.Reasons() {
 		for _, reason := range reasons {
-			if !sc.literals[reason] && !sc.literals[strings.TrimSuffix(reason, "Failed")] {
+			said := func(text string) bool { return sc.literals[text] }
+			made := said(strings.TrimSuffix(reason, "Failed")) || said(strings.TrimPrefix(reason, "alarm."))
+			if !said(reason) && !made {
 				t.Errorf("io/meter/families.go lists %s.%s, which the code has nowhere", family, reason)
 			}
 		}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"laburnumvane/core/pick"
+	"laburnumvane/core/spread"
 	"laburnumvane/core/ticket"
 	"laburnumvane/core/view"
 	"laburnumvane/io/drive"
@@ -73,6 +74,7 @@
 	requests atomic.Uint64
 	// complete counts complete searches, of which a sample is logged.
 	complete atomic.Uint64
+	digest   atomic.Pointer[spread.Digest]
 }
 
 type listeners struct {
@@ -155,7 +157,7 @@
 		return errors.Wrap(err, "node.Start")
 	}
 	nd.workers = workers
-	nd.kv = plat.New(plat.Config{Addrs: nd.set.KV, Timeout: platformTimeout})
+	nd.kv = plat.New(plat.Config{Addrs: nd.set.KV, Timeout: configPatience})
 	nd.vms = plat.New(plat.Config{Addrs: []string{nd.set.VMList}, Timeout: platformTimeout})
 	nd.peers = peer.NewClient(peer.ClientConfig{Self: nd.self(), Timeout: peerTimeout})
 	nd.driver = drive.New(drive.Config{
@@ -208,7 +210,6 @@
 	nd.run("inner", nd.inner.Serve)
 	nd.run("front", nd.front.Serve)
 	nd.run("oper", nd.oper.Serve)
-	nd.run("config", func() error { nd.watchConfig(nd.stopping); return nil })
 	nd.run("vms", func() error { nd.pollVMs(nd.stopping); return nil })
 	nd.run("loads", func() error { nd.pollLoads(nd.stopping); return nil })
 }
