--- a/io/wire/doc.go
+++ b/io/wire/doc.go
@@ -1,6 +1,6 @@
 // Package wire holds the JSON messages that cross the borders of a VM: those of
 // callers, operators, upstreams and the platform. It has no behaviour of its
-// own beyond naming the routes, so that clients, servers and stand-ins cannot
+// own beyond naming the routes and refusing what would harm whoever decodes it, so that clients, servers and stand-ins cannot
 // drift apart.
 //
 // # Usage
--- /dev/null
+++ b/io/wire/holding.go
@@ -0,0 +1,28 @@
+package wire
+
+import (
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+)
+
+// UnmarshalJSON refuses a holding that cannot be true. Whoever builds a map from
+// one makes room for all its shards: a server that claims two thousand million
+// of them, or fewer than none, would end the VM.
+func (sh *ShardHolding) UnmarshalJSON(raw []byte) error {
+	type plain ShardHolding
+	var pl plain
+	if err := json.Unmarshal(raw, &pl); err != nil {
+		return err
+	}
+	if pl.Shards < 1 || pl.Shards > MaxShards {
+		return errors.Errorf("wire.ShardHolding: %d shards are not between 1 and %d", pl.Shards, MaxShards)
+	}
+	for _, shard := range pl.Held {
+		if shard < 0 || shard >= pl.Shards {
+			return errors.Errorf("wire.ShardHolding: shard %d of %d", shard, pl.Shards)
+		}
+	}
+	*sh = ShardHolding(pl)
+	return nil
+}
--- a/io/wire/upstream.go
+++ b/io/wire/upstream.go
@@ -11,6 +11,9 @@
 	RoutePing        = "/v1/ping"
 )
 
+// MaxShards bounds the shards of a snapshot.
+const MaxShards = 1 << 16
+
 // Refusal is an upstream's own word that a sub-request did not run.
 type Refusal string
 
@@ -85,7 +88,8 @@
 	Holdings    []ShardHolding `json:"holdings"`
 }
 
-// ShardHolding says which shards of one snapshot a server holds.
+// ShardHolding says which shards of one snapshot a server holds. One that claims
+// no shard, or more than MaxShards, cannot be decoded.
 type ShardHolding struct {
 	Register string `json:"register"`
 	Snapshot uint64 `json:"snapshot"`
--- /dev/null
+++ b/io/wire/wire_test.go
@@ -0,0 +1,62 @@
+package wire_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/io/wire"
+)
+
+// A server's account of itself comes from outside. One that claims more shards
+// than there can be must be refused where it is read: the maps made from it
+// would take all of the VM's memory, or end it.
+func TestHoldingBounds(t *testing.T) {
+	cases := []struct {
+		body string
+		ok   bool
+	}{
+		{`{"register":"a","snapshot":1,"shards":1,"held":[0]}`, true},
+		{`{"register":"a","snapshot":1,"shards":65536,"held":[65535]}`, true},
+		{`{"register":"a","snapshot":1,"shards":4}`, true},
+		{`{"register":"a","snapshot":1,"shards":65537,"held":[]}`, false},
+		{`{"register":"a","snapshot":1,"shards":2147483647,"held":[]}`, false},
+		{`{"register":"a","snapshot":1,"shards":0,"held":[]}`, false},
+		{`{"register":"a","snapshot":1,"shards":-1,"held":[]}`, false},
+		{`{"register":"a","snapshot":1,"shards":4,"held":[4]}`, false},
+		{`{"register":"a","snapshot":1,"shards":4,"held":[-1]}`, false},
+		{`{"register":"a","snapshot":1,"shards":"4"}`, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.body, func(t *testing.T) {
+			is := is.New(t)
+			var st wire.UpstreamStatus
+			err := json.Unmarshal([]byte(`{"slots":3,"holdings":[`+tc.body+`]}`), &st)
+			is.Equal(err == nil, tc.ok)
+		})
+	}
+}
+
+// FuzzStatus reads what a server says of itself.
+func FuzzStatus(f *testing.F) {
+	f.Add([]byte(`{"incarnation":1,"state":"serving","slots":3,"holdings":[{"register":"a","snapshot":1,"shards":2,"held":[0,1]}]}`))
+	f.Add([]byte(`{"holdings":[{"shards":2147483647}]}`))
+	f.Add([]byte(`{"holdings":[{"shards":-1,"held":[-1]}]}`))
+	f.Add([]byte(`{"holdings":null,"state":7}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var st wire.UpstreamStatus
+		if json.Unmarshal(raw, &st) != nil {
+			return
+		}
+		is := is.New(t)
+		for _, ho := range st.Holdings {
+			is.True(ho.Shards >= 0 && ho.Shards <= wire.MaxShards)
+			for _, shard := range ho.Held {
+				is.True(shard >= 0 && shard < ho.Shards)
+			}
+		}
+		_, err := json.Marshal(st)
+		is.NoErr(err)
+	})
+}
