--- a/io/contr/upclient.go
+++ b/io/contr/upclient.go
@@ -161,6 +161,13 @@
 			}
 		})
 	}
+	unsent(t, cfg)
+}
+
+// unsent are the cases in which the server cannot have got the request, and the
+// client must know.
+func unsent(t *testing.T, cfg UpstreamClientConfig) {
+	t.Helper()
 	t.Run("nothing listens", func(t *testing.T) {
 		is := is.New(t)
 		var lc net.ListenConfig
@@ -173,7 +180,7 @@
 	})
 	t.Run("deadline passed before", func(t *testing.T) {
 		is := is.New(t)
-		sc := startScripted(t, plain)
+		sc := startScripted(t, answerWith(func(*wire.ShardReply) {}))
 		ctx, cancel := context.WithTimeout(context.Background(), -time.Second)
 		defer cancel()
 		_, err := cfg.New(t, sc.addr).Search(ctx, wire.ShardRequest{ID: "a.1"})
--- a/io/plat/call.go
+++ b/io/plat/call.go
@@ -68,6 +68,11 @@
 	rq.Header.Set("Content-Type", "application/json")
 	rs, err := cl.http.Do(rq)
 	if err != nil {
+		if kindOf(err) == KindTimeout {
+			// The other idle connections may be as silent as this one was;
+			// each would cost a call its whole timeout.
+			cl.http.CloseIdleConnections()
+		}
 		return asked, &Error{Op: ca.op, Kind: kindOf(err), Doubtful: asked && ca.effect, Err: err}
 	}
 	defer rs.Body.Close()
