--- a/io/front/front.go
+++ b/io/front/front.go
@@ -10,17 +10,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"laburnumvane/core/fault"
+	"laburnumvane/io/accept"
+	"laburnumvane/io/guard"
 	"laburnumvane/io/wire"
 )
 
@@ -38,7 +38,8 @@
 	Leaving func() bool
 	// MaxBody bounds a request's body, in bytes.
 	MaxBody int
-	// ReadTimeout bounds how long a client may take to send a request.
+	// ReadTimeout bounds how long a client may take to send a whole request,
+	// and how long a connection is kept without one.
 	ReadTimeout time.Duration
 	// MaxDeadline bounds deadlineMs.
 	MaxDeadline time.Duration
@@ -46,6 +47,8 @@
 	TicketTTL time.Duration
 	// NewID names requests whose caller did not.
 	NewID func() string
+	// Refused is told of each request that was no search, with the reason.
+	Refused func(reason string)
 	// Log is given each answer.
 	Log func(rq wire.SearchRequest, an wire.SearchAnswer)
 }
@@ -53,21 +56,23 @@
 // Front is the callers' listener.
 type Front struct {
 	cfg Config
+	ln  *accept.Listener
 	srv *server.Hertz
 }
 
+// stopBound only keeps the library's own bound, 5 s, from cutting off a search
+// with a longer deadline; what bounds a stop is Shutdown's context.
+const stopBound = time.Hour
+
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Front {
-	fr := &Front{cfg: cfg}
-	fr.srv = server.New(
-		server.WithListener(cfg.Listener),
-		server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(cfg.MaxBody),
-		server.WithReadTimeout(cfg.ReadTimeout),
-		server.WithIdleTimeout(cfg.ReadTimeout),
-		server.WithSenseClientDisconnection(true),
-		server.WithDisablePrintRoute(true),
+	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout, Refused: cfg.Refused}
+	fr := &Front{cfg: cfg, ln: accept.New(guard.Listen(cfg.Listener, gc))}
+	fr.srv = guard.New(fr.ln, gc,
+		server.WithOnAccept(accept.Context),
+		server.WithExitWaitTime(stopBound),
 	)
+	fr.srv.Use(busy)
 	fr.srv.POST(wire.RouteSearch, fr.search)
 	fr.srv.POST(wire.RouteTickets, fr.tickets)
 	fr.srv.GET(wire.RouteHealth, fr.health)
@@ -79,38 +84,67 @@
 	return fault.Wrap(fr.srv.Run(), "front.Serve")
 }
 
-// Shutdown stops listening and waits for requests under way.
+// Shutdown closes idle connections, stops listening and waits for requests
+// under way.
 func (fr *Front) Shutdown(ctx context.Context) error {
+	fr.ln.Drain()
 	return fault.Wrap(fr.srv.Shutdown(ctx), "front.Shutdown")
 }
 
+// Accepted tells whether anybody ever connected.
+func (fr *Front) Accepted() bool {
+	return fr.ln.Accepted()
+}
+
+// Abort cuts off everything, as when the VM dies.
+func (fr *Front) Abort() {
+	fr.ln.Abort()
+}
+
+// busy keeps a connection from being taken for idle while its request runs.
+func busy(ctx context.Context, rc *app.RequestContext) {
+	defer accept.Begin(ctx)()
+	rc.Next(ctx)
+}
+
 func (fr *Front) search(ctx context.Context, rc *app.RequestContext) {
-	rq, fault := fr.decode(rc)
-	if fault != nil {
-		fr.reply(rc, consts.StatusBadRequest, fault)
+	rq, refusal := fr.decode(rc)
+	if rq.ID != "" {
+		rc.Header(wire.HeaderRequestID, rq.ID)
+	}
+	if refusal != nil {
+		refusal.ID = rq.ID
+		fr.refuse(rc, refusal)
 		return
 	}
 	an := fr.cfg.Search.Search(ctx, rq)
 	fr.cfg.Log(rq, an)
 	if an.RetryAfterMs > 0 {
-		rc.Header("Retry-After", strconv.FormatInt((an.RetryAfterMs+999)/1000, 10))
+		rc.Header("Retry-After", strconv.FormatInt(retryAfterSeconds(an.RetryAfterMs), 10))
 	}
-	rc.Header(wire.HeaderRequestID, an.ID)
 	fr.reply(rc, statusOf(an), an)
 }
 
+// retryAfterSeconds rounds up: the header has whole seconds, and coming back too
+// early earns another refusal.
+func retryAfterSeconds(ms int64) int64 {
+	return (ms + 999) / 1000
+}
+
 func (fr *Front) tickets(_ context.Context, rc *app.RequestContext) {
-	var rq wire.TicketRequest
-	if err := json.Unmarshal(rc.Request.Body(), &rq); err != nil {
-		fr.reply(rc, consts.StatusBadRequest, badRequest("", err.Error()))
+	rq, refusal := decodeTickets(rc)
+	if refusal != nil {
+		fr.refuse(rc, refusal)
 		return
 	}
-	if fault := checkTickets(&rq); fault != nil {
-		fr.reply(rc, consts.StatusBadRequest, fault)
+	tickets := fr.cfg.Search.Tickets(rq.Team, rq.Count)
+	if len(tickets) == 0 {
+		// A ticket of a VM that is leaving would be void when it is used.
+		fr.reply(rc, consts.StatusServiceUnavailable, wire.ErrorReply{Error: "this VM is leaving and no other can issue tickets", Reason: "leaving"})
 		return
 	}
 	fr.reply(rc, consts.StatusOK, wire.TicketReply{
-		Tickets:   fr.cfg.Search.Tickets(rq.Team, rq.Count),
+		Tickets:   tickets,
 		ExpiresMs: fr.cfg.TicketTTL.Milliseconds(),
 	})
 }
@@ -125,11 +159,21 @@
 	}{"serving"})
 }
 
+func (fr *Front) refuse(rc *app.RequestContext, rf *refusal) {
+	fr.closeIfLeaving(rc)
+	guard.Refuse(rc, rf.status, rf.ErrorReply)
+}
+
 func (fr *Front) reply(rc *app.RequestContext, status int, body any) {
+	fr.closeIfLeaving(rc)
+	rc.JSON(status, body)
+}
+
+// closeIfLeaving ends the connection with the answer of a VM that is leaving:
+// the balancer may still send requests on it, and so the client moves to
+// another VM without a cut.
+func (fr *Front) closeIfLeaving(rc *app.RequestContext) {
 	if fr.cfg.Leaving() {
-		// The balancer may still send requests on this connection: closing
-		// it with the answer moves the client to another VM without a cut.
 		rc.SetConnectionClose()
 	}
-	rc.JSON(status, body)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -13,11 +13,13 @@
 	"github.com/phuslu/log"
 
 	"laburnumvane/core/pick"
+	"laburnumvane/core/spread"
 	"laburnumvane/core/ticket"
 	"laburnumvane/core/view"
 	"laburnumvane/io/drive"
 	"laburnumvane/io/front"
 	"laburnumvane/io/inner"
+	"laburnumvane/io/lines"
 	"laburnumvane/io/meter"
 	"laburnumvane/io/oper"
 	"laburnumvane/io/peer"
@@ -49,6 +51,7 @@
 	set      setup.Settings
 	addr     string
 	log      *log.Logger
+	lines    *lines.Queue
 	meter    *meter.Meter
 	view     atomic.Pointer[view.View]
 	servers  atomic.Pointer[[]*upst.Server]
@@ -69,6 +72,14 @@
 	lns      listeners
 	started  time.Time
 	requests atomic.Uint64
+	// complete counts complete searches, of which a sample is logged.
+	complete atomic.Uint64
+	digest   atomic.Pointer[spread.Digest]
+	desk     *desk
+	// recovering is set while this VM, after a pause, has not caught up.
+	recovering atomic.Bool
+	stopOnce   sync.Once
+	stopErr    error
 }
 
 type listeners struct {
@@ -89,13 +100,13 @@
 	nd := &Node{
 		cfg:     cfg,
 		set:     cfg.Settings,
-		log:     cfg.Log,
 		meter:   meter.New(),
 		table:   pick.New(pick.Config{DataCentre: cfg.Settings.DataCentre}),
 		events:  make(chan event, eventRoom),
 		lns:     lns,
 		started: time.Now(),
 	}
+	nd.queueLog(cfg.Log)
 	nd.addr = cfg.Settings.AdvertiseAddr
 	if nd.addr == "" {
 		nd.addr = lns.inner.Addr().String()
@@ -105,6 +116,7 @@
 	nd.stopping, nd.stop = context.WithCancel(context.Background())
 	if err := nd.build(); err != nil {
 		nd.stop()
+		nd.lines.Close()
 		return nil, err
 	}
 	nd.serve()
@@ -150,7 +162,7 @@
 		return errors.Wrap(err, "node.Start")
 	}
 	nd.workers = workers
-	nd.kv = plat.New(plat.Config{Addrs: nd.set.KV, Timeout: platformTimeout})
+	nd.kv = plat.New(plat.Config{Addrs: nd.set.KV, Timeout: configPatience})
 	nd.vms = plat.New(plat.Config{Addrs: []string{nd.set.VMList}, Timeout: platformTimeout})
 	nd.peers = peer.NewClient(peer.ClientConfig{Self: nd.self(), Timeout: peerTimeout})
 	nd.driver = drive.New(drive.Config{
@@ -172,16 +184,18 @@
 		MaxDeadline: nd.set.MaxDeadline,
 		Seed:        nd.set.Incarnation,
 	})
+	nd.desk = &desk{nd: nd, driver: nd.driver}
 	nd.inner = peer.NewServer(peer.ServerConfig{Listener: nd.lns.inner, Service: &service{nd: nd}})
 	nd.front = front.New(front.Config{
 		Listener:    nd.lns.caller,
-		Search:      nd.driver,
-		Leaving:     nd.Leaving,
+		Search:      nd.desk,
+		Leaving:     nd.unfit,
 		MaxBody:     nd.set.MaxBodyBytes,
 		ReadTimeout: readTimeout,
 		MaxDeadline: nd.set.MaxDeadline,
 		TicketTTL:   nd.set.TicketTTL,
 		NewID:       nd.newID,
+		Refused:     func(reason string) { nd.meter.Count(meter.Refusal, reason) },
 		Log:         nd.logSearch,
 	})
 	nd.oper = oper.New(oper.Config{
@@ -191,6 +205,7 @@
 		TeamTokens:  nd.set.TeamTokens,
 		MaxBody:     operatorMaxBody,
 		ReadTimeout: readTimeout,
+		Refused:     func(reason string) { nd.meter.Count(meter.Operator, reason) },
 	})
 	return nil
 }
@@ -201,8 +216,8 @@
 	nd.run("inner", nd.inner.Serve)
 	nd.run("front", nd.front.Serve)
 	nd.run("oper", nd.oper.Serve)
-	nd.run("config", func() error { nd.watchConfig(nd.stopping); return nil })
 	nd.run("vms", func() error { nd.pollVMs(nd.stopping); return nil })
+	nd.run("connections", func() error { nd.keepConnections(nd.stopping); return nil })
 	nd.run("loads", func() error { nd.pollLoads(nd.stopping); return nil })
 }
 
@@ -234,6 +249,12 @@
 	}
 }
 
+// unfit tells whether the balancer shall send nothing: this VM is leaving, or it
+// stood still and may hold an old configuration.
+func (nd *Node) unfit() bool {
+	return nd.Leaving() || nd.recovering.Load()
+}
+
 // Leaving tells whether a planned stop has begun.
 func (nd *Node) Leaving() bool {
 	return nd.leaving.Load()
--- a/io/node/service.go
+++ b/io/node/service.go
@@ -6,8 +6,6 @@
 
 	"github.com/twitchtv/twirp"
 
-	"laburnumvane/core/change"
-	"laburnumvane/core/view"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/wire"
 )
@@ -25,11 +23,13 @@
 }
 
 // Beat answers a heartbeat.
-func (se *service) Beat(_ context.Context, rq *inner.BeatRequest) (*inner.BeatReply, error) {
+func (se *service) Beat(ctx context.Context, rq *inner.BeatRequest) (*inner.BeatReply, error) {
 	if err := se.checkVersion(rq.GetVersion()); err != nil {
 		return nil, err
 	}
-	return &inner.BeatReply{Version: inner.Version, From: se.nd.self(), Sequence: rq.GetSequence(), Leaving: se.nd.Leaving()}, nil
+	answered := make(chan *inner.BeatReply, 1)
+	se.nd.post(beatSeen{request: rq, answered: answered})
+	return wait(ctx, se.nd, answered)
 }
 
 // Probe tries another VM on the caller's behalf.
@@ -37,52 +37,22 @@
 	if err := se.checkVersion(rq.GetVersion()); err != nil {
 		return nil, err
 	}
-	rp, err := se.nd.peers.To(rq.GetTarget().GetAddr()).Beat(ctx, &inner.BeatRequest{Version: inner.Version, From: se.nd.self()})
-	if err != nil {
-		return &inner.ProbeReply{Version: inner.Version}, nil
-	}
-	return &inner.ProbeReply{Version: inner.Version, Reached: true, Incarnation: rp.GetFrom().GetIncarnation()}, nil
-}
-
-// Push takes configuration from another VM.
-func (se *service) Push(_ context.Context, rq *inner.PushRequest) (*inner.PushReply, error) {
-	if err := se.checkVersion(rq.GetVersion()); err != nil {
-		return nil, err
-	}
-	for _, tc := range rq.GetTeams() {
-		se.nd.post(configSeen{team: tc.GetTeam(), entry: change.Entry{ID: tc.GetChangeId(), Revision: tc.GetRevision(), Document: tc.GetDocument()}})
-	}
-	return &inner.PushReply{Version: inner.Version, Held: heldBy(se.nd.view.Load())}, nil
+	answered := make(chan *inner.ProbeReply, 1)
+	se.nd.post(probeSeen{request: rq, answered: answered})
+	return wait(ctx, se.nd, answered)
 }
 
-// Pull tells what this VM holds.
-func (se *service) Pull(_ context.Context, rq *inner.PullRequest) (*inner.PullReply, error) {
-	if err := se.checkVersion(rq.GetVersion()); err != nil {
-		return nil, err
-	}
-	vw := se.nd.view.Load()
-	rp := &inner.PullReply{Version: inner.Version, From: se.nd.self(), Held: heldBy(vw)}
-	if rq.GetBrief() {
+// wait returns what the control goroutine answers.
+func wait[R any](ctx context.Context, nd *Node, answered <-chan R) (R, error) {
+	var none R
+	select {
+	case rp := <-answered:
 		return rp, nil
+	case <-ctx.Done():
+		return none, twirp.NewError(twirp.Canceled, "the caller went away")
+	case <-nd.stopping.Done():
+		return none, twirp.NewError(twirp.Unavailable, "this VM has stopped")
 	}
-	has := make(map[string]uint64)
-	for _, tr := range rq.GetHeld() {
-		has[tr.GetTeam()] = tr.GetRevision()
-	}
-	for name, tm := range vw.Teams {
-		if tm.Revision > has[name] {
-			rp.Teams = append(rp.Teams, &inner.TeamConfig{Team: name, Revision: tm.Revision, ChangeId: tm.ChangeID, Document: encodeDocument(tm.Document)})
-		}
-	}
-	return rp, nil
-}
-
-func heldBy(vw *view.View) []*inner.TeamRevision {
-	var out []*inner.TeamRevision
-	for name, tm := range vw.Teams {
-		out = append(out, &inner.TeamRevision{Team: name, Revision: tm.Revision, ChangeId: tm.ChangeID})
-	}
-	return out
 }
 
 // Run executes a search whose ticket this VM issued.
