search: go back to a server whose reply was lost once no other is left

Cause: when old connections are all dead and new ones work, each server's first attempt is lost, and the search gave the shard up with noReplica although every server was alive. Change: a paid retry may go back to such a server (never one that refused, could not be reached, answered or is still at work). Driver: bursts grow with the shards.

--- a/core/hedge/hedge.go
+++ b/core/hedge/hedge.go
@@ -7,9 +7,9 @@
 //	tr.Observe(latency)
 //	delay := tr.Delay()
 //
-// A sub-request that is given up has to be observed too, with the time that it
-// had taken so far. Without these the slowest never show, the quantile falls,
-// more are given up, and so on down to the floor.
+// A sub-request that is given up has to be told with GaveUp. Without these the
+// slowest never show, the quantile falls, more are given up, and so on down to
+// the floor.
 //
 // A Tracker may be used from many goroutines.
 package hedge
@@ -72,8 +72,16 @@
 	return tr
 }
 
-// Observe adds the latency of one reply, or the time that a sub-request had
-// taken when it was given up.
+// GaveUp adds a sub-request given up after it had taken so long. Its latency is
+// not known but for being longer, which counts for the quantile if it is past the
+// delay already, and says nothing if not.
+func (tr *Tracker) GaveUp(after time.Duration) {
+	if after >= tr.Delay() {
+		tr.Observe(after)
+	}
+}
+
+// Observe adds the latency of one reply.
 func (tr *Tracker) Observe(latency time.Duration) {
 	value := min(max(int64(latency), 0), longest) / resolution
 	tr.mu.Lock()
--- a/core/hedge/hedge_test.go
+++ b/core/hedge/hedge_test.go
@@ -87,6 +87,28 @@
 	is.True(tr.Delay() < 20*time.Millisecond)
 }
 
+// Each twentieth reply is slow, is hedged after the delay and then given up: its
+// latency is never seen. The delay must not slide down to where ordinary replies
+// are hedged.
+func TestDelayStaysWhenTheSlowestAreGivenUp(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	tr := newTracker(0.98)
+	for range 200_000 {
+		took := time.Duration((5 + 5*rnd.Float64()) * float64(time.Millisecond))
+		if rnd.IntN(20) == 0 {
+			took *= 20
+		}
+		if hedged := tr.Delay() + 2*time.Millisecond; took > hedged {
+			tr.GaveUp(hedged)
+			continue
+		}
+		tr.Observe(took)
+	}
+	is.True(tr.Delay() > 10*time.Millisecond)
+	tr.GaveUp(time.Microsecond) // says nothing, and must not count
+}
+
 func latencies() []time.Duration {
 	rnd := rand.New(rand.NewPCG(1, 2))
 	out := make([]time.Duration, 4096)
--- a/core/search/sub.go
+++ b/core/search/sub.go
@@ -62,7 +62,7 @@
 		mc.excuse(ReasonDeadline)
 		return false
 	}
-	server, ok := mc.cfg.Chooser.Pick(mc.snapshot.Replicas[i], mc.triedOn(i))
+	server, ok := mc.choose(i, at)
 	if !ok {
 		mc.excuse(ReasonNoReplica)
 		return false
@@ -82,10 +82,23 @@
 	return true
 }
 
-// triedOn lists the servers asked for a shard under the snapshot in force, and
-// those still at work on it. One that ended its attempt under another snapshot
-// may be asked again: that it lacked the other says nothing about this one.
-func (mc *Machine) triedOn(i int) []view.ServerID {
+// choose picks a server not asked yet for the shard. Where none is left a retry
+// may go back to one whose reply was lost: it is the connection that failed, and
+// a new one may work while all the old ones are dead.
+func (mc *Machine) choose(i int, at Attempt) (view.ServerID, bool) {
+	replicas := mc.snapshot.Replicas[i]
+	server, ok := mc.cfg.Chooser.Pick(replicas, mc.asked(i, false))
+	if ok || at != AttemptRetry {
+		return server, ok
+	}
+	return mc.cfg.Chooser.Pick(replicas, mc.asked(i, true))
+}
+
+// asked lists the servers asked for a shard under the snapshot in force, and
+// those still at work on it; but for those of which a reply was lost, if so
+// wished. One that ended its attempt under another snapshot may be asked again:
+// that it lacked the other says nothing about this one.
+func (mc *Machine) asked(i int, butLost bool) []view.ServerID {
 	mc.tried = mc.tried[:0]
 	sh := &mc.shards[i]
 	if sh.tries == 0 {
@@ -93,9 +106,13 @@
 	}
 	for k := sh.last; k != none; k = mc.subs[k].before {
 		sb := &mc.subs[k]
-		if sb.again == mc.restarted || sb.state == subOpen {
-			mc.tried = append(mc.tried, sb.server)
+		if sb.again != mc.restarted && sb.state != subOpen {
+			continue
+		}
+		if butLost && sb.state == subDoubtful {
+			continue
 		}
+		mc.tried = append(mc.tried, sb.server)
 	}
 	return mc.tried
 }
--- a/io/drive/driver.go
+++ b/io/drive/driver.go
@@ -112,6 +112,9 @@
 const (
 	hedgeBurst = 20
 	retryBurst = 50
+	// The bursts for searches over many shards, in searches.
+	hedgeRounds = 2
+	retryRounds = 5
 )
 
 func (dr *Driver) kindOf(key kindKey, conf team.Search) *kind {
@@ -125,8 +128,8 @@
 			Floor:    time.Duration(conf.Hedge.MinDelayMs) * time.Millisecond,
 			Ceiling:  conf.HardDeadline() / 2,
 		}),
-		hedges:  budget.New(budget.Config{Share: conf.Hedge.Budget, Burst: hedgeBurst}),
-		retries: budget.New(budget.Config{Share: conf.Retry.Budget, Burst: retryBurst}),
+		hedges:  budget.New(budget.Config{Share: conf.Hedge.Budget, Burst: hedgeBurst, Rounds: hedgeRounds}),
+		retries: budget.New(budget.Config{Share: conf.Retry.Budget, Burst: retryBurst, Rounds: retryRounds}),
 	}
 	dr.kinds.Store(key, kd)
 	return kd
