search: one flag less in the hedge line

A hedge that finds no server leaves the line; the flag that kept it out afterwards changed nothing that a mutation trial could see.

--- a/core/search/line.go
+++ b/core/search/line.go
@@ -14,7 +14,7 @@
 // line stays in order.
 func (mc *Machine) enqueue(i int) {
 	sh := &mc.shards[i]
-	if mc.cfg.Once || mc.cfg.HedgeDelay <= 0 || sh.exhausted || sh.lined {
+	if mc.cfg.Once || mc.cfg.HedgeDelay <= 0 || sh.lined {
 		return
 	}
 	sh.lined = true
@@ -66,7 +66,6 @@
 		}
 		if !mc.send(now, i, AttemptHedge, "") {
 			bu.Refund()
-			sh.exhausted = true
 			continue
 		}
 		// The hedge may straggle as well: with many shards that is what
--- a/core/search/restart.go
+++ b/core/search/restart.go
@@ -76,7 +76,6 @@
 	sh := &mc.shards[i]
 	sh.done = mc.pinned.got[i]
 	sh.deferred = false
-	sh.exhausted = false
 	sh.retries = 0
 	if sh.done {
 		mc.cancel(i)
--- a/core/search/sub.go
+++ b/core/search/sub.go
@@ -47,12 +47,10 @@
 	// ran counts the attempts that ran or may have run.
 	ran uint16
 	// retries counts the attempts after one that may have cost work.
-	retries uint16
-	done    bool
-	// exhausted is set once a hedge found no other server or no time.
-	exhausted bool
-	lined     bool
-	deferred  bool
+	retries  uint16
+	done     bool
+	lined    bool
+	deferred bool
 }
 
 // send picks a server for a shard and sends; it tells whether there was one and
