--- a/io/contr/peer.go
+++ b/io/contr/peer.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	run(t, start, []clause[PeerVM]{
 		{"a version that is not read is refused", peerVersions},
-		{"a beat is answered with the sender's sequence", peerBeat},
+		{"a beat is answered by the VM itself", peerBeat},
 		{"pull gives what the asker lacks", peerPull},
 		{"pull in brief gives revisions only", peerPullBrief},
 		{"a search without this VM's ticket is void", peerRunVoid},
@@ -53,6 +53,10 @@
 			_, err := pv.Client.Pull(ctx, &inner.PullRequest{Version: version})
 			return err
 		}},
+		{"issue", func(ctx context.Context, version uint32) error {
+			_, err := pv.Client.Issue(ctx, &inner.IssueRequest{Version: version, Team: pv.Team, Count: 1})
+			return err
+		}},
 		{"run", func(ctx context.Context, version uint32) error {
 			_, err := pv.Client.Run(ctx, &inner.RunRequest{Version: version, Request: []byte("{}")})
 			return err
@@ -73,12 +77,12 @@
 
 func peerBeat(t *testing.T, pv PeerVM) {
 	is := is.New(t)
-	rp, err := pv.Client.Beat(t.Context(), &inner.BeatRequest{Version: inner.Version, Sequence: 41})
+	rp, err := pv.Client.Beat(t.Context(), &inner.BeatRequest{Version: inner.Version})
 	is.NoErr(err)
 	is.Equal(rp.GetVersion(), uint32(inner.Version))
-	is.Equal(rp.GetSequence(), uint64(41))
 	is.Equal(rp.GetFrom().GetAddr(), pv.Addr)
 	is.True(rp.GetFrom().GetIncarnation() != 0)
+	is.Equal(rp.GetLeaving(), false)
 }
 
 func peerPull(t *testing.T, pv PeerVM) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -75,6 +75,11 @@
 	// complete counts complete searches, of which a sample is logged.
 	complete atomic.Uint64
 	digest   atomic.Pointer[spread.Digest]
+	desk     *desk
+	// recovering is set while this VM, after a pause, has not caught up.
+	recovering atomic.Bool
+	stopOnce   sync.Once
+	stopErr    error
 }
 
 type listeners struct {
@@ -179,11 +184,12 @@
 		MaxDeadline: nd.set.MaxDeadline,
 		Seed:        nd.set.Incarnation,
 	})
+	nd.desk = &desk{nd: nd, driver: nd.driver}
 	nd.inner = peer.NewServer(peer.ServerConfig{Listener: nd.lns.inner, Service: &service{nd: nd}})
 	nd.front = front.New(front.Config{
 		Listener:    nd.lns.caller,
-		Search:      nd.driver,
-		Leaving:     nd.Leaving,
+		Search:      nd.desk,
+		Leaving:     nd.unfit,
 		MaxBody:     nd.set.MaxBodyBytes,
 		ReadTimeout: readTimeout,
 		MaxDeadline: nd.set.MaxDeadline,
@@ -211,6 +217,7 @@
 	nd.run("front", nd.front.Serve)
 	nd.run("oper", nd.oper.Serve)
 	nd.run("vms", func() error { nd.pollVMs(nd.stopping); return nil })
+	nd.run("connections", func() error { nd.keepConnections(nd.stopping); return nil })
 	nd.run("loads", func() error { nd.pollLoads(nd.stopping); return nil })
 }
 
@@ -242,6 +249,12 @@
 	}
 }
 
+// unfit tells whether the balancer shall send nothing: this VM is leaving, or it
+// stood still and may hold an old configuration.
+func (nd *Node) unfit() bool {
+	return nd.Leaving() || nd.recovering.Load()
+}
+
 // Leaving tells whether a planned stop has begun.
 func (nd *Node) Leaving() bool {
 	return nd.leaving.Load()
