--- a/io/contr/peer.go
+++ b/io/contr/peer.go
@@ -1,7 +1,11 @@
 package contr
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"encoding/json"
+	"io"
 	"testing"
 
 	"github.com/go-faster/errors"
@@ -92,7 +96,7 @@
 	is.Equal(len(rp.GetTeams()), 1)
 	tc := rp.GetTeams()[0]
 	is.Equal(tc.GetTeam(), pv.Team)
-	is.True(len(tc.GetDocument()) > 0)
+	is.True(json.Valid(documentOf(t, tc)))
 	rp, err = pv.Client.Pull(t.Context(), &inner.PullRequest{
 		Version: inner.Version,
 		Held:    []*inner.TeamRevision{{Team: tc.GetTeam(), Revision: tc.GetRevision(), ChangeId: tc.GetChangeId()}},
@@ -101,6 +105,17 @@
 	is.Equal(len(rp.GetTeams()), 0) // it has that already
 }
 
+// documentOf gives the document, which may come deflated.
+func documentOf(t *testing.T, tc *inner.TeamConfig) []byte {
+	t.Helper()
+	if len(tc.GetDeflated()) == 0 {
+		return tc.GetDocument()
+	}
+	raw, err := io.ReadAll(flate.NewReader(bytes.NewReader(tc.GetDeflated())))
+	is.New(t).NoErr(err)
+	return raw
+}
+
 func peerPullBrief(t *testing.T, pv PeerVM) {
 	is := is.New(t)
 	rp, err := pv.Client.Pull(t.Context(), &inner.PullRequest{Version: inner.Version, Brief: true})
--- a/io/contr/platform_test.go
+++ b/io/contr/platform_test.go
@@ -104,6 +104,8 @@
 	}
 	return func() {
 		st.on.Store(false)
+		// The client's own Cancel waits for an idle connection: there may be
+		// none while both are busy.
 		for _, id := range []string{"busy.0", "busy.1"} {
 			body := strings.NewReader(`{"id":"` + id + `"}`)
 			rq, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+up.Addr()+wire.RouteShardCancel, body)
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -90,7 +90,7 @@
 		Change: {"accepted", "conflict", "unknown", "dryRun", "refused"},
 		Config: {
 			"applied", "pushed", "pushFailed", "pulled", "pullFailed", "compareFailed", "restored", "restoreUnreadable",
-			"abandoned", "alarm.unreadable", "alarm.broken", "alarm.serviceBehind", "alarm.servicePast", "alarm.sameRevision",
+			"abandoned", "messageUnreadable", "alarm.serviceDown", "alarm.unreadable", "alarm.broken", "alarm.serviceBehind", "alarm.servicePast", "alarm.sameRevision",
 		},
 		Member: {
 			"candidate", "live", "suspect", "leaving", "gone", "beatFailed", "helpAsked", "woke", "signHeard",
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -17,8 +17,11 @@
 	// configPatience bounds a call to the key-value service: one that is slow
 	// by 10 s still counts as up.
 	configPatience = 12 * time.Second
-	vmsEvery       = 2 * time.Second
-	vmsPause       = time.Second
+	// compareEvery is the pace of comparisons beside the heartbeats, which
+	// carry the same digests every second.
+	compareEvery = 3 * time.Second
+	vmsEvery     = 2 * time.Second
+	vmsPause     = time.Second
 )
 
 // meterConfig counts what the distribution of configuration does.
@@ -33,6 +36,7 @@
 	cancels map[spread.Call]context.CancelFunc
 	alarms  map[spread.AlarmKind]map[string]string
 	peers   []rank.VM
+	listed  bool
 }
 
 // peerLister tells the VMs that may be asked and relied on.
@@ -48,6 +52,7 @@
 			Self:     rank.VM{Addr: ct.nd.addr, DataCentre: set.DataCentre},
 			Rand:     rand.New(rand.NewPCG(set.Incarnation, seedOf(ct.nd.addr))),
 			Readable: readable,
+			Pace:     spread.Pace{CompareEvery: compareEvery},
 		}),
 		timer:   time.NewTimer(0),
 		cancels: make(map[spread.Call]context.CancelFunc),
@@ -187,10 +192,10 @@
 // peersChanged hands on the list of VMs if it is another one.
 func (cs *configs) peersChanged(pl peerLister) {
 	peers := pl.Peers()
-	if cs.peers != nil && slices.Equal(peers, cs.peers) {
+	if cs.listed && slices.Equal(peers, cs.peers) {
 		return
 	}
-	cs.peers = peers
+	cs.peers, cs.listed = peers, true
 	cs.step(spread.Members{VMs: peers})
 }
 
