wire: a refusal that is not known is one word

Cause: a server's refusal went into answers, log and counters as it came, at any length. Change: what is not in the list is read as otherRefusal; it still says that nothing ran. Conclusion: TestUnknownRefusal, TestLyingReplies.

--- a/io/contr/reply_fuzz_test.go
+++ b/io/contr/reply_fuzz_test.go
@@ -137,6 +137,7 @@
 	is.True(len(an.Hits) <= 5)
 	is.Equal(an.Outcome == wire.OutcomeComplete, an.Coverage.Shards > 0 && an.Coverage.Answered == an.Coverage.Shards)
 	is.True(an.Outcome == wire.OutcomeComplete || an.Reason != "")
+	is.True(len(an.Reason) < 48)
 	if an.Outcome == wire.OutcomeNotRun || an.Outcome == wire.OutcomeUnknown {
 		is.Equal(len(an.Hits), 0)
 	}
@@ -163,7 +164,7 @@
 		{"huge map of another snapshot", strings.NewReplacer(`"shards":2`, `"shards":2147483647`, `:7`, `:8`).Replace(goodReply)},
 		{"negative map", strings.Replace(goodReply, `"shards":2`, `"shards":-2`, 1)},
 		{"empty map", strings.Replace(goodReply, `"shards":2`, `"shards":0`, 1)},
-		{"made-up refusal", strings.Replace(goodReply, `"hits"`, `"refusal":"tired","hits"`, 1)},
+		{"made-up refusal", strings.Replace(goodReply, `"hits"`, `"refusal":"`+strings.Repeat("tired", 1000)+`","hits"`, 1)},
 		{"wrong type", strings.Replace(goodReply, `"snapshot":7`, `"snapshot":"7"`, 1)},
 		{"negative snapshot", strings.Replace(goodReply, `"snapshot":7`, `"snapshot":-7`, 1)},
 		{"array", `[]`}, {"null", `null`}, {"nothing", ``}, {"half", goodReply[:30]},
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -52,7 +52,7 @@
 // listed gives the reasons of all families. A test compares them with the source
 // of the packages that count, and with docs/METRICS.md.
 func listed() map[string][]string {
-	refusals := []string{"shed", "draining", "snapshotGone", "cold", "expired", "notHeld"}
+	refusals := []string{"shed", "draining", "snapshotGone", "cold", "expired", "notHeld", "otherRefusal"}
 	failures := []string{
 		"dial", "noConnection", "backoff", "connectionRefused", "write", "timeout", "reset", "silent", "status",
 		"decode", "closed", "workers", "foreignReply", "internal",
--- a/io/oper/oper_test.go
+++ b/io/oper/oper_test.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	held     map[string]wire.ConfigReply
 	made     []oper.Proposal
+	bound    bool // a change could have been broken off by its client
 	level    string
 	cut      bool // the platform cannot be reached
 	doubtful bool // the platform's replies are lost
@@ -47,9 +48,10 @@
 	return cr, ok
 }
 
-func (fk *fake) Change(_ context.Context, pr oper.Proposal) (wire.ChangeReply, error) {
+func (fk *fake) Change(ctx context.Context, pr oper.Proposal) (wire.ChangeReply, error) {
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
+	fk.bound = fk.bound || ctx.Done() != nil
 	fk.made = append(fk.made, pr)
 	if !json.Valid(pr.Document) {
 		return wire.ChangeReply{}, errors.New("the document is not JSON")
@@ -182,6 +184,7 @@
 	is := is.New(t)
 	is.Equal(fk.made[1].Actor, "Ada")
 	is.Equal(fk.level, "debug")
+	is.True(!fk.bound)
 }
 
 // A team holds a token of its own. It may read everything, and change nothing
--- a/io/wire/upstream.go
+++ b/io/wire/upstream.go
@@ -25,6 +25,8 @@
 	RefusalCold         Refusal = "cold"
 	RefusalExpired      Refusal = "expired"
 	RefusalNotHeld      Refusal = "notHeld"
+	// RefusalOther stands for any that this VM does not know.
+	RefusalOther Refusal = "otherRefusal"
 )
 
 // UpstreamState is what a server says of itself; it may lag or mislead.
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -38,6 +39,27 @@
 	}
 }
 
+// A server's refusal becomes the reason in a caller's answer, in the log and in
+// the counters.
+func TestUnknownRefusal(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string]wire.Refusal{
+		"": "", "shed": wire.RefusalShed, "draining": wire.RefusalDraining, "cold": wire.RefusalCold,
+		"snapshotGone": wire.RefusalSnapshotGone, "expired": wire.RefusalExpired, "notHeld": wire.RefusalNotHeld,
+		"tired": wire.RefusalOther, strings.Repeat("x", 1<<20): wire.RefusalOther,
+	} {
+		raw, err := json.Marshal(map[string]string{"id": "a", "refusal": text})
+		is.NoErr(err)
+		var rp wire.ShardReply
+		is.NoErr(json.Unmarshal(raw, &rp))
+		is.Equal(rp.Refusal, want)
+	}
+	var rp wire.ShardReply
+	is.True(json.Unmarshal([]byte(`{"refusal":7}`), &rp) != nil)
+	is.NoErr(json.Unmarshal([]byte(`{"refusal":null}`), &rp))
+	is.Equal(rp.Refusal, wire.Refusal(""))
+}
+
 // FuzzStatus reads what a server says of itself.
 func FuzzStatus(f *testing.F) {
 	f.Add([]byte(`{"incarnation":1,"state":"serving","slots":3,"holdings":[{"register":"a","snapshot":1,"shards":2,"held":[0,1]}]}`))
