--- a/core/spread/measure_test.go
+++ b/core/spread/measure_test.go
@@ -111,20 +111,84 @@
 
 func BenchmarkInForce(b *testing.B) {
 	for _, sz := range sizes() {
-		for _, baseline := range []bool{false, true} {
-			name := "ranked"
-			if baseline {
-				name = "everyVMWatches"
-			}
-			b.Run(fmt.Sprintf("vms=%d/%s", sz.centres*sz.each, name), func(b *testing.B) {
-				for b.Loop() {
-					fl := newFleet(1, sz.centres, sz.each)
-					fl.loss, fl.baseline, fl.past = 0.01, baseline, measurePast
-					me := measure(fl)
-					me.report(b)
-				}
+		for seed := range uint64(3) {
+			b.Run(fmt.Sprintf("vms=%d/ranked/seed=%d", sz.centres*sz.each, seed), func(b *testing.B) {
+				benchmarkInForce(b, sz, seed, false)
 			})
 		}
+		b.Run(fmt.Sprintf("vms=%d/everyVMWatches", sz.centres*sz.each), func(b *testing.B) {
+			benchmarkInForce(b, sz, 0, true)
+		})
+	}
+}
+
+func benchmarkInForce(b *testing.B, sz size, seed uint64, baseline bool) {
+	for b.Loop() {
+		fl := newFleet(seed, sz.centres, sz.each)
+		fl.loss, fl.baseline, fl.past = 0.01, baseline, measurePast
+		me := measure(fl)
+		me.report(b)
+	}
+}
+
+// BenchmarkHeal cuts a data centre off for ten minutes and 20 changes, and
+// takes the time from the healing until the last VM has them all.
+func BenchmarkHeal(b *testing.B) {
+	for _, sz := range sizes() {
+		b.Run(fmt.Sprintf("vms=%d", sz.centres*sz.each), func(b *testing.B) {
+			for b.Loop() {
+				fl := newFleet(4, sz.centres, sz.each)
+				fl.loss = 0.01
+				fl.start()
+				fl.run(20 * time.Second)
+				fl.cut = func(a, b string) bool { return (a == "dc1") != (b == "dc1") }
+				ups := make([]Update, 20)
+				for i := range ups {
+					ups[i] = fl.change(fl.vms[0], fmt.Sprint("team", i), fmt.Sprint("c", i), measureDocument)
+					fl.run(30 * time.Second)
+				}
+				fl.cut = uncut
+				healed := fl.now
+				for !fl.haveAll(ups) && fl.now < healed+time.Minute {
+					fl.run(50 * time.Millisecond)
+				}
+				b.ReportMetric(0, "ns/op")
+				b.ReportMetric((fl.now-healed).Seconds()*1000, "ms-converged")
+			}
+		})
+	}
+}
+
+func (fl *fleet) haveAll(ups []Update) bool {
+	for _, up := range ups {
+		if fl.holding(up) < len(fl.vms) {
+			return false
+		}
+	}
+	return true
+}
+
+// BenchmarkOutage takes the service away for an hour: what the fleet asks of it
+// meanwhile, and in the busiest second after it is back. Only ranked VMs ask;
+// 13 data centres have 26 of them however many VMs there are.
+func BenchmarkOutage(b *testing.B) {
+	for b.Loop() {
+		fl := newFleet(5, 13, 4)
+		fl.start()
+		fl.run(10 * time.Second)
+		fl.change(fl.vms[0], "wash", "c1", measureDocument)
+		fl.run(10 * time.Second)
+		fl.sv.down, fl.sv.calls = true, 0
+		fl.run(time.Hour)
+		b.ReportMetric(float64(fl.sv.calls)/3600, "calls/s-down")
+		fl.sv.down, fl.sv.perSec = false, nil
+		fl.run(2 * time.Minute)
+		peak := 0
+		for _, n := range fl.sv.perSec {
+			peak = max(peak, n)
+		}
+		b.ReportMetric(0, "ns/op")
+		b.ReportMetric(float64(peak), "calls-peak/s-back")
 	}
 }
 
