spread: alarms of the service end when a VM no longer watches it

Cause: a VM that was ranked, raised serviceDown and lost its rank never asked again, so that nothing could end the alarm; sameRevision stood past the next change. Change: both are settled. Tests for both.

--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -190,6 +190,8 @@
 	}
 	if old.Revision == up.Revision {
 		ma.alarm(AlarmSameRevision, up.Team, "changes "+old.ChangeID+" and "+up.ChangeID+" share a revision; the latter is in force")
+	} else {
+		ma.settled(AlarmSameRevision, up.Team)
 	}
 	if old.Revision > 0 {
 		ma.digest = ma.digest.without(old.Name())
@@ -235,6 +237,22 @@
 	ma.act(Alarm{Kind: kind, Team: team})
 }
 
+// settleAll ends the alarms of some kinds for all teams.
+func (ma *Machine) settleAll(kinds ...AlarmKind) {
+	var over []alarmKey
+	for key := range ma.alarms {
+		if slices.Contains(kinds, key.kind) {
+			over = append(over, key)
+		}
+	}
+	slices.SortFunc(over, func(a, b alarmKey) int {
+		return cmp.Or(cmp.Compare(a.kind, b.kind), cmp.Compare(a.team, b.team))
+	})
+	for _, key := range over {
+		ma.settled(key.kind, key.team)
+	}
+}
+
 func (ma *Machine) act(ac Action) {
 	ma.acts = append(ma.acts, ac)
 }
--- a/core/spread/service.go
+++ b/core/spread/service.go
@@ -103,11 +103,19 @@
 	case len(ma.held) == 0:
 		return max(sv.notBefore, sv.lonelyAt)
 	default:
-		sv.known = false
+		ma.leaveService()
 		return never
 	}
 }
 
+// leaveService forgets how the service stood. It no longer falls to this VM to
+// ask, and an alarm that nothing can end would stand for ever.
+func (ma *Machine) leaveService() {
+	sv := &ma.service
+	sv.known, sv.failures, sv.behind = false, 0, nil
+	ma.settleAll(AlarmServiceDown, AlarmServicePast, AlarmServiceBehind, AlarmBroken)
+}
+
 // lonelyEvery is the mean time between reads of a VM that holds nothing and is
 // not ranked: the whole fleet's reads together stay within LonelyRate.
 func (ma *Machine) lonelyEvery() time.Duration {
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -230,6 +230,46 @@
 	is.Equal(len(fl.vms[5].ma.alarms), 0)
 }
 
+func TestAlarmsEndWithRank(t *testing.T) {
+	// A ranked VM has raised serviceDown when VMs join that rank before it. It
+	// no longer asks the service, and its alarm ends; that of the others stands.
+	is := is.New(t)
+	fl := newFleet(10, 1, 40)
+	all := fl.list()
+	first := fl.vms[0]
+	fl.start()
+	fl.run(5 * time.Second)
+	fl.change(first, "wash", "c1", 100)
+	fl.run(2 * time.Second)
+	first.step(Members{VMs: all[:2]})
+	is.True(first.ma.Table().Watches())
+	fl.sv.down = true
+	fl.run(10 * time.Minute)
+	is.Equal(first.alarms[AlarmServiceDown], 1)
+	first.step(Members{VMs: all})
+	is.True(!first.ma.Table().Watches())
+	is.Equal(len(first.ma.alarms), 0)
+	is.Equal(fl.alarms(AlarmServiceDown), 2)
+}
+
+func TestSameRevision(t *testing.T) {
+	// After a service lost data two changes got the same revision. Whatever the
+	// order in which VMs hear of them, all end with the same, and say so until
+	// the next change.
+	is := is.New(t)
+	for _, ids := range [][]string{{"a", "b"}, {"b", "a"}} {
+		fl := newFleet(11, 1, 2)
+		fl.start()
+		v := fl.vms[0]
+		for _, id := range ids {
+			v.step(Pushed{From: fl.vms[1].self, Updates: []Update{{Team: "wash", Revision: 5, ChangeID: id}}})
+		}
+		is.Equal(v.force["wash"].ChangeID, "b")
+		v.step(Pushed{From: fl.vms[1].self, Updates: []Update{{Team: "wash", Revision: 6, ChangeID: "c"}}})
+		is.Equal(len(v.ma.alarms), 0)
+	}
+}
+
 func TestColdStart(t *testing.T) {
 	// All VMs start at once with the service up and nobody holding anything:
 	// the ranked ones read it, the rest get it from peers, and the service sees
