node: upstreams decided by core/server and core/conns

Cause: every VM polled every server each 500 ms; one failed poll made a server gone; each poll rebuilt all shard maps; and each VM worked out its part of a server's connections before it knew the other VMs. Change: tallies of replies reach the control goroutine only where there is something to decide; polls keep a budget; maps change step by step; connections follow the plan, at once when the list of VMs changes; servers that leave the configuration drain; a server may stand in several registers.

--- a/core/server/doc.go
+++ b/core/server/doc.go
@@ -14,7 +14,8 @@
 //
 //   - An old incarnation's news counts for nothing. Incarnations of one address
 //     only grow; the one exception is a probe that was begun after the server
-//     was gone: whoever answers it is the process there now.
+//     was gone: whoever answers it is the process there now. Of a server that
+//     had said it leaves that is believed a minute later only.
 //   - A sign of leaving (its own word in a reply or a hint, another VM's sign)
 //     holds for the incarnation it names, whatever says later that it is well.
 //   - Gone needs several failures of real traffic and failed probes as well, for
--- a/core/server/fault_test.go
+++ b/core/server/fault_test.go
@@ -128,14 +128,13 @@
 		tb.Add(0, addr)
 		left := map[uint64]bool{}
 		listedNow := true
-		now := time.Duration(0)
+		now, goneSince := time.Duration(0), time.Duration(0)
 		for range rapid.IntRange(1, 60).Draw(rt, "events") {
-			now += time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pause")) * ms
+			now += time.Duration(rapid.IntRange(0, 30_000).Draw(rt, "pause")) * ms
 			tb.Wake(now)
 			ev := drawEvent(rt)
 			current := ev.Incarnation == 0 || ev.Incarnation >= tb.Status(0).Incarnation
-			fresh := ev.Kind == server.Hint && ev.Probe
-			if saysLeaving(ev) && (current || fresh && tb.Status(0).State == view.StateGone) {
+			if saysLeaving(ev) && current {
 				inc := ev.Incarnation
 				if inc == 0 {
 					inc = tb.Status(0).Incarnation
@@ -152,8 +151,17 @@
 			}
 			st := tb.Status(0)
 			if st.Incarnation < before {
-				// Incarnations started anew; higher numbers are free again.
-				maps.DeleteFunc(left, func(inc uint64, _ bool) bool { return inc > st.Incarnation })
+				if left[before] && now-goneSince < time.Minute {
+					rt.Fatalf("%+v believed after %v", st, now-goneSince)
+				}
+				// Incarnations started anew; their numbers are free again.
+				maps.DeleteFunc(left, func(inc uint64, _ bool) bool { return inc >= st.Incarnation })
+				if saysLeaving(ev) {
+					left[st.Incarnation] = true
+				}
+			}
+			if st.State != view.StateGone {
+				goneSince = now
 			}
 			if before == 0 && st.Incarnation != 0 && left[0] {
 				// What was said without an incarnation was said of the first.
--- a/core/server/machine.go
+++ b/core/server/machine.go
@@ -43,6 +43,8 @@
 	scoreKeep    = 0.8
 	suspectScore = 0.5
 	mendScore    = 0.3
+	// calmScore is a score so low that nothing is held against the server.
+	calmScore = 0.05
 
 	rampSteps = 3
 	// sayingColdStep is as far as a server ramps that still calls itself cold.
@@ -63,6 +65,9 @@
 	// probeLost is when a probe without any outcome is given up.
 	probeLost = 10 * time.Second
 
+	// lateNews is how long the words of a process that is over can be under way.
+	lateNews = time.Minute
+
 	never = time.Duration(1<<63 - 1)
 )
 
@@ -82,6 +87,7 @@
 	score      float32
 	backoff    time.Duration
 	probeAt    time.Duration
+	goneAt     time.Duration
 	stepAt     time.Duration
 	shedAt     time.Duration
 	// queued is the earliest wake that the table's queue holds.
@@ -136,7 +142,7 @@
 		return true, ef
 	}
 	first := mc.Incarnation == 0
-	fresh := ev.Kind == Hint && ev.Probe && mc.State == view.StateGone
+	fresh := ev.Kind == Hint && ev.Probe && mc.startsAnew(now)
 	if ev.Incarnation < mc.Incarnation && !fresh {
 		return false, ef
 	}
@@ -152,6 +158,16 @@
 	return true, effect{sign: SignReturned}
 }
 
+// startsAnew tells whether a probe's answer may come from a process with a lower
+// incarnation. Of a server that left, the old process's words may still be under
+// way, and its load endpoint may lag, until the longest deadline has passed.
+func (mc *machine) startsAnew(now time.Duration) bool {
+	if mc.State != view.StateGone {
+		return false
+	}
+	return mc.leaving == "" || now-mc.goneAt >= lateNews
+}
+
 // forgive forgets failures and probes.
 func (mc *machine) forgive() {
 	mc.failures, mc.probeFails, mc.probeGoods = 0, 0, 0
@@ -246,7 +262,8 @@
 		mc.score = 1 - (1-mc.score)*scoreKeep
 	}
 	if mc.leaving != "" {
-		return mc.quiet()
+		mc.quiet(now)
+		return effect{}
 	}
 	if mc.State == view.StateGone {
 		return effect{}
@@ -263,6 +280,7 @@
 		return effect{}
 	}
 	mc.settle(view.StateGone, WhyUnreachable, 0)
+	mc.goneAt = now
 	mc.stepAt = never
 	return effect{sign: SignUnreachable}
 }
@@ -273,11 +291,11 @@
 }
 
 // quiet ends a leaving server's time: it is gone once probes fail too.
-func (mc *machine) quiet() effect {
-	if mc.probeFails >= goneProbes {
+func (mc *machine) quiet(now time.Duration) {
+	if mc.probeFails >= goneProbes && mc.State != view.StateGone {
 		mc.settle(view.StateGone, WhyLeftAndQuiet, 0)
+		mc.goneAt = now
 	}
-	return effect{}
 }
 
 func (mc *machine) suspect(now time.Duration, why string, rnd *rand.Rand) {
--- a/core/server/table.go
+++ b/core/server/table.go
@@ -75,6 +75,13 @@
 	return tb.machines[id].Status
 }
 
+// Calm tells whether a server is well and nothing is held against it, so that
+// its good replies need no counting.
+func (tb *Table) Calm(id view.ServerID) bool {
+	mc := &tb.machines[id]
+	return mc.State == view.StateServing && mc.failures == 0 && mc.score < calmScore
+}
+
 // Step takes one event of a server. The actions are valid until the next call.
 func (tb *Table) Step(now time.Duration, id view.ServerID, ev Event) []Action {
 	tb.actions = tb.actions[:0]
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -152,7 +152,6 @@
 	}
 	ct.view = ct.view.WithTeam(view.Team{Revision: up.Revision, ChangeID: up.ChangeID, Document: doc, Raw: up.Document})
 	ct.placeServers(doc)
-	ct.mapRegisters()
 	ct.publish()
 	ct.nd.meter.Count(meterConfig, "applied")
 	ct.nd.log.Info().Str("team", up.Team).Uint64("revision", up.Revision).Str("change", up.ChangeID).Msg("configuration in force")
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
+	"laburnumvane/core/conns"
 	"laburnumvane/core/spread"
-	"laburnumvane/core/team"
 	"laburnumvane/core/view"
-	"laburnumvane/io/upst"
 	"laburnumvane/io/wire"
 )
 
@@ -18,21 +17,17 @@
 
 // control owns all state that is not a search's. Only its goroutine touches it.
 type control struct {
-	nd       *Node
-	view     view.View
-	ids      map[string]view.ServerID
-	holdings map[view.ServerID][]wire.ShardHolding
-	vms      []wire.VM
-	alarms   []string
-	conf     *configs
+	nd     *Node
+	view   view.View
+	vms    []wire.VM
+	alarms []string
+	conf   *configs
+	ups    *upstreams
 }
 
 func newControl(nd *Node) *control {
-	ct := &control{
-		nd:       nd,
-		ids:      make(map[string]view.ServerID),
-		holdings: make(map[view.ServerID][]wire.ShardHolding),
-	}
+	ct := &control{nd: nd}
+	ct.ups = newUpstreams(ct)
 	ct.conf = newConfigs(ct)
 	return ct
 }
@@ -44,9 +39,12 @@
 			ev.apply(ct)
 		case <-ct.conf.timer.C:
 			ct.conf.step(spread.Tick{})
+		case <-ct.ups.timer.C:
+			ct.ups.tick()
 		case <-ctx.Done():
 			return
 		}
+		ct.ups.flush()
 	}
 }
 
@@ -97,48 +95,11 @@
 func (ev vmsSeen) apply(ct *control) {
 	ct.vms = ev.vms
 	ct.conf.peersChanged(ct)
-}
-
-const dialTimeout = 2 * time.Second
-
-// placeServers gives each server of a document its id and its connections.
-func (ct *control) placeServers(doc team.Document) {
-	servers := append([]view.Server(nil), ct.view.Servers()...)
-	pools := append([]*upst.Server(nil), *ct.nd.servers.Load()...)
-	for register, rg := range doc.Registers {
-		for service, sc := range rg.Services {
-			for _, sr := range sc.Servers {
-				if _, ok := ct.ids[sr.Addr]; ok {
-					continue
-				}
-				id := view.ServerID(len(servers))
-				ct.ids[sr.Addr] = id
-				servers = append(servers, view.Server{
-					ID:          id,
-					Addr:        sr.Addr,
-					DataCentre:  sr.DataCentre,
-					Service:     service,
-					Team:        doc.Team,
-					Register:    register,
-					State:       view.StateUnknown,
-					Why:         "not heard from yet",
-					Slots:       sc.SlotsPerServer,
-					Connections: sc.ConnectionsPerServer,
-				})
-				pools = append(pools, upst.New(upst.Config{
-					Addr:        sr.Addr,
-					MaxConns:    ct.connectionShare(sc.ConnectionsPerServer),
-					DialTimeout: dialTimeout,
-				}))
-			}
-		}
+	seen := make([]conns.VM, len(ev.vms))
+	for i, vm := range ev.vms {
+		seen[i] = conns.VM{Addr: vm.Addr, DataCentre: vm.DataCentre}
 	}
-	ct.nd.table.Grow(len(servers))
-	ct.nd.servers.Store(&pools)
-	ct.view = ct.view.WithServers(servers)
+	ct.ups.plan.members(ct.ups.now(), seen)
 }
 
-// connectionShare is this VM's part of a server's connections.
-func (ct *control) connectionShare(limit int) int {
-	return max(1, limit/max(1, len(ct.vms)))
-}
+const dialTimeout = 2 * time.Second
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -53,6 +53,8 @@
 	meter    *meter.Meter
 	view     atomic.Pointer[view.View]
 	servers  atomic.Pointer[[]*upst.Server]
+	ups      atomic.Pointer[[]*upstream]
+	signs    atomic.Pointer[[]*inner.Sign]
 	table    *pick.Table
 	workers  *ants.Pool
 	driver   *drive.Driver
@@ -104,6 +106,7 @@
 	}
 	nd.view.Store(&view.View{})
 	nd.servers.Store(&[]*upst.Server{})
+	nd.ups.Store(&[]*upstream{})
 	nd.stopping, nd.stop = context.WithCancel(context.Background())
 	if err := nd.build(); err != nil {
 		nd.stop()
@@ -157,7 +160,7 @@
 	nd.peers = peer.NewClient(peer.ClientConfig{Self: nd.self(), Timeout: peerTimeout})
 	nd.driver = drive.New(drive.Config{
 		View:     nd.view.Load,
-		Upstream: func(id view.ServerID) drive.Upstream { return (*nd.servers.Load())[id] },
+		Upstream: func(id view.ServerID) drive.Upstream { return nd.upstream(id) },
 		Table:    nd.table,
 		Workers:  workers,
 		Forward:  nd.peers,
@@ -205,7 +208,6 @@
 	nd.run("oper", nd.oper.Serve)
 	nd.run("vms", func() error { nd.pollVMs(nd.stopping); return nil })
 	nd.run("connections", func() error { nd.keepConnections(nd.stopping); return nil })
-	nd.run("loads", func() error { nd.pollLoads(nd.stopping); return nil })
 }
 
 func (nd *Node) run(name string, f func() error) {
