--- a/core/conns/conns_test.go
+++ b/core/conns/conns_test.go
@@ -152,19 +152,21 @@
 }
 
 // The server is not flooded by VMs that have just started: before a VM has seen
-// any list it uses nothing, and after its patience one connection. The first
-// version took the whole limit at every VM whose list came after the
-// configuration.
-func TestBlindVM(t *testing.T) {
+// any list it uses nothing, and until it is five seconds old one connection. The
+// first version took the whole limit at every VM whose list came after the
+// configuration, or came before the other VMs were in it.
+func TestYoungVM(t *testing.T) {
 	is := is.New(t)
 	self := vmNumber(0, "a")
 	ro := conns.NewRoster(conns.RosterConfig{Self: self, Hold: time.Minute, Patience: 5 * time.Second})
 	is.True(!ro.Settled(4 * time.Second))
-	is.True(ro.Settled(5 * time.Second))
-	is.True(ro.Blind())
-	ro.Update(6*time.Second, vmsOf(9, "a"))
-	is.True(!ro.Blind())
+	is.True(ro.Settled(5 * time.Second)) // no list, but the caller has waited enough
+	is.True(ro.Cautious(5 * time.Second))
+	ro.Update(time.Second, vmsOf(9, "a"))
 	is.Equal(ro.Len(), 9)
+	is.True(ro.Settled(time.Second))
+	is.True(ro.Cautious(time.Second)) // the list may lack those that start now
+	is.True(!ro.Cautious(5 * time.Second))
 }
 
 // A server's connections are not given out twice, and none is lost for ever: a
--- a/core/conns/roster.go
+++ b/core/conns/roster.go
@@ -25,7 +25,8 @@
 	// connections may outlive it, and it may be only out of sight.
 	Hold time.Duration
 	// Patience is how long after its start a VM that sees no list of VMs waits
-	// before it takes itself for settled.
+	// before it takes itself for settled, and how long one that sees a list does
+	// not rely on it: VMs that start together are not in each other's list.
 	Patience time.Duration
 }
 
@@ -101,10 +102,12 @@
 	return ro.settled || now >= ro.cfg.Patience
 }
 
-// Blind tells that no list of VMs has been seen: then only one connection to
-// each server may be used, whatever the share.
-func (ro *Roster) Blind() bool {
-	return !ro.settled
+// Cautious tells that the list of VMs was never seen, or that this VM is so young
+// that others may not be in it yet. Then only one connection to each server may
+// be used, whatever the share: of VMs that start together, as many as a server
+// has connections then stay within its limit.
+func (ro *Roster) Cautious(now time.Duration) bool {
+	return !ro.settled || now < ro.cfg.Patience
 }
 
 // Len is the number of VMs counted.
--- a/io/node/upstreams.go
+++ b/io/node/upstreams.go
@@ -23,7 +23,9 @@
 	// as the VM list may lag.
 	departedHold = time.Minute
 	// listPatience is how long a VM that sees no list of VMs waits before it
-	// opens one connection to each server all the same.
+	// opens one connection to each server all the same, and for how long after
+	// its start it has no more: the time in which VMs that start together find
+	// each other.
 	listPatience = 5 * time.Second
 	// connectSetup is what a new connection costs the slowest of today's
 	// servers, connectLoad the share of its time that may go into that.
--- a/io/node/upstreams_conns.go
+++ b/io/node/upstreams_conns.go
@@ -21,8 +21,8 @@
 	// slots is each server's place in the planner.
 	slots []planSlot
 	used  []bool
-	// settled and far are as the shares in force assume.
-	settled, far bool
+	// settled, cautious and far are as the shares in force assume.
+	settled, cautious, far bool
 }
 
 type planSlot struct {
@@ -63,14 +63,15 @@
 		}
 		cp.planner.Apply(ch)
 	}
-	settled := cp.roster.Settled(now) && !cp.roster.Blind()
+	settled, cautious := cp.roster.Settled(now), cp.roster.Cautious(now)
+	anew := len(changes) > 0 || settled != cp.settled || cautious != cp.cautious
+	cp.settled, cp.cautious = settled, cautious
 	if far := cp.roster.Len() <= farVMs; far != cp.far {
 		cp.far = far
 		cp.rebuild(now)
 		return
 	}
-	if len(changes) > 0 || settled != cp.settled || cp.roster.Blind() {
-		cp.settled = settled
+	if anew {
 		cp.apply(now)
 	}
 }
@@ -128,21 +129,19 @@
 func (cp *connPlan) apply(now time.Duration) {
 	for i := range cp.slots {
 		id := view.ServerID(i)
-		share, users := cp.shareOf(now, id)
+		share, users := cp.shareOf(id)
 		cp.limit(cp.ramp.Set(now, id, share, users))
 		cp.use(now, id, share > 0)
 	}
 }
 
-func (cp *connPlan) shareOf(now time.Duration, id view.ServerID) (share, users int) {
+func (cp *connPlan) shareOf(id view.ServerID) (share, users int) {
 	sl := cp.slots[id]
-	if !sl.listed || !cp.roster.Settled(now) {
+	if !sl.listed || !cp.settled {
 		return 0, 1
 	}
 	share = cp.planner.Share(sl.group, sl.replica)
-	if cp.roster.Blind() {
-		// Nothing is known of the other VMs: one connection is little enough
-		// for the reserve, if not many start blind at once.
+	if cp.cautious {
 		share = min(share, 1)
 	}
 	return share, cp.planner.Users(sl.group)
