--- a/core/server/example_test.go
+++ b/core/server/example_test.go
@@ -13,15 +13,18 @@
 	tb.Add(0, "10.0.0.7:9000")
 	tb.Step(0, 0, server.Event{Kind: server.Reply, Incarnation: 7, Says: server.SaysServing, Good: 1})
 	fmt.Println(tb.Status(0).State)
-	tb.Step(time.Second, 0, server.Event{Kind: server.Reply, Incarnation: 7, Says: server.SaysDraining})
+	for _, ac := range tb.Step(time.Second, 0, server.Event{Kind: server.Reply, Incarnation: 7, Says: server.SaysDraining}) {
+		if ac.Kind == server.Spread {
+			fmt.Println("tell the others:", ac.Sign.Addr, ac.Sign.Kind)
+		}
+	}
 	tb.Step(2*time.Second, 0, server.Event{Kind: server.Hint, Incarnation: 7, Says: server.SaysServing})
 	fmt.Println(tb.Status(0).State, "-", tb.Status(0).Why)
-	fmt.Println(tb.Signs(2 * time.Second))
 	tb.Step(9*time.Second, 0, server.Event{Kind: server.Reply, Incarnation: 8, Says: server.SaysServing, Good: 1})
 	fmt.Println(tb.Status(0).State, tb.Status(0).Weight)
 	// Output:
 	// serving
+	// tell the others: 10.0.0.7:9000 leaving
 	// draining - a reply says that it leaves
-	// [{10.0.0.7:9000 7 leaving}]
 	// cold 0.125
 }
--- a/core/server/fault_test.go
+++ b/core/server/fault_test.go
@@ -237,14 +237,14 @@
 	is.True(probes <= 300/4+6)
 }
 
-// Another VM's drain is told on once and not for ever: the sign rides for ten
-// seconds and its echo from other VMs starts no new round.
+// Another VM's drain is told on once and not for ever: its echo from other VMs
+// starts no new round, and a server that this VM does not know starts none.
 func TestSignsEnd(t *testing.T) {
 	is := is.New(t)
 	pl := newPlayer(false)
-	pl.play([]line{{0, good(1, 1)}, {ms, told(1, server.SignLeaving)}})
-	want := []server.Sign{{Addr: addr, Incarnation: 1, Kind: server.SignLeaving}}
-	is.Equal(pl.tb.Signs(9*time.Second), want)
-	is.Equal(len(pl.tb.Learn(9*time.Second, want[0])), 0)
-	is.Equal(len(pl.tb.Signs(11*time.Second)), 0)
+	pl.play([]line{{0, good(1, 1)}})
+	sg := server.Sign{Addr: addr, Incarnation: 1, Kind: server.SignLeaving}
+	is.Equal(pl.tb.Learn(ms, sg), []server.Action{{Kind: server.Publish}, {Kind: server.Spread, Sign: sg}})
+	is.Equal(len(pl.tb.Learn(2*ms, sg)), 0)
+	is.Equal(len(pl.tb.Learn(3*ms, server.Sign{Addr: "10.9.9.9:1", Incarnation: 1, Kind: server.SignLeaving})), 0)
 }
--- a/core/server/machine.go
+++ b/core/server/machine.go
@@ -83,7 +83,6 @@
 	probeFails uint8
 	probeGoods uint8
 	failures   uint16
-	signs      uint32
 	score      float32
 	backoff    time.Duration
 	probeAt    time.Duration
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"laburnumvane/core/conns"
 	"laburnumvane/core/spread"
 	"laburnumvane/core/view"
 	"laburnumvane/io/wire"
@@ -17,18 +16,23 @@
 
 // control owns all state that is not a search's. Only its goroutine touches it.
 type control struct {
-	nd     *Node
-	view   view.View
-	vms    []wire.VM
-	alarms []string
-	conf   *configs
-	ups    *upstreams
+	nd      *Node
+	view    view.View
+	alarms  []string
+	conf    *configs
+	members *members
+	signs   *signs
+	ups     *upstreams
 }
 
 func newControl(nd *Node) *control {
 	ct := &control{nd: nd}
 	ct.ups = newUpstreams(ct)
 	ct.conf = newConfigs(ct)
+	ct.members = newMembers(ct)
+	ct.signs = newSigns(ct.members, ct.ups.heard)
+	ct.members.board(digests{nd: nd})
+	ct.members.board(ct.signs)
 	return ct
 }
 
@@ -41,6 +45,8 @@
 			ct.conf.step(spread.Tick{})
 		case <-ct.ups.timer.C:
 			ct.ups.tick()
+		case <-ct.members.timer.C:
+			ct.members.tick()
 		case <-ctx.Done():
 			return
 		}
@@ -93,13 +99,7 @@
 }
 
 func (ev vmsSeen) apply(ct *control) {
-	ct.vms = ev.vms
-	ct.conf.peersChanged(ct)
-	seen := make([]conns.VM, len(ev.vms))
-	for i, vm := range ev.vms {
-		seen[i] = conns.VM{Addr: vm.Addr, DataCentre: vm.DataCentre}
-	}
-	ct.ups.plan.members(ct.ups.now(), seen)
+	ct.members.listed(ev.vms)
 }
 
 const dialTimeout = 2 * time.Second
--- a/io/node/upstreams.go
+++ b/io/node/upstreams.go
@@ -52,7 +52,6 @@
 	plan   *connPlan
 	timer  *time.Timer
 	dirty  bool
-	told   []server.Sign
 }
 
 func newUpstreams(ct *control) *upstreams {
@@ -76,7 +75,6 @@
 	now := us.now()
 	us.do(us.states.Wake(now))
 	us.plan.tick(now)
-	us.shareSigns(now)
 }
 
 // flush publishes what an event has changed and sets the timer.
@@ -124,13 +122,9 @@
 			us.ct.nd.meter.Count(meterServer, "probe")
 			us.ask(ac.ID, true)
 		case server.Spread:
-			us.ct.nd.meter.Count(meterServer, "sign."+ac.Sign.Kind.String())
-			us.told = append(us.told, ac.Sign)
+			us.tell(ac.Sign)
 		}
 	}
-	if len(us.told) > 0 {
-		us.shareSigns(us.now())
-	}
 }
 
 // show puts a server's new status into the view.
@@ -169,45 +163,25 @@
 	})
 }
 
-// shareSigns makes the signs that ride on heartbeats known to their senders,
-// and tells new ones to VMs of this data centre at once.
-func (us *upstreams) shareSigns(now time.Duration) {
-	signs := us.states.Signs(now)
-	wired := make([]*inner.Sign, len(signs))
-	for i, sg := range signs {
-		wired[i] = &inner.Sign{Server: sg.Addr, Incarnation: sg.Incarnation, Kind: uint32(sg.Kind)}
-	}
-	us.ct.nd.signs.Store(&wired)
-	us.told = us.told[:0]
+// heard takes another VM's sign.
+func (us *upstreams) heard(sn *inner.Sign) {
+	us.ct.nd.meter.Count(meterMember, "signHeard")
+	us.do(us.states.Learn(us.now(), server.Sign{
+		Addr:        sn.GetServer(),
+		Incarnation: sn.GetIncarnation(),
+		Kind:        server.SignKind(sn.GetKind()),
+	}))
 }
 
-// Signs are the signs on upstreams that other VMs should hear of.
-func (nd *Node) Signs() []*inner.Sign {
-	if signs := nd.signs.Load(); signs != nil {
-		return *signs
-	}
-	return nil
+// tell spreads a sign; one that came from another VM is passed on already.
+func (us *upstreams) tell(sg server.Sign) {
+	us.ct.nd.meter.Count(meterServer, "sign."+sg.Kind.String())
+	us.ct.signs.tell(&inner.Sign{Server: sg.Addr, Incarnation: sg.Incarnation, Kind: uint32(sg.Kind)})
 }
 
-// Learn takes the signs that another VM tells.
-func (nd *Node) Learn(signs []*inner.Sign) {
-	if len(signs) > 0 {
-		nd.post(signsSeen{signs: signs})
-	}
-}
-
-type signsSeen struct {
-	signs []*inner.Sign
-}
-
-func (ev signsSeen) apply(ct *control) {
-	for _, sg := range ev.signs {
-		ct.ups.do(ct.ups.states.Learn(ct.ups.now(), server.Sign{
-			Addr:        sg.GetServer(),
-			Incarnation: sg.GetIncarnation(),
-			Kind:        server.SignKind(sg.GetKind()),
-		}))
-	}
+// membersChanged takes the VMs that may hold connections.
+func (us *upstreams) membersChanged(vms []conns.VM) {
+	us.plan.members(us.now(), vms)
 }
 
 // newServer makes a server's connections; the plan allows them.
--- a/io/node/upstreams_hint.go
+++ b/io/node/upstreams_hint.go
@@ -37,7 +37,7 @@
 		us.polls.Done(sizeOf(ev))
 	}
 	if ev.err != nil {
-		if countsAgainst(ev.err) {
+		if countsAgainst(ev.err, ev.probe) {
 			us.step(ev.id, server.Event{Kind: server.Failure, Failed: 1, Probe: ev.probe})
 		}
 		return
@@ -69,10 +69,14 @@
 }
 
 // countsAgainst tells whether a failure says anything of the server, and not
-// only of this VM's own bounds or a connection that went silent.
-func countsAgainst(err error) bool {
+// only of this VM's own bounds or a connection that went silent. A probe that is
+// not even tried, since opening a connection has just failed, has failed too.
+func countsAgainst(err error, probe bool) bool {
 	var ue *upst.Error
-	return errors.As(err, &ue) && kindCounts(ue.Kind)
+	if !errors.As(err, &ue) {
+		return false
+	}
+	return kindCounts(ue.Kind) || probe && (ue.Kind == upst.KindBackoff || ue.Kind == upst.KindRefused)
 }
 
 func kindCounts(kind upst.Kind) bool {
