--- a/core/conns/bench_test.go
+++ b/core/conns/bench_test.go
@@ -35,14 +35,14 @@
 	}
 }
 
-func shareAll(pl *conns.Planner, groups []conns.Group) int {
-	sum := 0
+var sum int
+
+func shareAll(pl *conns.Planner, groups []conns.Group) {
 	for id := range groups {
 		for replica := range groups[id].Replicas {
 			sum += pl.Share(conns.GroupID(id), replica)
 		}
 	}
-	return sum
 }
 
 // Connections on one server at most, by the plan and by two plain ways: each VM
--- a/core/due/queue.go
+++ b/core/due/queue.go
@@ -37,7 +37,8 @@
 
 // Push adds an item.
 func (qu *Queue[T]) Push(at time.Duration, val T) {
-	q := append(qu.items, item[T]{at: at, val: val})
+	qu.items = append(qu.items, item[T]{at: at, val: val})
+	q := qu.items
 	for i := len(q) - 1; i > 0; {
 		parent := (i - 1) / 2
 		if q[parent].at <= q[i].at {
@@ -46,7 +47,6 @@
 		q[parent], q[i] = q[i], q[parent]
 		i = parent
 	}
-	qu.items = q
 }
 
 // Pop takes the earliest item if its time has come.
--- a/core/server/fault_test.go
+++ b/core/server/fault_test.go
@@ -117,69 +117,85 @@
 	}
 }
 
+// heard is the model: only sets of what was said, no states.
+type heard struct {
+	left      map[uint64]bool
+	listed    bool
+	goneSince time.Duration
+}
+
+// hear takes an event before the step, and st as it was then.
+func (he *heard) hear(ev server.Event, st server.Status) {
+	switch ev.Kind {
+	case server.Removed:
+		he.listed = false
+	case server.Listed:
+		he.listed = true
+	}
+	if !saysLeaving(ev) || ev.Incarnation != 0 && ev.Incarnation < st.Incarnation {
+		return
+	}
+	inc := ev.Incarnation
+	if inc == 0 {
+		inc = st.Incarnation
+	}
+	he.left[inc] = true
+}
+
+// follow takes the incarnation that the machine has now.
+func (he *heard) follow(rt *rapid.T, now time.Duration, ev server.Event, before, st server.Status) {
+	if st.Incarnation < before.Incarnation {
+		if he.left[before.Incarnation] && now-he.goneSince < time.Minute {
+			rt.Fatalf("%+v believed after %v", st, now-he.goneSince)
+		}
+		// Incarnations started anew; their numbers are free again.
+		maps.DeleteFunc(he.left, func(inc uint64, _ bool) bool { return inc >= st.Incarnation })
+		if saysLeaving(ev) {
+			he.left[st.Incarnation] = true
+		}
+	}
+	if before.Incarnation == 0 && he.left[0] {
+		// What was said without an incarnation was said of the first.
+		he.left[st.Incarnation] = true
+	}
+	if st.State != view.StateGone {
+		he.goneSince = now
+	}
+}
+
+func (he *heard) check(rt *rapid.T, st server.Status) {
+	mustLeave := !he.listed || he.left[st.Incarnation]
+	if mustLeave && (!st.State.Leaving() || st.Weight != 0) {
+		rt.Fatalf("%+v takes work", st)
+	}
+	if !mustLeave && st.State == view.StateDraining {
+		rt.Fatalf("%+v drains though nobody said so", st)
+	}
+	if !st.State.Leaving() && (st.Weight <= 0 || st.Weight > 1) {
+		rt.Fatalf("%+v has a weight out of bounds", st)
+	}
+}
+
 // The caller's sub-requests never go to a process that is known to leave: in
 // any order of events, once an incarnation's leaving has been heard, no later
 // news of it makes the server take work; and a server whose incarnation nobody
 // called leaving, and that stands in the configuration, is never shown as
-// draining. The model keeps only sets of what was said.
+// draining.
 func TestLeavingWinsUntilNewIncarnation(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		tb := server.New(server.Config{Rand: rand.New(rand.NewPCG(1, 1))})
 		tb.Add(0, addr)
-		left := map[uint64]bool{}
-		listedNow := true
-		now, goneSince := time.Duration(0), time.Duration(0)
+		he := &heard{left: map[uint64]bool{}, listed: true}
+		now := time.Duration(0)
 		for range rapid.IntRange(1, 60).Draw(rt, "events") {
 			now += time.Duration(rapid.IntRange(0, 30_000).Draw(rt, "pause")) * ms
 			tb.Wake(now)
 			ev := drawEvent(rt)
-			current := ev.Incarnation == 0 || ev.Incarnation >= tb.Status(0).Incarnation
-			if saysLeaving(ev) && current {
-				inc := ev.Incarnation
-				if inc == 0 {
-					inc = tb.Status(0).Incarnation
-				}
-				left[inc] = true
-			}
-			before := tb.Status(0).Incarnation
+			before := tb.Status(0)
+			he.hear(ev, before)
 			tb.Step(now, 0, ev)
-			switch ev.Kind {
-			case server.Removed:
-				listedNow = false
-			case server.Listed:
-				listedNow = true
-			}
-			st := tb.Status(0)
-			if st.Incarnation < before {
-				if left[before] && now-goneSince < time.Minute {
-					rt.Fatalf("%+v believed after %v", st, now-goneSince)
-				}
-				// Incarnations started anew; their numbers are free again.
-				maps.DeleteFunc(left, func(inc uint64, _ bool) bool { return inc >= st.Incarnation })
-				if saysLeaving(ev) {
-					left[st.Incarnation] = true
-				}
-			}
-			if st.State != view.StateGone {
-				goneSince = now
-			}
-			if before == 0 && st.Incarnation != 0 && left[0] {
-				// What was said without an incarnation was said of the first.
-				left[st.Incarnation] = true
-			}
-			mustLeave := !listedNow || left[st.Incarnation]
-			if mustLeave && !st.State.Leaving() {
-				rt.Fatalf("%+v takes work at %v", st, now)
-			}
-			if mustLeave && st.Weight != 0 {
-				rt.Fatalf("%+v has weight", st)
-			}
-			if !mustLeave && st.State == view.StateDraining {
-				rt.Fatalf("%+v drains though nobody said so", st)
-			}
-			if !st.State.Leaving() && (st.Weight <= 0 || st.Weight > 1) {
-				rt.Fatalf("%+v has a weight out of bounds", st)
-			}
+			he.follow(rt, now, ev, before, tb.Status(0))
+			he.check(rt, tb.Status(0))
 		}
 	})
 }
--- a/core/server/session_test.go
+++ b/core/server/session_test.go
@@ -84,11 +84,11 @@
 }
 
 // until takes every wake that is due before at.
-func (pl *player) until(at time.Duration) server.Status {
+func (pl *player) until(at time.Duration) {
 	for {
 		next, ok := pl.tb.Next()
 		if !ok || next > at {
-			return pl.tb.Status(0)
+			return
 		}
 		pl.show(next, pl.tb.Wake(next))
 	}
