--- a/io/node/members.go
+++ b/io/node/members.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"laburnumvane/core/conns"
 	"laburnumvane/core/member"
 	"laburnumvane/core/rank"
 	"laburnumvane/io/inner"
@@ -86,6 +87,7 @@
 	ms.ct.nd.recovering.Store(ms.ma.Recovering())
 	if _, ok := ev.(member.Listed); ok || changed {
 		ms.ct.conf.peersChanged(ms.ct)
+		ms.ct.ups.membersChanged(ms.holders())
 	}
 	ms.timer.Reset(max(0, ms.ma.Wake()-time.Since(ms.ct.nd.started)))
 }
@@ -221,17 +223,17 @@
 	}
 }
 
-// sharers is the number of VMs that may hold connections to an upstream server.
-// A VM that leaves or cannot be heard still holds its own, and one that is only
-// on the list may hold some: to count too few would break the server's limit.
-func (ms *members) sharers() int {
-	n := 0
+// holders are the VMs that may hold connections to an upstream server. A VM that
+// leaves or cannot be heard still holds its own, and one that is only on the
+// list may hold some: to count too few would break the server's limit.
+func (ms *members) holders() []conns.VM {
+	var out []conns.VM
 	for _, mb := range ms.ma.Members() {
 		if mb.State() != member.StateGone {
-			n++
+			out = append(out, conns.VM{Addr: mb.Addr, DataCentre: mb.DataCentre})
 		}
 	}
-	return n
+	return out
 }
 
 // status lists the VMs as operators see them.
