pick: the bound on sick replicas is tested under load

Cause: with the bound taken out the tests still passed, for they looked at replicas with nothing in flight. Change: the well ones are crowded. Both halves of the bound now fail the test when broken.

--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -338,7 +338,9 @@
 	})
 }
 
-// With most of a shard's replicas sick, none is left out: each is picked.
+// The well replicas are crowded. With up to half of a shard's replicas sick,
+// those are left out all the same; with more, they share the work, for to crowd
+// the few others further would turn a partial fault into a whole one.
 func TestNeverMostLeftOut(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(2, 8).Draw(rt, "replicas")
@@ -348,15 +350,27 @@
 			servers[i] = east(view.StateServing)
 		}
 		ri := newRig(servers...)
-		for id := range view.ServerID(sick) {
-			ri.end(id, 20, pick.Failed, 0)
+		for id := range view.ServerID(n) {
+			if int(id) < sick {
+				ri.end(id, 20, pick.Failed, 0)
+				continue
+			}
+			for range 100 {
+				ri.tb.Begin(id)
+			}
 		}
 		got := ri.shares()
-		if sick*2 > n && sick == n && len(got) != n {
-			rt.Fatalf("%d of %d sick, picked only %v", sick, n, got)
-		}
-		if sick*2 <= n && len(got) != n-sick {
-			rt.Fatalf("%d of %d sick, picked %v", sick, n, got)
+		for id := range view.ServerID(n) {
+			isSick := int(id) < sick
+			if sick*2 <= n && isSick && got[id] > 0 {
+				rt.Fatalf("%d of %d sick, picked %v", sick, n, got)
+			}
+			if sick*2 > n && isSick && got[id] == 0 {
+				rt.Fatalf("%d of %d sick, left out: %v", sick, n, got)
+			}
+			if sick*2 <= n && !isSick && got[id] == 0 {
+				rt.Fatalf("%d of %d sick, a well one left out: %v", sick, n, got)
+			}
 		}
 	})
 }
