node, site: rolling replacement, kills and stops on real sockets

Found by them: a stop that overtook the boot hung, as the library refuses to shut down a server that does not run yet and then started it. The listener is closed in this case, so that Serve ends as soon as it begins.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -92,6 +92,12 @@
 // under way.
 func (fr *Front) Shutdown(ctx context.Context) error {
 	fr.ln.Drain()
+	if !fr.srv.IsRunning() {
+		// The stop overtook the boot, and the library refuses it: without
+		// a listener Serve ends as soon as it begins.
+		_ = fr.ln.Close()
+		return nil
+	}
 	return fault.Wrap(fr.srv.Shutdown(ctx), "front.Shutdown")
 }
 
--- a/io/node/fleet_test.go
+++ b/io/node/fleet_test.go
@@ -22,12 +22,12 @@
 // bound ends a test that hangs; no verdict depends on it.
 const bound = 60 * time.Second
 
-func startSite(t *testing.T, vms int, lag time.Duration) *site.Site {
+func startSite(t *testing.T, vms int, lag time.Duration, with ...func(*site.Config)) *site.Site {
 	t.Helper()
 	is := is.New(t)
 	rg, err := emul.SampleRegister("members", 1, 60)
 	is.NoErr(err)
-	st, err := site.Start(site.Config{
+	cfg := site.Config{
 		Team:        "wash",
 		VMs:         vms,
 		DataCentres: []string{"east", "north", "west"},
@@ -45,7 +45,11 @@
 		BalancerLag: lag,
 		TicketTTL:   time.Second,
 		StopGrace:   20 * time.Second,
-	})
+	}
+	for _, one := range with {
+		one(&cfg)
+	}
+	st, err := site.Start(cfg)
 	is.NoErr(err)
 	t.Cleanup(st.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -114,6 +114,12 @@
 // under way.
 func (op *Oper) Shutdown(ctx context.Context) error {
 	op.ln.Drain()
+	if !op.srv.IsRunning() {
+		// The stop overtook the boot, and the library refuses it: without
+		// a listener Serve ends as soon as it begins.
+		_ = op.ln.Close()
+		return nil
+	}
 	return fault.Wrap(op.srv.Shutdown(ctx), "oper.Shutdown")
 }
 
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -151,53 +151,58 @@
 	return st.put(change.KeyOf(st.cfg.Team), value)
 }
 
+// Config is what the site was started with.
+func (st *Site) Config() Config { return st.cfg }
+
 // Boot starts one more VM in a data centre and puts it on the VM list.
 func (st *Site) Boot(dataCentre string) (*node.Node, error) {
+	return st.BootWith(st.cfg, dataCentre)
+}
+
+// BootWith is Boot with other settings of the VM than the site's.
+func (st *Site) BootWith(cfg Config, dataCentre string) (*node.Node, error) {
 	set := setup.Defaults()
 	set.CallerAddr = "127.0.0.1:0"
-	if st.boots == 0 && st.cfg.CallerAddr != "" {
-		set.CallerAddr = st.cfg.CallerAddr
+	if st.boots == 0 && cfg.CallerAddr != "" {
+		set.CallerAddr = cfg.CallerAddr
 	}
 	set.OperatorAddr = "127.0.0.1:0"
 	set.InnerAddr = "127.0.0.1:0"
 	set.DataCentre = dataCentre
-	set.Region = st.cfg.Region
+	set.Region = cfg.Region
 	set.KV = []string{st.kv.Addr()}
 	set.VMList = st.vms.Addr()
-	set.BalancerLag = st.cfg.BalancerLag
-	if st.cfg.TicketTTL > 0 {
-		set.TicketTTL = st.cfg.TicketTTL
+	set.BalancerLag = cfg.BalancerLag
+	if cfg.TicketTTL > 0 {
+		set.TicketTTL = cfg.TicketTTL
 	}
-	if st.cfg.StopGrace > 0 {
-		set.StopGrace = st.cfg.StopGrace
+	if cfg.StopGrace > 0 {
+		set.StopGrace = cfg.StopGrace
 	}
 	st.boots++
 	set = set.WithIncarnation(time.Now().Add(time.Duration(st.boots) * time.Microsecond))
-	nd, err := node.Start(node.Config{Settings: set, Log: st.cfg.Log, Version: "site"})
+	nd, err := node.Start(node.Config{Settings: set, Log: cfg.Log, Version: "site"})
 	if err != nil {
 		return nil, err
 	}
 	st.nodes = append(st.nodes, nd)
-	st.vms.Set(wire.VM{Addr: nd.Addrs().Inner, DataCentre: dataCentre, Region: st.cfg.Region, State: wire.VMLive})
+	st.vms.Set(wire.VM{Addr: nd.Addrs().Inner, DataCentre: dataCentre, Region: cfg.Region, State: wire.VMLive})
 	return nd, nil
 }
 
-// Stop stops a VM as planned and takes it off the VM list, as the platform does.
-func (st *Site) Stop(ctx context.Context, nd *node.Node) error {
-	st.vms.Leaving(nd.Addrs().Inner)
-	err := nd.Stop(ctx)
-	st.drop(nd)
-	return err
-}
-
 // Kill ends a VM without notice. The VM list goes on naming it.
 func (st *Site) Kill(nd *node.Node) {
 	nd.Kill()
-	st.nodes = slices.DeleteFunc(st.nodes, func(one *node.Node) bool { return one == nd })
+	st.drop(nd)
 }
 
-func (st *Site) drop(nd *node.Node) {
+// Forget takes a VM that was stopped off the VM list, as the platform does.
+func (st *Site) Forget(nd *node.Node) {
 	st.vms.Remove(nd.Addrs().Inner)
+	st.drop(nd)
+}
+
+func (st *Site) drop(nd *node.Node) {
 	st.nodes = slices.DeleteFunc(st.nodes, func(one *node.Node) bool { return one == nd })
 }
 
