--- a/cmd/laburnumvane/flags.go
+++ b/cmd/laburnumvane/flags.go
@@ -3,16 +3,19 @@
 import (
 	"io"
 	"os"
+	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
 	"laburnumvane/io/client"
+	"laburnumvane/io/setup"
 )
 
 // Where a VM on the same machine listens unless told otherwise.
 const (
-	defaultCallerURL   = "http://127.0.0.1:8080"
-	defaultOperatorURL = "http://127.0.0.1:8081"
+	defaultCallerURL   = "http://" + setup.DefaultCallerAddr
+	defaultOperatorURL = "http://" + setup.DefaultOperatorAddr
 )
 
 // maxInput bounds what a command reads from a file or from standard input.
@@ -27,12 +30,19 @@
 		Name: "team", Aliases: []string{"t"}, Required: true,
 		Usage:   "the team's `NAME`",
 		Sources: cli.EnvVars("LABURNUMVANE_TEAM"),
+		// The library takes a variable that is set to nothing for a team given.
+		Validator: func(name string) error {
+			if name == "" {
+				return errors.New("a team's name is needed")
+			}
+			return nil
+		},
 	}
 }
 
-func timeoutFlag() cli.Flag {
+func timeoutFlag(def time.Duration) cli.Flag {
 	return &cli.DurationFlag{
-		Name: "timeout", Value: client.DefaultTimeout,
+		Name: "timeout", Value: def,
 		Usage:   "how long to wait for the VM, such as 2s",
 		Sources: cli.EnvVars("LABURNUMVANE_TIMEOUT"),
 	}
@@ -54,20 +64,24 @@
 			Usage:   "the VM's listener for callers",
 			Sources: cli.EnvVars("LABURNUMVANE_URL"),
 		},
-		tokenFlag(), timeoutFlag(), jsonFlag(),
+		tokenFlag(), timeoutFlag(client.DefaultTimeout), jsonFlag(),
 	}, more...)
 }
 
 // operatorFlags are those of every command that speaks to the operators'
 // listener.
 func operatorFlags(more ...cli.Flag) []cli.Flag {
+	return operatorFlagsWithin(client.DefaultTimeout, more...)
+}
+
+func operatorFlagsWithin(timeout time.Duration, more ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
 		&cli.StringFlag{
 			Name: "operator-url", Value: defaultOperatorURL,
 			Usage:   "the VM's listener for operators",
 			Sources: cli.EnvVars("LABURNUMVANE_OPERATOR_URL"),
 		},
-		tokenFlag(), timeoutFlag(), jsonFlag(),
+		tokenFlag(), timeoutFlag(timeout), jsonFlag(),
 	}, more...)
 }
 
--- a/io/drive/search.go
+++ b/io/drive/search.go
@@ -21,11 +21,13 @@
 )
 
 const (
-	// hedgeLastShare is the share of shards still missing at which hedging
-	// begins: hedging earlier would double the work of a slow moment.
-	hedgeLastShare = 0.05
-	hedgeLastLeast = 2
-	leastSendTime  = time.Millisecond
+	// lostTimes the hedge delay, an attempt counts as lost.
+	lostTimes = 3
+	// leastShare of the time that a search has is the most that a reply is
+	// taken to need. Else a spell of slow replies could stop all sending, and
+	// with it the replies that show its end.
+	leastShare    = 4
+	leastSendTime = time.Millisecond
 	// defaultRetryAfter is what a caller whose search did not run is told
 	// where no server gave a hint of its own.
 	defaultRetryAfter = time.Second
@@ -94,20 +96,17 @@
 		rq:       rq,
 		kd:       kd,
 		register: conf.Register,
-		box:      newMailbox(sn.Shards()),
-		timer:    time.NewTimer(time.Hour),
-		sent:     make([]view.ServerID, 0, sn.Shards()),
+		once:     once,
 	}
-	se.machine = search.New(dr.planOf(vw, rq, kd, sn, once))
+	cf := dr.planOf(vw, rq, kd, sn, once)
+	se.open(cf.Number, cf.Hard, sn.Shards())
+	se.machine = search.New(cf)
 	return answerOf(se.run(ctx))
 }
 
 func (dr *Driver) planOf(vw *view.View, rq wire.SearchRequest, kd *kind, sn view.Snapshot, once bool) search.Config {
 	now := dr.now()
-	hard := min(kd.conf.HardDeadline(), dr.cfg.MaxDeadline)
-	if rq.DeadlineMs > 0 {
-		hard = min(hard, time.Duration(rq.DeadlineMs)*time.Millisecond)
-	}
+	hard := dr.budgetOf(rq, kd.conf)
 	least := kd.conf.MinCoverage
 	if rq.MinCoverage != nil {
 		least = *rq.MinCoverage
@@ -126,13 +125,13 @@
 		MinCoverage:   least,
 		Once:          once,
 		HitLimit:      kd.conf.HitLimit,
-		Chooser:       dr.cfg.Table.Chooser(vw, dr.random(number)),
+		Chooser:       dr.chooser(now, vw, number, once),
 		HedgeDelay:    delay,
-		HedgeLast:     max(hedgeLastLeast, int(hedgeLastShare*float64(sn.Shards()))),
+		LostDelay:     lostTimes * delay,
 		HedgeBudget:   kd.hedges,
 		RetryBudget:   kd.retries,
 		RetryPerShard: kd.conf.Retry.PerShard,
-		LeastTime:     leastSendTime,
+		LeastTime:     max(leastSendTime, min(kd.tracker.Least(), hard/leastShare)),
 	}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -19,6 +19,7 @@
 	"laburnumvane/io/drive"
 	"laburnumvane/io/front"
 	"laburnumvane/io/inner"
+	"laburnumvane/io/lines"
 	"laburnumvane/io/meter"
 	"laburnumvane/io/oper"
 	"laburnumvane/io/peer"
@@ -50,6 +51,7 @@
 	set      setup.Settings
 	addr     string
 	log      *log.Logger
+	lines    *lines.Queue
 	meter    *meter.Meter
 	view     atomic.Pointer[view.View]
 	servers  atomic.Pointer[[]*upst.Server]
@@ -70,6 +72,8 @@
 	lns      listeners
 	started  time.Time
 	requests atomic.Uint64
+	// complete counts complete searches, of which a sample is logged.
+	complete atomic.Uint64
 	digest   atomic.Pointer[spread.Digest]
 	desk     *desk
 	// recovering is set while this VM, after a pause, has not caught up.
@@ -96,13 +100,13 @@
 	nd := &Node{
 		cfg:     cfg,
 		set:     cfg.Settings,
-		log:     cfg.Log,
 		meter:   meter.New(),
 		table:   pick.New(pick.Config{DataCentre: cfg.Settings.DataCentre}),
 		events:  make(chan event, eventRoom),
 		lns:     lns,
 		started: time.Now(),
 	}
+	nd.queueLog(cfg.Log)
 	nd.addr = cfg.Settings.AdvertiseAddr
 	if nd.addr == "" {
 		nd.addr = lns.inner.Addr().String()
@@ -112,6 +116,7 @@
 	nd.stopping, nd.stop = context.WithCancel(context.Background())
 	if err := nd.build(); err != nil {
 		nd.stop()
+		nd.lines.Close()
 		return nil, err
 	}
 	nd.serve()
@@ -190,6 +195,7 @@
 		MaxDeadline: nd.set.MaxDeadline,
 		TicketTTL:   nd.set.TicketTTL,
 		NewID:       nd.newID,
+		Refused:     func(reason string) { nd.meter.Count(meter.Refusal, reason) },
 		Log:         nd.logSearch,
 	})
 	nd.oper = oper.New(oper.Config{
@@ -199,6 +205,7 @@
 		TeamTokens:  nd.set.TeamTokens,
 		MaxBody:     operatorMaxBody,
 		ReadTimeout: readTimeout,
+		Refused:     func(reason string) { nd.meter.Count(meter.Operator, reason) },
 	})
 	return nil
 }
@@ -210,6 +217,7 @@
 	nd.run("front", nd.front.Serve)
 	nd.run("oper", nd.oper.Serve)
 	nd.run("vms", func() error { nd.pollVMs(nd.stopping); return nil })
+	nd.run("connections", func() error { nd.keepConnections(nd.stopping); return nil })
 	nd.run("loads", func() error { nd.pollLoads(nd.stopping); return nil })
 }
 
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -80,6 +80,7 @@
 	}
 	nd.release()
 	nd.log.Info().Int("cutOff", sr.exit.Cut).Int("code", sr.exit.Code).Msg("stopped")
+	nd.lines.Close()
 	if sr.exit.Code != 0 {
 		return &Error{Op: "node.Stop", Kind: KindCut, Msg: fmt.Sprintf("the grace ended with %d searches in flight; they were cut off", sr.exit.Cut)}
 	}
@@ -177,6 +178,7 @@
 		nd.oper.Abort()
 		nd.inner.Abort()
 		nd.release()
+		nd.lines.Close()
 	})
 }
 
