--- a/io/node/rolling_test.go
+++ b/io/node/rolling_test.go
@@ -236,7 +236,7 @@
 	st := startSite(t, 9, 200*time.Millisecond)
 	first := st.Nodes()
 	old := append([]*node.Node(nil), first...)
-	change(t, st, old[0])
+	putConfig(t, st, old[0])
 
 	ba := newBalancer()
 	ba.set(old)
@@ -261,8 +261,8 @@
 	)
 }
 
-// change puts a second revision of the configuration in force.
-func change(t *testing.T, st *site.Site, nd *node.Node) {
+// putConfig puts a second revision of the configuration in force.
+func putConfig(t *testing.T, st *site.Site, nd *node.Node) {
 	t.Helper()
 	is := is.New(t)
 	doc, err := json.Marshal(st.Document())
