drive: searches are admitted before anything is sent

Cause: whatever arrived was sent. Change: a queue before each register, limits per server from replies, the VM's budget above those of the kinds, a team's bucket where one is given. Ruled out: enforcing a server's limit in the worker, which would hold a worker for each sub-request that waits.

--- a/core/limit/server.go
+++ b/core/limit/server.go
@@ -181,7 +181,7 @@
 	if float64(sa.Queued) > max(1, sv.cfg.Press*float64(sa.Running)) {
 		return true
 	}
-	slow := sv.cfg.Slow * sv.base
+	slow := max(sv.cfg.Slow*sv.base, sv.base+float64(sv.cfg.Slack))
 	return float64(sa.Latency) > slow && sv.fast > slow
 }
 
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -49,6 +49,9 @@
 	QueueCut float64
 	ShedCut  float64
 	FailCut  float64
+	// Slack is a difference of latency that says nothing: scheduling on either
+	// side brings as much.
+	Slack time.Duration
 	// LeastTrip is the round trip assumed at least.
 	LeastTrip time.Duration
 	// Levels are what each class may fill of a group's limit, in multiples of
@@ -83,6 +86,9 @@
 			*one.field = one.value
 		}
 	}
+	if cfg.Slack == 0 {
+		cfg.Slack = 5 * time.Millisecond
+	}
 	if cfg.LeastTrip == 0 {
 		cfg.LeastTrip = time.Millisecond
 	}
@@ -211,7 +217,7 @@
 // SetOut takes a server that gets no new work out of its group's limit, or
 // back in. One that comes back starts with the limit of a new server: what was
 // learnt of the process before it says nothing.
-func (tb *Table) SetOut(now time.Duration, id view.ServerID, out bool) {
+func (tb *Table) SetOut(id view.ServerID, out bool) {
 	sv := tb.of(id)
 	sv.mu.Lock()
 	if sv.out == out {
--- a/io/drive/attempt.go
+++ b/io/drive/attempt.go
@@ -63,7 +63,9 @@
 func (at *attempt) finish(ev search.Event, rp wire.ShardReply, took time.Duration) {
 	se := at.se
 	defer se.release()
-	se.dr.cfg.Table.End(se.dr.now(), at.ac.Server, at.result(ev, rp.Refusal), took)
+	result := at.result(ev, rp.Refusal)
+	se.dr.cfg.Table.End(se.dr.now(), at.ac.Server, result, took)
+	se.pass.end(at.ac.Server, at.sampleOf(result, rp, took))
 	if ev.Kind == search.EvReply {
 		se.kd.tracker.Observe(took)
 		se.dr.counts.latency(took)
--- a/io/drive/driver.go
+++ b/io/drive/driver.go
@@ -13,6 +13,8 @@
 	"laburnumvane/core/budget"
 	"laburnumvane/core/hedge"
 	"laburnumvane/core/pick"
+	"laburnumvane/core/search"
+	"laburnumvane/core/share"
 	"laburnumvane/core/team"
 	"laburnumvane/core/ticket"
 	"laburnumvane/core/view"
@@ -41,7 +43,7 @@
 	Failed(id view.ServerID, kind string)
 }
 
-// Config sets a driver. All fields are required.
+// Config sets a driver. All fields but Bucket are required.
 type Config struct {
 	View     func() *view.View
 	Upstream func(view.ServerID) Upstream
@@ -55,6 +57,9 @@
 	Incarnation uint64
 	// MaxDeadline bounds the deadline that a caller may ask for.
 	MaxDeadline time.Duration
+	// Bucket returns the bucket that holds a team to its limits; nil, or one
+	// that returns nil, means no limit.
+	Bucket func(team string) *share.Bucket
 	// Seed seeds the choice of replicas.
 	Seed uint64
 }
@@ -69,6 +74,8 @@
 	kinds   sync.Map
 	tickets *gate
 	counts  counts
+	// admission decides which searches may start.
+	admission *admission
 	// prefix begins the ids of all sub-requests of this process.
 	prefix string
 }
@@ -78,6 +85,7 @@
 	dr := &Driver{cfg: cfg, start: time.Now()}
 	dr.tickets = newGate(cfg.Tickets)
 	dr.counts = newCounts(cfg.Meter)
+	dr.admission = newAdmission(dr)
 	dr.prefix = strconv.FormatUint(cfg.Incarnation, 36) + "."
 	return dr
 }
@@ -137,10 +145,10 @@
 }
 
 // chooser makes the chooser of one search.
-func (dr *Driver) chooser(now time.Duration, vw *view.View, number uint64, once bool) pick.Chooser {
+func (dr *Driver) chooser(now time.Duration, vw *view.View, number uint64, once bool) search.Chooser {
 	ch := dr.cfg.Table.Chooser(now, vw, dr.random(number))
 	if once {
-		return ch.WithoutProbes()
+		ch = ch.WithoutProbes()
 	}
-	return ch
+	return roomy{inner: ch, ad: dr.admission}
 }
--- a/io/drive/search.go
+++ b/io/drive/search.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"laburnumvane/core/limit"
 	"laburnumvane/core/search"
 	"laburnumvane/core/team"
 	"laburnumvane/core/view"
@@ -87,8 +88,13 @@
 	if conf.HitLimit == 0 {
 		conf.HitLimit = defaultHits
 	}
+	ps, refusal := dr.admission.enter(ctx, vw, rq, conf, sn.Shards())
+	if refusal != nil {
+		return *refusal
+	}
 	kd := dr.kindOf(kindKey{rq.Team, rq.Search}, conf)
 	se := &session{
+		pass:     ps,
 		dr:       dr,
 		vw:       vw,
 		rq:       rq,
@@ -97,9 +103,13 @@
 		once:     once,
 	}
 	cf := dr.planOf(vw, rq, kd, sn, once)
+	cf.Soft -= ps.waited
+	cf.Hard -= ps.waited
 	se.open(cf.Number, cf.Hard, sn.Shards())
 	se.machine = search.New(cf)
-	return answerOf(se.run(ctx))
+	an := se.run(ctx)
+	ps.leave(an.Reason == ReasonWorkers)
+	return answerOf(an)
 }
 
 func (dr *Driver) planOf(vw *view.View, rq wire.SearchRequest, kd *kind, sn view.Snapshot, once bool) search.Config {
@@ -126,8 +136,8 @@
 		Chooser:       dr.chooser(now, vw, number, once),
 		HedgeDelay:    delay,
 		HedgeLast:     max(hedgeLastLeast, int(hedgeLastShare*float64(sn.Shards()))),
-		HedgeBudget:   kd.hedges,
-		RetryBudget:   kd.retries,
+		HedgeBudget:   limit.Hedges(kd.hedges, dr.admission.spare),
+		RetryBudget:   limit.Retries(kd.retries, dr.admission.spare),
 		RetryPerShard: kd.conf.Retry.PerShard,
 		LeastTime:     leastSendTime,
 	}
--- a/io/drive/session.go
+++ b/io/drive/session.go
@@ -18,6 +18,7 @@
 // session performs the actions of one search.
 type session struct {
 	dr       *Driver
+	pass     *pass
 	vw       *view.View
 	rq       wire.SearchRequest
 	kd       *kind
@@ -72,6 +73,7 @@
 	defer se.box.close()
 	defer se.timer.Stop()
 	se.perform(se.machine.Start(se.dr.now()))
+	se.pass.start()
 	var events []search.Event
 	for se.answer == nil {
 		select {
@@ -113,6 +115,7 @@
 	at := se.attempt(ac)
 	se.dr.counts.sent(ac.Attempt)
 	se.dr.cfg.Table.Begin(ac.Server)
+	se.pass.begin(ac.Server)
 	se.hold()
 	if se.dr.cfg.Workers.Submit(at.run) == nil {
 		return
