--- /dev/null
+++ b/core/share/bench_test.go
@@ -0,0 +1,81 @@
+package share_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/core/share"
+)
+
+func machineOf(vms, teams int) (*share.Machine, []*share.Bucket, []share.Demand) {
+	mc := share.New(share.Config{Self: share.VM{Addr: "self"}})
+	var others []share.VM
+	for i := range vms - 1 {
+		others = append(others, share.VM{Addr: strconv.Itoa(i), Incarnation: 1})
+	}
+	mc.Members(0, others)
+	var buckets []*share.Bucket
+	var demands []share.Demand
+	for i := range teams {
+		name := strconv.Itoa(i)
+		buckets = append(buckets, mc.Limit(0, name, share.Limit{Rate: 1e9, Concurrent: 1e6}))
+		for _, vm := range others {
+			demands = append(demands, share.Demand{Team: name, Rate: 10, VM: vm, Sequence: 1})
+		}
+	}
+	mc.Incoming(0, demands)
+	return mc, buckets, demands
+}
+
+// BenchmarkTake is a team's limit before each search; it does not depend on the
+// number of VMs.
+func BenchmarkTake(b *testing.B) {
+	_, buckets, _ := machineOf(9, 1)
+	b.ReportAllocs()
+	now := time.Duration(0)
+	for b.Loop() {
+		now += time.Microsecond
+		if re, _ := buckets[0].Take(now); re == "" {
+			buckets[0].Give()
+		}
+	}
+}
+
+// BenchmarkSecond is what the control goroutine does each second for one team:
+// it hears all other VMs, works out its part and tells its demand.
+func BenchmarkSecond(b *testing.B) {
+	for _, vms := range []int{9, 100, 4300} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			mc, _, demands := machineOf(vms, 1)
+			b.ReportAllocs()
+			now := time.Duration(0)
+			sequence := uint64(1)
+			for b.Loop() {
+				now += time.Second
+				sequence++
+				for i := range demands {
+					demands[i].Sequence = sequence
+				}
+				mc.Incoming(now, demands)
+				mc.Outgoing(now)
+				mc.Step(now)
+			}
+		})
+	}
+}
+
+func TestTakeAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	_, buckets, _ := machineOf(9, 1)
+	now := time.Second
+	is.Equal(testing.AllocsPerRun(1000, func() {
+		now += time.Millisecond
+		if re, _ := buckets[0].Take(now); re == "" {
+			buckets[0].Give()
+		}
+	}), 0.0)
+}
