--- /dev/null
+++ b/core/admit/example_test.go
@@ -0,0 +1,33 @@
+package admit_test
+
+import (
+	"fmt"
+	"time"
+
+	"laburnumvane/core/admit"
+)
+
+func Example() {
+	places := 1
+	room := func(time.Duration, int) bool { return places > 0 }
+	mc := admit.New[string](admit.Config{Room: room})
+	rq := admit.Request{Class: admit.Urgent, Team: 0, Cost: 10, Deadline: 200 * time.Millisecond}
+
+	de := mc.Offer(0, rq, "first")
+	fmt.Println(de.Kind == admit.Admitted)
+	places--
+	mc.Begun()
+
+	de = mc.Offer(time.Millisecond, rq, "second")
+	fmt.Println(de.Kind == admit.Queued, "until", de.Until)
+
+	places++
+	mc.Done(30*time.Millisecond, admit.Urgent, 30*time.Millisecond, false)
+	for _, gr := range mc.Step(30 * time.Millisecond) {
+		fmt.Println(gr.Waiter, "starts:", gr.Start)
+	}
+	// Output:
+	// true
+	// true until 200ms
+	// second starts: true
+}
--- a/core/limit/pool.go
+++ b/core/limit/pool.go
@@ -34,7 +34,7 @@
 
 // Room tells whether a search of a class may start.
 func (pl *Pool) Room(now time.Duration, class int) bool {
-	return pl.full[class].Load() == 0 && int64(now) >= pl.nextAt[class].Load()
+	return pl.full[class].Load() == 0 && due(now, time.Duration(pl.nextAt[class].Load()))
 }
 
 // Full is the number of groups without room for a class.
@@ -113,15 +113,16 @@
 	for cl := range gr.levels {
 		limit := gr.share.limit * gr.levels[cl]
 		if limit < 1 {
-			raise(&gr.pool.nextAt[cl], int64(now)+int64(trip/limit))
+			raise(&gr.pool.nextAt[cl], now, min(time.Duration(trip/limit), mostPause))
 		}
 	}
 }
 
-func raise(at *atomic.Int64, to int64) {
+func raise(at *atomic.Int64, now, by time.Duration) {
 	for {
-		old := at.Load()
-		if to <= old || at.CompareAndSwap(old, to) {
+		old := time.Duration(at.Load())
+		later := old >= now+by && old-now <= mostPause
+		if later || at.CompareAndSwap(int64(old), int64(now+by)) {
 			return
 		}
 	}
--- a/core/limit/server.go
+++ b/core/limit/server.go
@@ -77,9 +77,18 @@
 	if sv.limit >= 1 {
 		return 0
 	}
-	return time.Duration(sv.trip() / sv.limit)
+	return min(time.Duration(sv.trip()/sv.limit), mostPause)
 }
 
+// due tells whether a pause is over. One of more than mostPause is none: the
+// clock handed in was set back, and would else hold the server back for as long.
+func due(now, at time.Duration) bool {
+	return now >= at || at-now > mostPause
+}
+
+// mostPause is longer than any pause.
+const mostPause = 20 * time.Second
+
 // trip is the length of a round trip, in nanoseconds.
 func (sv *server) trip() float64 {
 	return max(sv.base, float64(sv.cfg.LeastTrip))
@@ -89,7 +98,7 @@
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	if sv.limit < 1 {
-		return sv.inFlight == 0 && now >= sv.nextAt
+		return sv.inFlight == 0 && due(now, sv.nextAt)
 	}
 	return float64(sv.inFlight) < sv.limit
 }
@@ -240,7 +249,7 @@
 // cut lowers the limit, at most once in a round trip: the replies of one round
 // trip all tell of the same queue.
 func (sv *server) cut(now time.Duration, by float64) {
-	if now < sv.lastCut+time.Duration(sv.trip()) {
+	if now >= sv.lastCut && now < sv.lastCut+time.Duration(sv.trip()) {
 		return
 	}
 	sv.lastCut = now
