drive, node: team limits over all VMs, on heartbeats

Cause: a team's limits were read and held nobody. Change: each VM holds a bucket for each team; demands ride on heartbeats and are passed on like signs; parts are worked out each second.

--- a/io/drive/help_test.go
+++ b/io/drive/help_test.go
@@ -11,6 +11,7 @@
 	"github.com/panjf2000/ants/v2"
 
 	"laburnumvane/core/pick"
+	"laburnumvane/core/share"
 	"laburnumvane/core/team"
 	"laburnumvane/core/ticket"
 	"laburnumvane/core/view"
@@ -93,6 +94,9 @@
 	forward drive.Forwarder
 	tickets ticket.Config
 	search  team.Search
+	// more are further searches by name.
+	more   map[string]team.Search
+	bucket func(string) *share.Bucket
 }
 
 func newRig(tb testing.TB, cfg rigConfig) *rig {
@@ -119,6 +123,7 @@
 		Tickets:     cfg.tickets,
 		Incarnation: max(1, cfg.tickets.Incarnation),
 		MaxDeadline: time.Minute,
+		Bucket:      cfg.bucket,
 	})
 	return ri
 }
@@ -128,12 +133,16 @@
 	servers := make([]view.Server, cfg.shards*replicas)
 	sn := view.Snapshot{Version: 7, Replicas: make([][]view.ServerID, cfg.shards)}
 	for i := range servers {
-		servers[i] = view.Server{ID: view.ServerID(i), DataCentre: "east", State: view.StateServing, Incarnation: 1}
+		servers[i] = view.Server{ID: view.ServerID(i), DataCentre: "east", State: view.StateServing, Incarnation: 1, Team: teamName, Register: "members", Service: fmt.Sprint(i / replicas)}
 		sn.Replicas[i/replicas] = append(sn.Replicas[i/replicas], view.ServerID(i))
 	}
 	se := cfg.search
 	se.Register = "members"
 	doc := team.Document{Team: teamName, Searches: map[string]team.Search{"s": se}}
+	for name, other := range cfg.more {
+		other.Register = se.Register
+		doc.Searches[name] = other
+	}
 	key := view.RegisterKey{Team: teamName, Register: "members"}
 	return view.View{}.
 		WithServers(servers).
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -155,6 +155,7 @@
 		return
 	}
 	ct.view = ct.view.WithTeam(view.Team{Revision: up.Revision, ChangeID: up.ChangeID, Document: doc, Raw: up.Document})
+	ct.shares.configured(doc)
 	ct.placeServers(doc)
 	ct.mapRegisters()
 	ct.publish()
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -26,6 +26,7 @@
 	conf     *configs
 	members  *members
 	signs    *signs
+	shares   *shares
 }
 
 func newControl(nd *Node) *control {
@@ -39,6 +40,8 @@
 	ct.signs = newSigns(ct.members, ct.signHeard)
 	ct.members.board(digests{nd: nd})
 	ct.members.board(ct.signs)
+	ct.shares = newShares(ct)
+	ct.members.board(ct.shares)
 	return ct
 }
 
@@ -51,6 +54,8 @@
 			ct.conf.step(spread.Tick{})
 		case <-ct.members.timer.C:
 			ct.members.tick()
+		case <-ct.shares.timer.C:
+			ct.shares.tick()
 		case <-ctx.Done():
 			return
 		}
@@ -102,6 +107,7 @@
 }
 
 func (ev vmsSeen) apply(ct *control) {
+	ct.shares.vmsListed(ev.vms)
 	ct.members.listed(ev.vms)
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -58,6 +58,7 @@
 	table    *pick.Table
 	workers  *ants.Pool
 	driver   *drive.Driver
+	buckets  sync.Map // team's name to *share.Bucket
 	kv       *plat.Client
 	vms      *plat.Client
 	peers    *peer.Client
@@ -172,6 +173,7 @@
 		Workers:  workers,
 		Forward:  nd.peers,
 		Observe:  nd,
+		Bucket:   nd.bucket,
 		Meter:    nd.meter,
 		Tickets: ticket.Config{
 			Addr:        nd.addr,
