--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -252,105 +252,127 @@
 	is.Equal(admit.ClassOf("slip"), admit.Batch)
 }
 
+// drawn is a machine whose every event is drawn.
+type drawn struct {
+	rt      *rapid.T
+	mc      *admit.Machine[int]
+	open    bool
+	now     time.Duration
+	latest  time.Duration
+	running []admit.Class
+	waiting map[int]admit.Decision
+	class   map[int]admit.Class
+}
+
+const drawnQueue = 6
+
+func (dn *drawn) step() {
+	what := rapid.IntRange(0, 4).Draw(dn.rt, "what")
+	if what == 3 && len(dn.waiting) == 0 {
+		return
+	}
+	dn.now += time.Duration(rapid.IntRange(-100, 400).Draw(dn.rt, "ms")) * time.Millisecond
+	dn.latest = max(dn.latest, dn.now)
+	switch what {
+	case 0, 1:
+		dn.offer()
+	case 2:
+		if len(dn.running) > 0 {
+			dn.done(rapid.Bool().Draw(dn.rt, "behind"))
+		}
+		dn.grant()
+	case 3:
+		dn.withdraw()
+	case 4:
+		dn.open = !dn.open
+		dn.grant()
+	}
+	mc := dn.mc
+	if mc.InFlight() != len(dn.running) || mc.Waiting() != len(dn.waiting) || mc.Waiting() > admit.Classes*drawnQueue {
+		dn.rt.Fatalf("%d in flight for %d, %d waiting for %d", mc.InFlight(), len(dn.running), mc.Waiting(), len(dn.waiting))
+	}
+}
+
+func (dn *drawn) offer() {
+	rq := admit.Request{
+		Class:    admit.Class(rapid.IntRange(0, 2).Draw(dn.rt, "class")),
+		Team:     admit.TeamID(rapid.IntRange(0, 2).Draw(dn.rt, "team")),
+		Cost:     int32(rapid.IntRange(1, 300).Draw(dn.rt, "cost")),
+		Deadline: dn.latest + time.Duration(rapid.IntRange(-10, 2000).Draw(dn.rt, "left"))*time.Millisecond,
+	}
+	id := len(dn.class) + 1
+	dn.class[id] = rq.Class
+	de := dn.mc.Offer(dn.now, rq, id)
+	switch {
+	case de.Kind == admit.Admitted:
+		dn.mc.Begun()
+		dn.running = append(dn.running, rq.Class)
+	case de.Kind == admit.Queued && de.Until <= rq.Deadline:
+		dn.waiting[id] = de
+	case de.Kind == admit.Refused && de.RetryAfter > 0:
+	default:
+		dn.rt.Fatalf("%+v got %+v", rq, de)
+	}
+}
+
+func (dn *drawn) done(behind bool) {
+	dn.mc.Done(dn.now, dn.running[0], 50*time.Millisecond, behind)
+	dn.running = dn.running[1:]
+}
+
+func (dn *drawn) withdraw() {
+	for id, de := range dn.waiting {
+		if !dn.mc.Withdraw(dn.now, de.Handle) {
+			dn.rt.Fatalf("search %d was lost", id)
+		}
+		if dn.mc.Withdraw(dn.now, de.Handle) {
+			dn.rt.Fatalf("search %d was withdrawn twice", id)
+		}
+		delete(dn.waiting, id)
+		return
+	}
+}
+
+func (dn *drawn) grant() {
+	for _, gr := range dn.mc.Step(dn.now) {
+		de, ok := dn.waiting[gr.Waiter]
+		if !ok {
+			dn.rt.Fatalf("search %d got a second verdict", gr.Waiter)
+		}
+		delete(dn.waiting, gr.Waiter)
+		switch {
+		case gr.Start && dn.latest >= de.Until:
+			dn.rt.Fatalf("search %d started at %v, after %v", gr.Waiter, dn.latest, de.Until)
+		case gr.Start:
+			dn.mc.Begun()
+			dn.running = append(dn.running, dn.class[gr.Waiter])
+		case gr.RetryAfter <= 0:
+			dn.rt.Fatal("refused without a time to come back")
+		}
+	}
+}
+
 // Whatever is offered, ends, is withdrawn or steps when, and however the clock
 // handed in jumps: each search gets one verdict, none starts after the time it
 // may start at last, and the queue never holds more than it may.
 func TestMachineProperties(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		const queueMost = 6
-		open := true
-		mc := admit.New[int](admit.Config{Room: func(time.Duration, int) bool { return open }, QueueMost: queueMost, TeamMost: 3, Most: 8})
-		now, latest := time.Duration(0), time.Duration(0)
-		running := []admit.Class{}
-		waiting := map[int]admit.Decision{}
-		class := map[int]admit.Class{}
-		next := 0
-		grant := func() {
-			for _, gr := range mc.Step(now) {
-				de, ok := waiting[gr.Waiter]
-				if !ok {
-					rt.Fatalf("search %d got a second verdict", gr.Waiter)
-				}
-				delete(waiting, gr.Waiter)
-				if gr.Start {
-					if latest >= de.Until {
-						rt.Fatalf("search %d started at %v, after %v", gr.Waiter, latest, de.Until)
-					}
-					mc.Begun()
-					running = append(running, class[gr.Waiter])
-				} else if gr.RetryAfter <= 0 {
-					rt.Fatal("refused without a time to come back")
-				}
-			}
-		}
+		dn := &drawn{rt: rt, open: true, waiting: map[int]admit.Decision{}, class: map[int]admit.Class{}}
+		room := func(time.Duration, int) bool { return dn.open }
+		dn.mc = admit.New[int](admit.Config{Room: room, QueueMost: drawnQueue, TeamMost: 3, Most: 8})
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
-			what := rapid.IntRange(0, 4).Draw(rt, "what")
-			if what == 3 && len(waiting) == 0 {
-				continue
-			}
-			now += time.Duration(rapid.IntRange(-100, 400).Draw(rt, "ms")) * time.Millisecond
-			latest = max(latest, now)
-			switch what {
-			case 0, 1:
-				cl := admit.Class(rapid.IntRange(0, 2).Draw(rt, "class"))
-				rq := admit.Request{
-					Class:    cl,
-					Team:     admit.TeamID(rapid.IntRange(0, 2).Draw(rt, "team")),
-					Cost:     int32(rapid.IntRange(1, 300).Draw(rt, "cost")),
-					Deadline: latest + time.Duration(rapid.IntRange(-10, 2000).Draw(rt, "left"))*time.Millisecond,
-				}
-				next++
-				class[next] = cl
-				switch de := mc.Offer(now, rq, next); de.Kind {
-				case admit.Admitted:
-					mc.Begun()
-					running = append(running, cl)
-				case admit.Queued:
-					if de.Until > rq.Deadline {
-						rt.Fatal("may wait beyond its deadline")
-					}
-					waiting[next] = de
-				case admit.Refused:
-					if de.RetryAfter <= 0 {
-						rt.Fatal("refused without a time to come back")
-					}
-				}
-			case 2:
-				if len(running) > 0 {
-					mc.Done(now, running[0], 50*time.Millisecond, rapid.Bool().Draw(rt, "behind"))
-					running = running[1:]
-				}
-				grant()
-			case 3:
-				for id, de := range waiting {
-					if !mc.Withdraw(now, de.Handle) {
-						rt.Fatalf("search %d was lost", id)
-					}
-					if mc.Withdraw(now, de.Handle) {
-						rt.Fatalf("search %d was withdrawn twice", id)
-					}
-					delete(waiting, id)
-					break
-				}
-			case 4:
-				open = !open
-				grant()
-			}
-			if mc.InFlight() != len(running) || mc.Waiting() != len(waiting) || mc.Waiting() > 3*queueMost {
-				rt.Fatalf("%d in flight for %d, %d waiting for %d", mc.InFlight(), len(running), mc.Waiting(), len(waiting))
-			}
+			dn.step()
 		}
-		open = true
-		for len(running) > 0 {
-			mc.Done(now, running[0], time.Millisecond, false)
-			running = running[1:]
-			grant()
+		dn.open = true
+		for len(dn.running) > 0 {
+			dn.done(false)
+			dn.grant()
 		}
-		now = latest + time.Hour
-		latest = now
-		grant()
-		if len(waiting) > 0 {
-			rt.Fatalf("%d searches wait for ever", len(waiting))
+		dn.latest += time.Hour
+		dn.now = dn.latest
+		dn.grant()
+		if len(dn.waiting) > 0 {
+			rt.Fatalf("%d searches wait for ever", len(dn.waiting))
 		}
 	})
 }
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -125,8 +125,8 @@
 func (tb *Table) Place(id view.ServerID, key GroupKey) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	old := *tb.servers.Load()
-	if int(id) != len(old) {
+	servers := *tb.servers.Load()
+	if int(id) != len(servers) {
 		return
 	}
 	gr, ok := tb.groups[key]
@@ -138,8 +138,8 @@
 	sv.group = gr
 	// Appending shares the old array: readers of the old header never look
 	// past its length.
-	grown := append(old, sv)
-	tb.servers.Store(&grown)
+	servers = append(servers, sv)
+	tb.servers.Store(&servers)
 	gr.change(0, sv.share())
 }
 
--- a/core/share/fleet_test.go
+++ b/core/share/fleet_test.go
@@ -54,13 +54,12 @@
 	return fl
 }
 
-func (fl *fleetOf) boot() *oneVM {
+func (fl *fleetOf) boot() {
 	id := share.VM{Addr: "10.0.0." + strconv.Itoa(len(fl.vms)), Incarnation: 1}
 	vm := &oneVM{id: id, mc: share.New(share.Config{Self: id})}
 	vm.bucket = vm.mc.Limit(fl.now, team, fl.limit)
 	fl.vms = append(fl.vms, vm)
 	fl.list()
-	return vm
 }
 
 // list is the VM list: all know of all.
--- a/core/share/machine.go
+++ b/core/share/machine.go
@@ -48,7 +48,6 @@
 type Machine struct {
 	cfg     Config
 	now     time.Duration
-	born    time.Duration
 	started bool
 	// listed is set once Members has told who else there is.
 	listed bool
--- a/io/node/shares.go
+++ b/io/node/shares.go
@@ -75,6 +75,13 @@
 	return bucket.(*share.Bucket)
 }
 
+// TeamShare is this VM's part of a team's limits, 0 to 1.
+func (nd *Node) TeamShare(name string) float64 {
+	part := 0.0
+	nd.ask(func(ct *control) { part = ct.shares.machine.Share(name) })
+	return part
+}
+
 // vmsListed takes the platform's list.
 func (sh *shares) vmsListed(vms []wire.VM) {
 	sh.listed = make(map[string]bool, len(vms))
