--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -49,6 +49,9 @@
 	QueueCut float64
 	ShedCut  float64
 	FailCut  float64
+	// Slack is a difference of latency that says nothing: scheduling on either
+	// side brings as much.
+	Slack time.Duration
 	// LeastTrip is the round trip assumed at least.
 	LeastTrip time.Duration
 	// Levels are what each class may fill of a group's limit, in multiples of
@@ -83,6 +86,9 @@
 			*one.field = one.value
 		}
 	}
+	if cfg.Slack == 0 {
+		cfg.Slack = 5 * time.Millisecond
+	}
 	if cfg.LeastTrip == 0 {
 		cfg.LeastTrip = time.Millisecond
 	}
@@ -119,8 +125,8 @@
 func (tb *Table) Place(id view.ServerID, key GroupKey) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	old := *tb.servers.Load()
-	if int(id) != len(old) {
+	servers := *tb.servers.Load()
+	if int(id) != len(servers) {
 		return
 	}
 	gr, ok := tb.groups[key]
@@ -132,8 +138,8 @@
 	sv.group = gr
 	// Appending shares the old array: readers of the old header never look
 	// past its length.
-	grown := append(old, sv)
-	tb.servers.Store(&grown)
+	servers = append(servers, sv)
+	tb.servers.Store(&servers)
 	gr.change(0, sv.share())
 }
 
@@ -211,7 +217,7 @@
 // SetOut takes a server that gets no new work out of its group's limit, or
 // back in. One that comes back starts with the limit of a new server: what was
 // learnt of the process before it says nothing.
-func (tb *Table) SetOut(now time.Duration, id view.ServerID, out bool) {
+func (tb *Table) SetOut(id view.ServerID, out bool) {
 	sv := tb.of(id)
 	sv.mu.Lock()
 	if sv.out == out {
