--- a/core/hedge/hedge_test.go
+++ b/core/hedge/hedge_test.go
@@ -17,8 +17,8 @@
 	ceiling = time.Second
 )
 
-func newTracker(quantile float64) *hedge.Tracker {
-	return hedge.New(hedge.Config{Quantile: quantile, Floor: floor, Ceiling: ceiling})
+func newTracker() *hedge.Tracker {
+	return hedge.New(hedge.Config{Quantile: 0.98, Floor: floor, Ceiling: ceiling})
 }
 
 // The delay lies within a hundredth of an observation that is at most one rank
@@ -28,7 +28,7 @@
 		const n = 4096
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
 		mean := float64(rapid.IntRange(5, 60).Draw(rt, "meanMs")) * float64(time.Millisecond)
-		tr := newTracker(0.98)
+		tr := newTracker()
 		seen := make([]time.Duration, n)
 		for i := range seen {
 			seen[i] = time.Duration(rnd.ExpFloat64() * mean)
@@ -59,7 +59,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			tr := newTracker(0.98)
+			tr := newTracker()
 			for range tt.count {
 				tr.Observe(tt.latency)
 			}
@@ -73,7 +73,7 @@
 func TestDelayFollowsTheLoad(t *testing.T) {
 	is := is.New(t)
 	rnd := rand.New(rand.NewPCG(1, 2))
-	tr := newTracker(0.98)
+	tr := newTracker()
 	phase := func(mean time.Duration, n int) {
 		for range n {
 			tr.Observe(time.Duration(rnd.ExpFloat64() * float64(mean)))
@@ -93,7 +93,7 @@
 func TestDelayStaysWhenTheSlowestAreGivenUp(t *testing.T) {
 	is := is.New(t)
 	rnd := rand.New(rand.NewPCG(1, 2))
-	tr := newTracker(0.98)
+	tr := newTracker()
 	for range 200_000 {
 		took := time.Duration((5 + 5*rnd.Float64()) * float64(time.Millisecond))
 		if rnd.IntN(20) == 0 {
@@ -121,7 +121,7 @@
 // BenchmarkObserve is the cost of one observation, reading of quantiles included.
 func BenchmarkObserve(b *testing.B) {
 	seen := latencies()
-	tr := newTracker(0.98)
+	tr := newTracker()
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for i := 0; pb.Next(); i++ {
--- a/core/search/internal/qsim/qsim_test.go
+++ b/core/search/internal/qsim/qsim_test.go
@@ -41,3 +41,16 @@
 		})
 	}
 }
+
+// Twice as much arrives as the servers can take, and nothing limits admission.
+// Servers shed most of it; a retry for each shed would double the load again.
+// What is sent stays within the budgets' shares and bursts.
+func TestRunOverloadStaysWithinBudgets(t *testing.T) {
+	is := is.New(t)
+	cfg := config(qsim.Fault{}, qsim.Tracked(), 2)
+	rs := qsim.Run(cfg)
+	needed := float64(rs.Admitted * cfg.Plant.Shards)
+	po := cfg.Policy
+	is.True(rs.Extra()*needed <= (po.Share+po.RetryShare)*needed+po.Burst+po.RetryBurst)
+	is.True(rs.Extra() < 0.05)
+}
--- a/core/search/internal/qsim/sim.go
+++ b/core/search/internal/qsim/sim.go
@@ -20,12 +20,12 @@
 	// silentFor is how long a silent connection goes unnoticed.
 	silentFor = 1500 * time.Millisecond
 	// dialHops is the time of a refused dial, in hops.
-	dialHops = 2
-	hedgeMin = 2 * time.Millisecond
-	leastMin = time.Millisecond
-	hitLimit = 20
-	longest  = int64(time.Minute / time.Microsecond)
-	digits   = 3
+	dialHops   = 2
+	hedgeFloor = 2 * time.Millisecond
+	leastTime  = time.Millisecond
+	hitLimit   = 20
+	longest    = int64(time.Minute / time.Microsecond)
+	digits     = 3
 )
 
 // sim is one run.
@@ -73,7 +73,7 @@
 		rnd: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		tracker: hedge.New(hedge.Config{
 			Quantile: po.Quantile,
-			Floor:    hedgeMin,
+			Floor:    hedgeFloor,
 			Ceiling:  cfg.Hard / 2,
 		}),
 		hedges:  budget.New(budget.Config{Share: po.Share, Burst: po.Burst, Rounds: po.HedgeRounds}),
@@ -168,7 +168,7 @@
 		HedgeBudget:   sm.hedges,
 		RetryBudget:   sm.retries,
 		RetryPerShard: perShard,
-		LeastTime:     leastMin,
+		LeastTime:     leastTime,
 	}
 }
 
--- a/core/search/measure_test.go
+++ b/core/search/measure_test.go
@@ -56,6 +56,26 @@
 	}
 }
 
+// BenchmarkLostWithBound loses one replica of each shard while searches in flight
+// are bounded, as admission would do.
+func BenchmarkLostWithBound(b *testing.B) {
+	plants := []struct {
+		name  string
+		plant qsim.Plant
+	}{
+		{"pettigrew", qsim.Pettigrew()},
+		{"kalimba", qsim.Kalimba()},
+	}
+	for _, pl := range plants {
+		for _, inFlight := range []int{0, 8, 12, 18, 24} {
+			name := fmt.Sprintf("%s/load60/inFlight%d", pl.name, inFlight)
+			benchPolicies(b, name, qsim.Config{
+				Plant: pl.plant, Fault: qsim.Faults()[3], Load: 0.6, Searches: 20000, MaxInFlight: inFlight,
+			})
+		}
+	}
+}
+
 // BenchmarkSeeds runs one case with other seeds, to show what of a difference is
 // chance.
 func BenchmarkSeeds(b *testing.B) {
