--- a/io/node/change.go
+++ b/io/node/change.go
@@ -143,7 +143,7 @@
 	cl.nd.meter.Count(meter.Platform, "get")
 	pair, _, err := cl.nd.kv.Get(ctx, ac.Key)
 	if err != nil {
-		cl.nd.platformFailed(ctx, "get", err)
+		cl.nd.platformFailed(cl.nd.stopping, "get", err)
 		return change.GetFailed{Err: err}
 	}
 	return change.Got{Pair: change.Pair{Value: pair.Value, Revision: pair.Revision}}
@@ -155,7 +155,7 @@
 	cl.nd.meter.Count(meter.Platform, "swap")
 	rp, err := cl.nd.kv.Swap(ctx, wire.KVSwapRequest{Key: ac.Key, Value: ac.Value, Expect: ac.Expect})
 	if err != nil {
-		cl.nd.platformFailed(ctx, "swap", err)
+		cl.nd.platformFailed(cl.nd.stopping, "swap", err)
 		return change.SwapFailed{Doubtful: doubtful(err), Err: err}
 	}
 	ev := change.Swapped{Done: rp.Swapped}
