spread: an old value written over a team's key is noticed by the watch

Cause: the service's revision goes up in this case, and only the read-back after five minutes would have shown that the team's went down. Before: TestBackupWrittenOver fails.

--- a/core/spread/service.go
+++ b/core/spread/service.go
@@ -205,6 +205,28 @@
 		return
 	}
 	sv.from = ev.Revision
+	ma.noteBehind(ev.Updates)
+}
+
+// noteBehind looks at what a watch brought for teams of which this VM has a
+// higher revision, as when a backup is written over the service's values. It
+// may also be old news of two quick changes; a reading soon after tells.
+func (ma *Machine) noteBehind(ups []Update) {
+	sv := &ma.service
+	newest := make(map[string]Update, len(ups))
+	for _, up := range ups {
+		newest[up.Team] = up
+	}
+	for team, up := range newest {
+		if held := ma.held[team]; !held.Name().newer(up.Name()) {
+			continue
+		}
+		if sv.behind == nil {
+			sv.behind = make(map[string]lag)
+		}
+		sv.behind[team] = lag{revision: up.Revision, since: ma.now}
+		sv.readBack = min(sv.readBack, ma.now+ma.pace.ConfirmBehind)
+	}
 }
 
 func (ma *Machine) takeBroken(brs []Broken) {
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -206,6 +206,24 @@
 	is.True(raised >= 1)
 }
 
+func TestBackupWrittenOver(t *testing.T) {
+	// Someone writes an old value over the team's key: the service's own
+	// revision goes up, the team's goes down. Nothing goes back, and the fleet
+	// writes its newer change again within half a minute.
+	is := is.New(t)
+	fl := newFleet(12, 2, 4)
+	fl.start()
+	fl.run(5 * time.Second)
+	old := fl.change(fl.vms[0], "wash", "c1", 100)
+	up := fl.change(fl.vms[0], "wash", "c2", 100)
+	fl.run(5 * time.Second)
+	fl.sv.put(old)
+	fl.run(30 * time.Second)
+	is.Equal(fl.holding(up), len(fl.vms))
+	is.Equal(fl.fell(), "")
+	is.Equal(fl.sv.held["wash"].Name(), up.Name())
+}
+
 func TestUnreadable(t *testing.T) {
 	// A newer build wrote a document that half of the VMs cannot read. Those
 	// keep the one before and raise an alarm, and pass the new one on; a later
--- a/io/node/config_test.go
+++ b/io/node/config_test.go
@@ -243,23 +243,49 @@
 	eventually(t, "the configuration is back", func() bool { return revision(nd) == 1 })
 }
 
-func TestQuietChange(t *testing.T) {
-	// A VM dies right after its swap took effect, so that it tells nobody; and
-	// the service has forgotten its events. The VMs that watch read everything
-	// anew and hand it on, and the change can be asked about by its id.
+func TestBackup(t *testing.T) {
+	// An old value is written over the team's key, as from a backup. No VM goes
+	// back, an alarm is raised, and the service gets the fleet's change again.
 	is := is.New(t)
 	st := startWash(t, 3)
+	old := held(t, st)
+	reply := propose(t, st.Nodes()[0], document(t, st, 8), 1)
+	is.Equal(reply.Result, wire.ChangeAccepted)
+	inForceOn(t, st.Nodes(), 2)
+	overwrite(t, st, old)
+	eventually(t, "the service has the fleet's change", func() bool { return held(t, st).Revision() == 2 })
+	cur, _ := held(t, st).Current()
+	is.Equal(cur.ID, reply.ChangeID)
+	alarms := 0.0
+	for _, nd := range st.Nodes() {
+		is.Equal(revision(nd), uint64(2))
+		alarms += nd.Metrics()["config.alarm.serviceBehind"]
+	}
+	is.True(alarms >= 1)
+}
+
+// overwrite puts a value into the service, whatever it holds.
+func overwrite(t *testing.T, st *site.Site, en change.Envelope) {
+	t.Helper()
+	is := is.New(t)
 	cl := plat.New(plat.Config{Addrs: []string{st.KV().Addr()}, Timeout: bound})
 	defer cl.Close()
-	key := change.KeyOf(wash)
-	pair, _, err := cl.Get(context.Background(), key)
+	pair, _, err := cl.Get(context.Background(), change.KeyOf(wash))
 	is.NoErr(err)
-	next := held(t, st).WithChange(change.Entry{ID: "quiet", Document: document(t, st, 8)}, 0)
-	value, err := next.Encode()
+	value, err := en.Encode()
 	is.NoErr(err)
-	rp, err := cl.Swap(context.Background(), wire.KVSwapRequest{Key: key, Value: value, Expect: pair.Revision})
+	rp, err := cl.Swap(context.Background(), wire.KVSwapRequest{Key: pair.Key, Value: value, Expect: pair.Revision})
 	is.NoErr(err)
 	is.True(rp.Swapped)
+}
+
+func TestQuietChange(t *testing.T) {
+	// A VM dies right after its swap took effect, so that it tells nobody; and
+	// the service has forgotten its events. The VMs that watch read everything
+	// anew and hand it on, and the change can be asked about by its id.
+	is := is.New(t)
+	st := startWash(t, 3)
+	overwrite(t, st, held(t, st).WithChange(change.Entry{ID: "quiet", Document: document(t, st, 8)}, 0))
 	st.KV().Compact()
 	inForceOn(t, st.Nodes(), 2)
 	cs := st.Nodes()[2].ChangeStatus(context.Background(), "quiet")
