--- a/io/node/config_bench_test.go
+++ b/io/node/config_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,7 +24,8 @@
 	}
 	nd := &Node{addr: ln.Addr().String(), meter: meter.New(), log: &log.Logger{Level: log.PanicLevel}}
 	nd.peers = peer.NewClient(peer.ClientConfig{Timeout: time.Second})
-	sr := peer.NewServer(peer.ServerConfig{Listener: ln, Service: &service{nd: nd}})
+	cl := &countingListener{Listener: ln}
+	sr := peer.NewServer(peer.ServerConfig{Listener: cl, Service: &service{nd: nd}})
 	go func() { _ = sr.Serve() }()
 	b.Cleanup(func() { _ = sr.Close() })
 	rq := &inner.PullRequest{Version: inner.Version, From: nd.self(), Compare: true}
@@ -33,4 +35,33 @@
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric(float64(cl.bytes.Load())/float64(b.N), "B/op-both-ways")
+}
+
+// countingListener counts the bytes of all its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (cl *countingListener) Accept() (net.Conn, error) {
+	cn, err := cl.Listener.Accept()
+	return &countingConn{Conn: cn, bytes: &cl.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (cc *countingConn) Read(p []byte) (int, error) {
+	n, err := cc.Conn.Read(p)
+	cc.bytes.Add(int64(n))
+	return n, err
+}
+
+func (cc *countingConn) Write(p []byte) (int, error) {
+	n, err := cc.Conn.Write(p)
+	cc.bytes.Add(int64(n))
+	return n, err
 }
