--- a/io/contr/peer.go
+++ b/io/contr/peer.go
@@ -1,7 +1,11 @@
 package contr
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"encoding/json"
+	"io"
 	"testing"
 
 	"github.com/go-faster/errors"
@@ -25,7 +29,7 @@
 	t.Helper()
 	run(t, start, []clause[PeerVM]{
 		{"a version that is not read is refused", peerVersions},
-		{"a beat is answered with the sender's sequence", peerBeat},
+		{"a beat is answered by the VM itself", peerBeat},
 		{"pull gives what the asker lacks", peerPull},
 		{"pull in brief gives revisions only", peerPullBrief},
 		{"a search without this VM's ticket is void", peerRunVoid},
@@ -53,6 +57,10 @@
 			_, err := pv.Client.Pull(ctx, &inner.PullRequest{Version: version})
 			return err
 		}},
+		{"issue", func(ctx context.Context, version uint32) error {
+			_, err := pv.Client.Issue(ctx, &inner.IssueRequest{Version: version, Team: pv.Team, Count: 1})
+			return err
+		}},
 		{"run", func(ctx context.Context, version uint32) error {
 			_, err := pv.Client.Run(ctx, &inner.RunRequest{Version: version, Request: []byte("{}")})
 			return err
@@ -73,12 +81,12 @@
 
 func peerBeat(t *testing.T, pv PeerVM) {
 	is := is.New(t)
-	rp, err := pv.Client.Beat(t.Context(), &inner.BeatRequest{Version: inner.Version, Sequence: 41})
+	rp, err := pv.Client.Beat(t.Context(), &inner.BeatRequest{Version: inner.Version})
 	is.NoErr(err)
 	is.Equal(rp.GetVersion(), uint32(inner.Version))
-	is.Equal(rp.GetSequence(), uint64(41))
 	is.Equal(rp.GetFrom().GetAddr(), pv.Addr)
 	is.True(rp.GetFrom().GetIncarnation() != 0)
+	is.Equal(rp.GetLeaving(), false)
 }
 
 func peerPull(t *testing.T, pv PeerVM) {
@@ -88,7 +96,7 @@
 	is.Equal(len(rp.GetTeams()), 1)
 	tc := rp.GetTeams()[0]
 	is.Equal(tc.GetTeam(), pv.Team)
-	is.True(len(tc.GetDocument()) > 0)
+	is.True(json.Valid(documentOf(t, tc)))
 	rp, err = pv.Client.Pull(t.Context(), &inner.PullRequest{
 		Version: inner.Version,
 		Held:    []*inner.TeamRevision{{Team: tc.GetTeam(), Revision: tc.GetRevision(), ChangeId: tc.GetChangeId()}},
@@ -97,6 +105,17 @@
 	is.Equal(len(rp.GetTeams()), 0) // it has that already
 }
 
+// documentOf gives the document, which may come deflated.
+func documentOf(t *testing.T, tc *inner.TeamConfig) []byte {
+	t.Helper()
+	if len(tc.GetDeflated()) == 0 {
+		return tc.GetDocument()
+	}
+	raw, err := io.ReadAll(flate.NewReader(bytes.NewReader(tc.GetDeflated())))
+	is.New(t).NoErr(err)
+	return raw
+}
+
 func peerPullBrief(t *testing.T, pv PeerVM) {
 	is := is.New(t)
 	rp, err := pv.Client.Pull(t.Context(), &inner.PullRequest{Version: inner.Version, Brief: true})
