spread, rank: plainer names; only the own rank is computed on each list

Cause: each change of the membership sorted the VMs of all data centres, 4.8 ms at 4,303 VMs. Change: a VM counts those before it in its own data centre; other orders are computed when asked for.

--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -50,7 +50,7 @@
 	cfg     Config
 	centres []string
 	members map[string][]VM
-	watch   map[string][]VM
+	watches bool
 }
 
 // New ranks the VMs.
@@ -61,8 +61,8 @@
 	if cfg.Fanout <= 0 {
 		cfg.Fanout = DefaultFanout
 	}
-	tb := &Table{cfg: cfg, members: make(map[string][]VM), watch: make(map[string][]VM)}
-	seen := map[string]bool{}
+	tb := &Table{cfg: cfg, members: make(map[string][]VM)}
+	seen := make(map[string]bool, len(cfg.VMs)+1)
 	for _, vm := range append([]VM{cfg.Self}, cfg.VMs...) {
 		if seen[vm.Addr] {
 			continue
@@ -70,11 +70,11 @@
 		seen[vm.Addr] = true
 		tb.members[vm.DataCentre] = append(tb.members[vm.DataCentre], vm)
 	}
-	for name, vms := range tb.members {
+	for name := range tb.members {
 		tb.centres = append(tb.centres, name)
-		tb.watch[name] = Order(vms, watchSalt)
 	}
 	slices.Sort(tb.centres)
+	tb.watches = tb.rankedFirst(cfg.Self)
 	return tb
 }
 
@@ -133,19 +133,27 @@
 func (tb *Table) Members(dataCentre string) []VM { return tb.members[dataCentre] }
 
 // Ranked lists the VMs of a data centre in the order in which watching and
-// relaying fall to them. The caller must not change it.
-func (tb *Table) Ranked(dataCentre string) []VM { return tb.watch[dataCentre] }
+// relaying fall to them. It sorts them anew at each call.
+func (tb *Table) Ranked(dataCentre string) []VM {
+	return Order(tb.members[dataCentre], watchSalt)
+}
 
 // Watches tells whether it falls to this VM to watch the service, and to relay
 // between its data centre and the others.
-func (tb *Table) Watches() bool {
-	ranked := tb.watch[tb.cfg.Self.DataCentre]
-	for _, vm := range ranked[:min(len(ranked), tb.cfg.Watchers)] {
-		if vm.Addr == tb.cfg.Self.Addr {
-			return true
+func (tb *Table) Watches() bool { return tb.watches }
+
+// rankedFirst counts the VMs of the data centre that come before vm, which is
+// cheaper than sorting them.
+func (tb *Table) rankedFirst(vm VM) bool {
+	before := 0
+	own := score(watchSalt, vm.Addr)
+	for _, other := range tb.members[vm.DataCentre] {
+		sc := score(watchSalt, other.Addr)
+		if sc > own || sc == own && other.Addr < vm.Addr {
+			before++
 		}
 	}
-	return false
+	return before < tb.cfg.Watchers
 }
 
 // Root is the VM of a data centre where the tree of a change begins.
--- a/core/rank/rank_test.go
+++ b/core/rank/rank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -25,7 +26,10 @@
 		vms := fleet(3, each)
 		count := map[string]int{}
 		for _, self := range vms {
-			if rank.New(rank.Config{Self: self, VMs: vms}).Watches() {
+			tb := rank.New(rank.Config{Self: self, VMs: vms})
+			at := slices.Index(tb.Ranked(self.DataCentre), self)
+			is.Equal(tb.Watches(), at < rank.DefaultWatchers)
+			if tb.Watches() {
 				count[self.DataCentre]++
 			}
 		}
--- a/core/spread/config.go
+++ b/core/spread/config.go
@@ -38,20 +38,20 @@
 	// ConfirmBehind is how long the service must go on holding a lower
 	// revision before it is believed.
 	ConfirmBehind time.Duration
-	// LonelyRate bounds, for the whole fleet, the reads a second by VMs that
+	// FallbackRate bounds, for the whole fleet, the reads a second by VMs that
 	// hold nothing and are not ranked.
-	LonelyRate float64
-	// LonelyUnlisted is the mean time between such reads of a VM that never
+	FallbackRate float64
+	// FallbackUnlisted is the mean time between such reads of a VM that never
 	// got a list of VMs.
-	LonelyUnlisted time.Duration
+	FallbackUnlisted time.Duration
 	// CompareEvery is the mean time between a VM's comparisons.
 	CompareEvery time.Duration
 	// CompareGrace is waited before a difference is pulled, as most are pushes
 	// still on their way.
 	CompareGrace time.Duration
-	// SeedGrace is the mean time for which a watching VM waits for a tree that
+	// RootGrace is the mean time for which a watching VM waits for a tree that
 	// another VM began before it begins one.
-	SeedGrace time.Duration
+	RootGrace time.Duration
 	// PeerTimeout bounds pushes and comparisons.
 	PeerTimeout time.Duration
 	// PullTimeout bounds a pull, whose answer may be large.
@@ -63,22 +63,22 @@
 // Defaults is the pace that the measurements were made with.
 func Defaults() Pace {
 	return Pace{
-		WatchWait:       8 * time.Second,
-		ServicePatience: 12 * time.Second,
-		ServiceEvery:    time.Second,
-		ServiceBurst:    4,
-		MaxBackoff:      30 * time.Second,
-		ReadBack:        5 * time.Minute,
-		ReadBackRate:    1 << 10,
-		ConfirmBehind:   5 * time.Second,
-		LonelyRate:      100,
-		LonelyUnlisted:  time.Minute,
-		CompareEvery:    time.Second,
-		CompareGrace:    200 * time.Millisecond,
-		SeedGrace:       200 * time.Millisecond,
-		PeerTimeout:     500 * time.Millisecond,
-		PullTimeout:     1500 * time.Millisecond,
-		BootPeers:       3,
+		WatchWait:        8 * time.Second,
+		ServicePatience:  12 * time.Second,
+		ServiceEvery:     time.Second,
+		ServiceBurst:     4,
+		MaxBackoff:       30 * time.Second,
+		ReadBack:         5 * time.Minute,
+		ReadBackRate:     1 << 10,
+		ConfirmBehind:    5 * time.Second,
+		FallbackRate:     100,
+		FallbackUnlisted: time.Minute,
+		CompareEvery:     time.Second,
+		CompareGrace:     200 * time.Millisecond,
+		RootGrace:        200 * time.Millisecond,
+		PeerTimeout:      500 * time.Millisecond,
+		PullTimeout:      1500 * time.Millisecond,
+		BootPeers:        3,
 	}
 }
 
@@ -93,11 +93,11 @@
 	fill(&pa.ReadBack, df.ReadBack)
 	fill(&pa.ReadBackRate, df.ReadBackRate)
 	fill(&pa.ConfirmBehind, df.ConfirmBehind)
-	fill(&pa.LonelyRate, df.LonelyRate)
-	fill(&pa.LonelyUnlisted, df.LonelyUnlisted)
+	fill(&pa.FallbackRate, df.FallbackRate)
+	fill(&pa.FallbackUnlisted, df.FallbackUnlisted)
 	fill(&pa.CompareEvery, df.CompareEvery)
 	fill(&pa.CompareGrace, df.CompareGrace)
-	fill(&pa.SeedGrace, df.SeedGrace)
+	fill(&pa.RootGrace, df.RootGrace)
 	fill(&pa.PeerTimeout, df.PeerTimeout)
 	fill(&pa.PullTimeout, df.PullTimeout)
 	fill(&pa.BootPeers, df.BootPeers)
--- a/core/spread/gossip.go
+++ b/core/spread/gossip.go
@@ -41,11 +41,11 @@
 		return
 	}
 	if gs.compareAt <= ma.now {
-		gs.compareAt = ma.now + ma.spread(ma.pace.CompareEvery)
+		gs.compareAt = ma.now + ma.jittered(ma.pace.CompareEvery)
 		ma.compareNear()
 	}
 	if gs.relayAt <= ma.now {
-		gs.relayAt = ma.now + ma.spread(ma.pace.CompareEvery)
+		gs.relayAt = ma.now + ma.jittered(ma.pace.CompareEvery)
 		ma.compareFar()
 	}
 	if gs.pullAt <= ma.now {
@@ -58,8 +58,8 @@
 // wins, as always.
 func (ma *Machine) startBoot() {
 	gs := &ma.gossip
-	gs.compareAt = ma.now + ma.spread(ma.pace.CompareEvery)
-	gs.relayAt = ma.now + ma.spread(ma.pace.CompareEvery)
+	gs.compareAt = ma.now + ma.jittered(ma.pace.CompareEvery)
+	gs.relayAt = ma.now + ma.jittered(ma.pace.CompareEvery)
 	peers := ma.bootPeers()
 	gs.boot = len(peers)
 	for _, vm := range peers {
@@ -179,7 +179,7 @@
 		gs.pullAt = ma.now
 		return
 	}
-	gs.pullAt = min(gs.pullAt, ma.now+ma.spread(ma.pace.CompareGrace))
+	gs.pullAt = min(gs.pullAt, ma.now+ma.jittered(ma.pace.CompareGrace))
 }
 
 // pull repairs the difference, unless a push has done so meanwhile.
--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -34,15 +34,15 @@
 
 	held  map[string]Update
 	force map[string]Revision
-	// handed is what this VM has pushed to its children.
-	handed map[string]Revision
-	alarms map[alarmKey]string
-	digest Digest
-	recent []Revision
+	// forwarded is what this VM has pushed to its children.
+	forwarded map[string]Revision
+	alarms    map[alarmKey]string
+	digest    Digest
+	recent    []Revision
 
-	seeds []seed
-	calls []call
-	last  Call
+	deferred []deferred
+	calls    []call
+	last     Call
 
 	service service
 	gossip  gossip
@@ -57,13 +57,13 @@
 // New makes a machine that holds nothing and knows no other VM.
 func New(cfg Config) *Machine {
 	return &Machine{
-		cfg:    cfg,
-		pace:   cfg.Pace.filled(),
-		table:  rank.New(rank.Config{Self: cfg.Self}),
-		held:   make(map[string]Update),
-		force:  make(map[string]Revision),
-		handed: make(map[string]Revision),
-		alarms: make(map[alarmKey]string),
+		cfg:       cfg,
+		pace:      cfg.Pace.filled(),
+		table:     rank.New(rank.Config{Self: cfg.Self}),
+		held:      make(map[string]Update),
+		force:     make(map[string]Revision),
+		forwarded: make(map[string]Revision),
+		alarms:    make(map[alarmKey]string),
 	}
 }
 
@@ -76,7 +76,7 @@
 	}
 	ma.take(ev)
 	ma.expire()
-	ma.sow()
+	ma.pushDeferred()
 	ma.askPeers()
 	ma.askService()
 	return ma.acts
@@ -85,8 +85,8 @@
 // Next is when the machine wants its next Tick.
 func (ma *Machine) Next() time.Duration {
 	at := min(ma.service.wake, ma.gossip.next())
-	for _, sd := range ma.seeds {
-		at = min(at, sd.at)
+	for _, df := range ma.deferred {
+		at = min(at, df.at)
 	}
 	for _, ca := range ma.calls {
 		at = min(at, ca.deadline)
@@ -97,7 +97,7 @@
 func (ma *Machine) begin() {
 	ma.begun = true
 	ma.service = service{tokens: float64(ma.pace.ServiceBurst), filled: ma.now}
-	ma.service.lonelyAt = ma.now + ma.spread(ma.lonelyEvery())
+	ma.service.fallbackAt = ma.now + ma.jittered(ma.fallbackEvery())
 	ma.gossip = gossip{compareAt: never, relayAt: never, pullAt: never}
 }
 
@@ -114,9 +114,9 @@
 			ma.failed(ca)
 		}
 	case Pushed:
-		ma.unseed(ev.Updates)
+		ma.dropDeferred(ev.Updates)
 		if ev.From.DataCentre == ma.cfg.Self.DataCentre {
-			ma.handOnHeld(ev.Updates)
+			ma.forwardHeld(ev.Updates)
 		}
 		ma.learnAll(ev.Updates, originOf(ev.From.DataCentre == ma.cfg.Self.DataCentre, originPush, originFar))
 	case Acked:
@@ -136,7 +136,7 @@
 	ma.table = rank.New(rank.Config{Self: ma.cfg.Self, VMs: ev.VMs})
 	if !ma.listed {
 		ma.listed = true
-		ma.service.lonelyAt = ma.now + ma.spread(ma.lonelyEvery())
+		ma.service.fallbackAt = ma.now + ma.jittered(ma.fallbackEvery())
 		ma.startBoot()
 	}
 }
@@ -257,9 +257,9 @@
 	ma.acts = append(ma.acts, ac)
 }
 
-// spread draws a time around d, from half of it to one and a half: VMs that
+// jittered draws a time around d, from half of it to one and a half: VMs that
 // began together must not stay together.
-func (ma *Machine) spread(d time.Duration) time.Duration {
+func (ma *Machine) jittered(d time.Duration) time.Duration {
 	return d/2 + time.Duration(ma.cfg.Rand.Int64N(int64(d)+1))
 }
 
--- a/core/spread/push.go
+++ b/core/spread/push.go
@@ -16,80 +16,80 @@
 	switch from {
 	case originPull:
 	case originPush:
-		ma.handOn(up)
+		ma.forwardOnce(up)
 	case originFar:
-		ma.seed(up, self.DataCentre)
+		ma.pushRoot(up, self.DataCentre)
 	case originService:
 		// Nearly always the VM that carried the change has begun a tree here
 		// itself. Only where it has not, as it died or cannot reach this data
 		// centre, does it fall to those who watch.
-		ma.seeds = append(ma.seeds, seed{update: up, at: ma.now + ma.spread(ma.pace.SeedGrace)})
+		ma.deferred = append(ma.deferred, deferred{update: up, at: ma.now + ma.jittered(ma.pace.RootGrace)})
 	case originSelf:
 		for _, dc := range ma.table.DataCentres() {
-			ma.seed(up, dc)
+			ma.pushRoot(up, dc)
 		}
 	}
 }
 
-// seed is an update that waits to be handed to the root of its tree.
-type seed struct {
+// deferred is an update that waits to be handed to the root of its tree.
+type deferred struct {
 	update Update
 	at     time.Duration
 }
 
-// unseed drops what a push has brought meanwhile: its tree has begun.
-func (ma *Machine) unseed(ups []Update) {
-	if len(ma.seeds) == 0 {
+// dropDeferred drops what a push has brought meanwhile: its tree has begun.
+func (ma *Machine) dropDeferred(ups []Update) {
+	if len(ma.deferred) == 0 {
 		return
 	}
 	for _, up := range ups {
-		ma.seeds = slices.DeleteFunc(ma.seeds, func(sd seed) bool { return sd.update.Name() == up.Name() })
+		ma.deferred = slices.DeleteFunc(ma.deferred, func(df deferred) bool { return df.update.Name() == up.Name() })
 	}
 }
 
-// sow hands on the updates whose time has come.
-func (ma *Machine) sow() {
-	var due []seed
-	ma.seeds = slices.DeleteFunc(ma.seeds, func(sd seed) bool {
-		if sd.at > ma.now {
+// pushDeferred begins the trees of the updates whose time has come.
+func (ma *Machine) pushDeferred() {
+	var due []deferred
+	ma.deferred = slices.DeleteFunc(ma.deferred, func(df deferred) bool {
+		if df.at > ma.now {
 			return false
 		}
-		due = append(due, sd)
+		due = append(due, df)
 		return true
 	})
-	for _, sd := range due {
-		ma.seed(sd.update, ma.cfg.Self.DataCentre)
+	for _, df := range due {
+		ma.pushRoot(df.update, ma.cfg.Self.DataCentre)
 	}
 }
 
-// seed hands an update to the root of its tree in a data centre. Several VMs
+// pushRoot hands an update to the root of its tree in a data centre. Several VMs
 // may do so; a root that has the update already does nothing.
-func (ma *Machine) seed(up Update, dataCentre string) {
+func (ma *Machine) pushRoot(up Update, dataCentre string) {
 	root, ok := ma.table.Root(dataCentre, up.ChangeID)
 	switch {
 	case !ok:
 	case root.Addr == ma.cfg.Self.Addr:
-		ma.handOn(up)
+		ma.forwardOnce(up)
 	default:
 		ma.push(call{kind: callPush, to: root, update: up})
 	}
 }
 
-// handOn pushes an update to this VM's own children, once.
-func (ma *Machine) handOn(up Update) {
-	if ma.handed[up.Team] == up.Name() {
+// forwardOnce pushes an update to this VM's own children, once.
+func (ma *Machine) forwardOnce(up Update) {
+	if ma.forwarded[up.Team] == up.Name() {
 		return
 	}
-	ma.handed[up.Team] = up.Name()
+	ma.forwarded[up.Team] = up.Name()
 	ma.pushChildren(up, ma.cfg.Self.Addr)
 }
 
-// handOnHeld pushes on what a watch or a pull had brought before the push came:
+// forwardHeld pushes on what a watch or a pull had brought before the push came:
 // without it, the subtree of a VM that watches would wait for a repair.
-func (ma *Machine) handOnHeld(ups []Update) {
+func (ma *Machine) forwardHeld(ups []Update) {
 	for _, up := range ups {
 		if ma.held[up.Team].Name() == up.Name() {
-			ma.handOn(up)
+			ma.forwardOnce(up)
 		}
 	}
 }
--- a/core/spread/service.go
+++ b/core/spread/service.go
@@ -16,9 +16,9 @@
 	known bool
 	from  uint64
 	// highest is the service's highest revision seen.
-	highest  uint64
-	readBack time.Duration
-	lonelyAt time.Duration
+	highest    uint64
+	readBack   time.Duration
+	fallbackAt time.Duration
 	// tokens bound the rate of calls, whatever the service answers.
 	tokens float64
 	filled time.Duration
@@ -101,7 +101,7 @@
 	case ma.ranked():
 		return sv.notBefore
 	case len(ma.held) == 0:
-		return max(sv.notBefore, sv.lonelyAt)
+		return max(sv.notBefore, sv.fallbackAt)
 	default:
 		ma.leaveService()
 		return never
@@ -116,13 +116,13 @@
 	ma.settleAll(AlarmServiceDown, AlarmServicePast, AlarmServiceBehind, AlarmBroken)
 }
 
-// lonelyEvery is the mean time between reads of a VM that holds nothing and is
-// not ranked: the whole fleet's reads together stay within LonelyRate.
-func (ma *Machine) lonelyEvery() time.Duration {
+// fallbackEvery is the mean time between reads of a VM that holds nothing and is
+// not ranked: the whole fleet's reads together stay within FallbackRate.
+func (ma *Machine) fallbackEvery() time.Duration {
 	if !ma.listed {
-		return ma.pace.LonelyUnlisted
+		return ma.pace.FallbackUnlisted
 	}
-	every := time.Duration(float64(ma.table.Size()) / ma.pace.LonelyRate * float64(time.Second))
+	every := time.Duration(float64(ma.table.Size()) / ma.pace.FallbackRate * float64(time.Second))
 	return max(every, ma.pace.ServiceEvery)
 }
 
@@ -145,8 +145,8 @@
 	sv := &ma.service
 	pause := min(ma.pace.ServiceEvery<<min(sv.failures, maxShift), ma.pace.MaxBackoff)
 	sv.failures++
-	sv.notBefore = ma.now + ma.spread(pause)
-	sv.lonelyAt = ma.now + ma.spread(ma.lonelyEvery())
+	sv.notBefore = ma.now + ma.jittered(pause)
+	sv.fallbackAt = ma.now + ma.jittered(ma.fallbackEvery())
 	if sv.failures >= downFailures {
 		ma.alarm(AlarmServiceDown, "", "the service does not answer; configuration goes on as it is, and nothing can be changed")
 	}
@@ -156,7 +156,7 @@
 	sv := &ma.service
 	ma.settled(AlarmServiceDown, "")
 	sv.failures = 0
-	sv.lonelyAt = ma.now + ma.spread(ma.lonelyEvery())
+	sv.fallbackAt = ma.now + ma.jittered(ma.fallbackEvery())
 	if revision < sv.highest {
 		ma.alarm(AlarmServicePast, "", fmt.Sprintf("the service is at revision %d after it was at %d", revision, sv.highest))
 		return
@@ -176,7 +176,7 @@
 	sv := &ma.service
 	ma.serviceAnswered(ev.Revision)
 	sv.known, sv.from = true, ev.Revision
-	sv.readBack = ma.now + ma.spread(ma.readBackEvery(ev.Updates))
+	sv.readBack = ma.now + ma.jittered(ma.readBackEvery(ev.Updates))
 	ma.compareService(ev)
 }
 
@@ -265,7 +265,7 @@
 	sv.behind = behind
 	ma.restore(lost)
 	if len(behind) > 0 {
-		sv.readBack = ma.now + ma.pace.ConfirmBehind + ma.spread(ma.pace.ConfirmBehind)
+		sv.readBack = ma.now + ma.pace.ConfirmBehind + ma.jittered(ma.pace.ConfirmBehind)
 	}
 }
 
