node: the rolling test names the revision that it changes

Cause: the operators' listener has come to refuse a change without If-Match (428), which the test did not send. Change: If-Match of the first revision.

--- a/io/node/rolling_test.go
+++ b/io/node/rolling_test.go
@@ -269,6 +269,7 @@
 	is.NoErr(err)
 	rq, err := http.NewRequest(http.MethodPut, "http://"+nd.Addrs().Operator+"/v1/teams/wash/config", bytes.NewReader(doc))
 	is.NoErr(err)
+	rq.Header.Set("If-Match", `"1"`)
 	rs, err := http.DefaultClient.Do(rq)
 	is.NoErr(err)
 	defer func() { _ = rs.Body.Close() }()
