upst: proof of a connection in doubt where it is the only one allowed

Cause: with a limit of one connection, as for a VM younger than five seconds, nothing could overtake, and a silent connection was found only after its deadline. Change: one more is opened for one ping and closed at once. Upst tests three times with the race detector: passed.

--- a/io/upst/keep.go
+++ b/io/upst/keep.go
@@ -167,9 +167,35 @@
 	}
 	if po.gate.MayOpen(now) {
 		po.open()
+		return
+	}
+	if po.gate.Full(now) && !po.probing {
+		po.probeBeyond()
 	}
 }
 
+// probeBeyond opens a connection for one ping and closes it again, although the
+// limit is reached. With a single connection, which is the one in doubt, there
+// is no other way to learn whether the server answers. It is one more for some
+// milliseconds, out of the reserve that the connection plan leaves.
+func (po *pool) probeBeyond() {
+	po.probing = true
+	po.stats.count(evProbe)
+	go func() {
+		began := po.cfg.Clock()
+		cn, err := po.dial()
+		if err == nil {
+			cn.link.close()
+		}
+		po.mu.Lock()
+		defer po.mu.Unlock()
+		po.probing = false
+		if err == nil {
+			po.track.Vouch(began)
+		}
+	}()
+}
+
 func (po *pool) pingInBackground(cn *conn) {
 	// A ping is no use of the connection: it must not keep it from being
 	// closed as unneeded.
--- a/io/upst/pool.go
+++ b/io/upst/pool.go
@@ -31,6 +31,8 @@
 	overdue map[*conn]struct{}
 	inUse   int
 	shut    bool
+	// probing is set while a connection beyond the limit is open for a ping.
+	probing bool
 	// doubted is the time up to which a reply proves nothing any more.
 	doubted time.Duration
 	// alarm is set when a connection was found silent, for Keep.
--- a/io/upst/silent_test.go
+++ b/io/upst/silent_test.go
@@ -31,26 +31,33 @@
 }
 
 // The same on a quiet server: nothing else is under way that could overtake, so
-// Tick pings over other connections until the evidence is enough.
+// Tick pings over other connections until the evidence is enough; also where the
+// one in doubt is the only one allowed.
 func TestSilentOnQuietServer(t *testing.T) {
-	ri := newRig(t, emul.UpstreamConfig{}, upst.Config{MaxConns: 3})
-	ri.up.SetFaults(emul.UpstreamFaults{SilentAfter: afterPing})
-	lost := ri.begin("lost", patience)
-	ri.until("the lost request runs", func() bool { return ri.up.Runs() == 1 })
-	ri.up.SetFaults(emul.UpstreamFaults{})
-	ri.fc.advance(6 * time.Second)
-	var err error
-	ri.until("the loss is found", func() bool {
-		ri.sv.Tick(false)
-		select {
-		case err = <-lost:
-			return true
-		default:
-			return false
-		}
-	})
-	failure(ri.is, err, upst.KindSilent, true)
-	ri.is.Equal(ri.up.Runs(), uint64(1))
+	for _, limit := range []int{1, 3} {
+		t.Run(fmt.Sprint("connections=", limit), func(t *testing.T) {
+			ri := newRig(t, emul.UpstreamConfig{}, upst.Config{MaxConns: limit})
+			ri.up.SetFaults(emul.UpstreamFaults{SilentAfter: afterPing})
+			lost := ri.begin("lost", patience)
+			ri.until("the lost request runs", func() bool { return ri.up.Runs() == 1 })
+			ri.up.SetFaults(emul.UpstreamFaults{})
+			ri.fc.advance(6 * time.Second)
+			var err error
+			ri.until("the loss is found", func() bool {
+				ri.sv.Tick(false)
+				select {
+				case err = <-lost:
+					return true
+				default:
+					return false
+				}
+			})
+			failure(ri.is, err, upst.KindSilent, true)
+			ri.is.Equal(ri.up.Runs(), uint64(1))
+			ri.is.NoErr(ri.search("next", patience))
+			ri.is.True(ri.sv.Open() <= limit)
+		})
+	}
 }
 
 // The server accepts, pings, and then answers nothing to anybody. No connection
--- a/io/upst/stats.go
+++ b/io/upst/stats.go
@@ -18,6 +18,7 @@
 	evCancelLeft
 	evIdleClosed
 	evBackoff
+	evProbe
 	eventCount
 )
 
@@ -25,7 +26,7 @@
 func (ev event) String() string {
 	names := [eventCount]string{
 		"opened", "dialFailed", "refused", "stale", "silent", "late",
-		"ping", "pingFailed", "cancelSent", "cancelLeft", "idleClosed", "backoff",
+		"ping", "pingFailed", "cancelSent", "cancelLeft", "idleClosed", "backoff", "probe",
 	}
 	return names[ev]
 }
