upst: the queue of waiting requests does not grow under steady load

Cause: places of those served were given back only when the queue ran empty. Change: the gap at its head is closed.

--- a/io/upst/wait.go
+++ b/io/upst/wait.go
@@ -22,7 +22,16 @@
 	left  int
 }
 
+// compactFrom is the number of served places at the head of the queue from which
+// it is worth closing the gap: under steady overload it never runs empty.
+const compactFrom = 64
+
 func (wl *waitList) add() *waiter {
+	if wl.head >= compactFrom && 2*wl.head >= len(wl.queue) {
+		n := copy(wl.queue, wl.queue[wl.head:])
+		clear(wl.queue[n:])
+		wl.queue, wl.head = wl.queue[:n], 0
+	}
 	wt := &waiter{ch: make(chan handout, 1)}
 	wl.queue = append(wl.queue, wt)
 	wl.left++
