--- a/core/server/table.go
+++ b/core/server/table.go
@@ -8,14 +8,6 @@
 	"laburnumvane/core/view"
 )
 
-const (
-	// spreadFor is how long a sign rides on heartbeats: ten rounds of a slow
-	// heartbeat, so that a lost one does not lose the sign.
-	spreadFor = 10 * time.Second
-	// maxSigns bounds what one heartbeat carries to about 3 KB.
-	maxSigns = 64
-)
-
 // Config sets a table.
 type Config struct {
 	// Rand gives jitter.
@@ -32,7 +24,6 @@
 	addrs    []string
 	ids      map[string]view.ServerID
 	queue    due.Queue[wake]
-	signs    []spread
 	actions  []Action
 }
 
@@ -43,15 +34,6 @@
 	id view.ServerID
 }
 
-// spread is a sign's ride; one whose number is no longer the machine's own was
-// followed by a newer sign of the same server.
-type spread struct {
-	id     view.ServerID
-	kind   SignKind
-	number uint32
-	until  time.Duration
-}
-
 // New makes an empty table.
 func New(cfg Config) *Table {
 	return &Table{cfg: cfg, ids: make(map[string]view.ServerID)}
@@ -75,6 +57,13 @@
 	return tb.machines[id].Status
 }
 
+// Calm tells whether a server is well and nothing is held against it, so that
+// its good replies need no counting.
+func (tb *Table) Calm(id view.ServerID) bool {
+	mc := &tb.machines[id]
+	return mc.State == view.StateServing && mc.failures == 0 && mc.score < calmScore
+}
+
 // Step takes one event of a server. The actions are valid until the next call.
 func (tb *Table) Step(now time.Duration, id view.ServerID, ev Event) []Action {
 	tb.actions = tb.actions[:0]
@@ -118,32 +107,6 @@
 	return tb.actions
 }
 
-// Signs lists the signs that still have to ride, newest first.
-func (tb *Table) Signs(now time.Duration) []Sign {
-	tb.trim(now)
-	out := make([]Sign, 0, min(len(tb.signs), maxSigns))
-	for i := len(tb.signs) - 1; i >= 0 && len(out) < maxSigns; i-- {
-		sp := tb.signs[i]
-		if tb.machines[sp.id].signs == sp.number {
-			out = append(out, tb.sign(sp.id, sp.kind))
-		}
-	}
-	return out
-}
-
-func (tb *Table) sign(id view.ServerID, sk SignKind) Sign {
-	return Sign{Addr: tb.addrs[id], Incarnation: tb.machines[id].Incarnation, Kind: sk}
-}
-
-// trim drops the signs that have ridden long enough; the oldest come first.
-func (tb *Table) trim(now time.Duration) {
-	n := 0
-	for n < len(tb.signs) && tb.signs[n].until <= now {
-		n++
-	}
-	tb.signs = tb.signs[n:]
-}
-
 func (tb *Table) step(now time.Duration, id view.ServerID, ev Event) {
 	mc := &tb.machines[id]
 	before := mc.Status
@@ -158,22 +121,14 @@
 		tb.actions = append(tb.actions, Action{Kind: Probe, ID: id})
 	}
 	if ef.sign != 0 {
-		tb.spread(now, id, ef.sign)
+		sg := Sign{Addr: tb.addrs[id], Incarnation: mc.Incarnation, Kind: ef.sign}
+		tb.actions = append(tb.actions, Action{Kind: Spread, ID: id, Sign: sg})
 	}
 	if mc.wake() < mc.queued {
 		tb.enqueue(id)
 	}
 }
 
-// spread keeps one sign for each server, the newest.
-func (tb *Table) spread(now time.Duration, id view.ServerID, sk SignKind) {
-	mc := &tb.machines[id]
-	mc.signs++
-	tb.trim(now)
-	tb.signs = append(tb.signs, spread{id: id, kind: sk, number: mc.signs, until: now + spreadFor})
-	tb.actions = append(tb.actions, Action{Kind: Spread, ID: id, Sign: tb.sign(id, sk)})
-}
-
 func (tb *Table) enqueue(id view.ServerID) {
 	mc := &tb.machines[id]
 	mc.queued = mc.wake()
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -26,6 +26,8 @@
 	Change = "change"
 	// Config counts what happened to teams' configurations on this VM.
 	Config = "config"
+	// Member counts what this VM did and heard as a member of the fleet.
+	Member = "member"
 	// Logged counts what became of log lines.
 	Logged = "logged"
 )
@@ -50,14 +52,15 @@
 // listed gives the reasons of all families. A test compares them with the source
 // of the packages that count, and with docs/METRICS.md.
 func listed() map[string][]string {
-	refusals := []string{"shed", "draining", "snapshotGone", "cold", "expired", "notHeld"}
+	refusals := []string{"shed", "draining", "snapshotGone", "cold", "expired", "notHeld", "otherRefusal"}
 	failures := []string{
-		"dial", "noConnection", "write", "timeout", "reset", "status", "decode", "canceled",
-		"workers", "foreignReply", "internal",
+		"dial", "noConnection", "backoff", "connectionRefused", "write", "timeout", "reset", "silent", "status",
+		"decode", "closed", "workers", "foreignReply", "internal",
 	}
 	tickets := []string{
 		"ticketNeeded", "ticketForged", "ticketOfOtherTeam", "ticketOfOtherRequest", "ticketTableFull",
-		"ticketExpired", "ticketVoid", "ticketRunning", "ticketIssuerUnreachable", "ticketForwardedTwice",
+		"ticketExpired", "ticketVoid", "ticketRunning", "ticketAnswerForgotten", "ticketIssuerUnreachable",
+		"ticketIssuerSilent",
 	}
 	machine := []string{"deadline", "softDeadline", "cancelled", "noReplica", "retryBudget"}
 	// What both listeners refuse before a handler is asked.
@@ -74,17 +77,24 @@
 		Outcome:    {"complete", "partial", "notRun", "unknown"},
 		Incomplete: join(own, tickets, machine, replies, refusals, failures, []string{"badRequest"}),
 		Retry:      join(replies, refusals, failures),
-		Upstream:   join(refusals, failures, []string{"cancelFailed"}),
+		Upstream:   join(refusals, failures),
 		Dropped:    {"foreign", "afterAnswer"},
 		Sent:       {"primary", "hedge", "retry"},
-		Connection: {},
+		Connection: {
+			"opened", "dialFailed", "refused", "stale", "silent", "late", "ping", "pingFailed", "cancelSent",
+			"cancelLeft", "idleClosed", "backoff",
+		},
 		Platform: {
 			"get", "getFailed", "range", "rangeFailed", "swap", "swapFailed", "watch", "watchFailed", "vmsFailed",
 		},
 		Change: {"accepted", "conflict", "unknown", "dryRun", "refused"},
 		Config: {
 			"applied", "pushed", "pushFailed", "pulled", "pullFailed", "compareFailed", "restored", "restoreUnreadable",
-			"abandoned", "alarm.unreadable", "alarm.broken", "alarm.serviceBehind", "alarm.servicePast", "alarm.sameRevision",
+			"abandoned", "messageUnreadable", "alarm.serviceDown", "alarm.unreadable", "alarm.broken", "alarm.serviceBehind", "alarm.servicePast", "alarm.sameRevision",
+		},
+		Member: {
+			"candidate", "live", "suspect", "leaving", "gone", "beatFailed", "helpAsked", "woke", "signHeard",
+			"signDropped", "ticketsElsewhere",
 		},
 		Logged: {"searches", "sampledOut", "lost"},
 	}
--- a/io/meter/source_test.go
+++ b/io/meter/source_test.go
@@ -27,6 +27,8 @@
 	typed map[string][]string
 	// literals are all strings in the code, constants among them.
 	literals map[string]bool
+	// named are the texts in the String methods of types, by package and type.
+	named map[string][]string
 	// uses are the calls that count: the family's name in package meter or its
 	// value, and the reason where the call gives it.
 	uses []use
@@ -41,7 +43,7 @@
 func scan(t *testing.T) source {
 	t.Helper()
 	is := is.New(t)
-	sc := source{consts: map[string]string{}, typed: map[string][]string{}, literals: map[string]bool{}}
+	sc := source{consts: map[string]string{}, typed: map[string][]string{}, literals: map[string]bool{}, named: map[string][]string{}}
 	var files []*ast.File
 	fset := token.NewFileSet()
 	for _, root := range []string{"../../core", "../../io"} {
@@ -72,6 +74,10 @@
 func (sc *source) declare(fl *ast.File) {
 	ast.Inspect(fl, func(nd ast.Node) bool {
 		switch nd := nd.(type) {
+		case *ast.FuncDecl:
+			if nd.Name.Name == "String" && nd.Recv != nil {
+				sc.name(fl.Name.Name+"."+nameOf(nd.Recv.List[0].Type), nd.Body)
+			}
 		case *ast.BasicLit:
 			if text, ok := literal(nd); ok {
 				sc.literals[text] = true
@@ -96,6 +102,17 @@
 	})
 }
 
+func (sc *source) name(typ string, body *ast.BlockStmt) {
+	ast.Inspect(body, func(nd ast.Node) bool {
+		if bl, ok := nd.(*ast.BasicLit); ok {
+			if text, ok := literal(bl); ok && text != "invalid" {
+				sc.named[typ] = append(sc.named[typ], text)
+			}
+		}
+		return true
+	})
+}
+
 func (sc *source) call(fset *token.FileSet, pkg string, call *ast.CallExpr) {
 	sel, ok := call.Fun.(*ast.SelectorExpr)
 	if !ok || len(call.Args) < 2 || !slices.Contains([]string{"Count", "Add", "Counter"}, sel.Sel.Name) {
@@ -153,7 +170,7 @@
 	t.Helper()
 	fl, err := parser.ParseFile(token.NewFileSet(), "families.go", nil, 0)
 	is.New(t).NoErr(err)
-	sc := source{consts: map[string]string{}, typed: map[string][]string{}, literals: map[string]bool{}}
+	sc := source{consts: map[string]string{}, typed: map[string][]string{}, literals: map[string]bool{}, named: map[string][]string{}}
 	sc.declare(fl)
 	out := map[string]string{}
 	for name, value := range sc.consts {
@@ -162,52 +179,63 @@
 	return out
 }
 
+// wanted complains of what the code counts and no list has.
+type wanted struct {
+	t     *testing.T
+	lists map[string][]string
+}
+
+func (wa wanted) want(at, family, reason string) {
+	wa.t.Helper()
+	switch {
+	case wa.lists[family] == nil:
+		wa.t.Errorf("%s: there is no family %s", at, family)
+	case reason != "" && !slices.Contains(wa.lists[family], reason):
+		wa.t.Errorf("%s: counts %s.%s, which io/meter/families.go does not list", at, family, reason)
+	}
+}
+
+// all wants each of some reasons, of which there must be any.
+func (wa wanted) all(at, family string, reasons []string) {
+	wa.t.Helper()
+	if len(reasons) == 0 {
+		wa.t.Errorf("%s has no values", at)
+	}
+	for _, reason := range reasons {
+		wa.want(at, family, reason)
+	}
+}
+
 // Whatever the code counts must be in the lists, or it is missing from the page
 // that operators read.
 func TestCodeIsListed(t *testing.T) {
-	sc, fams, lists := scan(t), families(t), meter.Reasons()
-	want := func(at, family, reason string) {
-		t.Helper()
-		if !slices.Contains(lists[family], reason) {
-			t.Errorf("%s: counts %s.%s, which io/meter/families.go does not list", at, family, reason)
-		}
-	}
+	sc, fams := scan(t), families(t)
+	wa := wanted{t: t, lists: meter.Reasons()}
 	for _, us := range sc.uses {
 		family := us.family
 		if value, ok := fams[family]; ok {
 			family = value
 		}
-		if lists[family] == nil {
-			t.Errorf("%s: there is no family %s", us.at, family)
-		}
-		if us.reason != "" {
-			want(us.at, family, us.reason)
-		}
+		wa.want(us.at, family, us.reason)
 	}
 	// Where a reason is a variable, it holds one of these.
-	for _, from := range []struct {
-		typ    string
-		family string
-	}{
-		{"wire.Refusal", meter.Upstream},
-		{"wire.Refusal", meter.Retry},
-		{"wire.Refusal", meter.Incomplete},
-		{"upst.Kind", meter.Upstream},
-		{"upst.Kind", meter.Retry},
-		{"upst.Kind", meter.Incomplete},
-		{"wire.Outcome", meter.Outcome},
-		{"wire.ChangeResult", meter.Change},
-	} {
-		if len(sc.typed[from.typ]) == 0 {
-			t.Errorf("no constants of type %s were found", from.typ)
-		}
-		for _, reason := range sc.typed[from.typ] {
-			want(from.typ, from.family, reason)
-		}
+	for _, family := range []string{meter.Upstream, meter.Retry, meter.Incomplete} {
+		wa.all("wire.Refusal", family, sc.typed["wire.Refusal"])
+		wa.all("upst.Kind", family, sc.typed["upst.Kind"])
 	}
+	wa.all("wire.Outcome", meter.Outcome, sc.typed["wire.Outcome"])
+	wa.all("wire.ChangeResult", meter.Change, sc.typed["wire.ChangeResult"])
+	wa.all("upst.event", meter.Connection, sc.named["upst.event"])
+	wa.all("member.State", meter.Member, sc.named["member.State"])
 	for _, kind := range sc.typed["spread.AlarmKind"] {
-		want("spread.AlarmKind", meter.Config, "alarm."+kind)
+		wa.want("spread.AlarmKind", meter.Config, "alarm."+kind)
 	}
+}
+
+// Constants called Reason are reasons, whether a call with one is found or not.
+func TestReasonsAreListed(t *testing.T) {
+	sc := scan(t)
+	wa := wanted{t: t, lists: meter.Reasons()}
 	for name, reason := range sc.consts {
 		pkg, id, _ := strings.Cut(name, ".")
 		if !strings.HasPrefix(id, "Reason") {
@@ -215,12 +243,31 @@
 		}
 		switch pkg {
 		case "drive", "search":
-			want(name, meter.Incomplete, reason)
+			wa.want(name, meter.Incomplete, reason)
 		case "guard":
-			want(name, meter.Refusal, reason)
-			want(name, meter.Operator, reason)
+			wa.want(name, meter.Refusal, reason)
+			wa.want(name, meter.Operator, reason)
 		case "oper":
-			want(name, meter.Operator, reason)
+			wa.want(name, meter.Operator, reason)
+		}
+	}
+}
+
+// Each family must be counted by somebody: a counter of retries that stays at
+// nought would say that there are none.
+func TestFamiliesAreCounted(t *testing.T) {
+	sc, fams := scan(t), families(t)
+	used := map[string]bool{}
+	for _, us := range sc.uses {
+		family := us.family
+		if value, ok := fams[family]; ok {
+			family = value
+		}
+		used[family] = true
+	}
+	for family := range meter.Reasons() {
+		if !used[family] {
+			t.Errorf("nothing counts %s", family)
 		}
 	}
 }
