--- a/io/node/node.go
+++ b/io/node/node.go
@@ -25,6 +25,7 @@
 	"laburnumvane/io/plat"
 	"laburnumvane/io/setup"
 	"laburnumvane/io/upst"
+	"laburnumvane/io/wire"
 )
 
 const (
@@ -89,6 +90,9 @@
 
 // Start starts a VM; it serves as soon as it returns.
 func Start(cfg Config) (*Node, error) {
+	if err := wire.Warm(); err != nil {
+		return nil, errors.Wrap(err, "node.Start")
+	}
 	lns, err := listen(cfg.Settings)
 	if err != nil {
 		return nil, err
--- a/io/upst/conn.go
+++ b/io/upst/conn.go
@@ -1,7 +1,6 @@
 package upst
 
 import (
-	"encoding/json"
 	"net"
 	"os"
 	"sync/atomic"
@@ -118,7 +117,7 @@
 		return end, nil
 	}
 	// Decoding copies what it keeps, so the buffer may be recycled.
-	if err := json.Unmarshal(rs.Body(), out); err != nil {
+	if err := wire.Decode(rs.Body(), out); err != nil {
 		return end, cn.fail("upst.read", KindDecode, true, err)
 	}
 	return end, nil
