--- /dev/null
+++ b/docs/capacity/main.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+const (
+	slopesFile = "slopes.json"
+	fileMode   = 0o644
+)
+
+func main() {
+	dir := flag.String("dir", "docs/capacity", "the folder of "+slopesFile)
+	page := flag.String("page", "docs/CAPACITY.md", "the page")
+	measure := flag.Bool("measure", false, "run the benchmarks of the slopes first; takes minutes")
+	only := flag.String("only", "", "measure only slopes whose names begin so")
+	flag.Parse()
+	if err := run(*dir, *page, *measure, *only); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run(dir, page string, measure bool, only string) error {
+	path := filepath.Join(dir, slopesFile)
+	sl, err := readSlopes(path)
+	if err != nil {
+		return err
+	}
+	if measure {
+		if err := sl.measure(only); err != nil {
+			return err
+		}
+		if err := sl.write(path); err != nil {
+			return err
+		}
+	}
+	old, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	text, err := fill(string(old), tables(sl))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(page, []byte(text), fileMode)
+}
--- /dev/null
+++ b/docs/capacity/page_test.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The page says what the slopes say: else one of them was changed alone, and
+// `go generate ./docs/capacity` mends it.
+func TestPageAgreesWithSlopes(t *testing.T) {
+	is := is.New(t)
+	sl, err := readSlopes(slopesFile)
+	is.NoErr(err)
+	page, err := os.ReadFile("../CAPACITY.md")
+	is.NoErr(err)
+	want, err := fill(string(page), tables(sl))
+	is.NoErr(err)
+	is.Equal(string(page), want)
+	for _, line := range strings.Split(want, "\n") {
+		if strings.HasPrefix(line, "<!-- begin ") {
+			name := strings.TrimSuffix(strings.TrimPrefix(line, "<!-- begin "), " -->")
+			is.True(hasTable(tables(sl), name)) // a table that nothing fills
+		}
+	}
+}
+
+func hasTable(tbs []Table, name string) bool {
+	for _, tb := range tbs {
+		if tb.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Each slope has a value, a day and a benchmark that is there, or the command
+// that a person ran.
+func TestSlopesCanBeMeasured(t *testing.T) {
+	sl, err := readSlopes(slopesFile)
+	is.New(t).NoErr(err)
+	seen := make(map[string]bool)
+	for _, one := range sl.list {
+		t.Run(one.Name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(!seen[one.Name]) // listed twice
+			seen[one.Name] = true
+			is.True(one.Value > 0)
+			is.True(one.Unit != "")
+			is.True(one.Date != "")
+			is.True((one.Command == "") == (one.Bench != "" && one.Metric != ""))
+			if one.Bench != "" {
+				is.True(hasBenchmark(t, one))
+			}
+		})
+	}
+}
+
+func hasBenchmark(t *testing.T, sl Slope) bool {
+	t.Helper()
+	is := is.New(t)
+	dir := "../../" + sl.Package
+	files, err := os.ReadDir(dir)
+	is.NoErr(err)
+	name, _, _ := strings.Cut(sl.Bench, "/")
+	for _, fi := range files {
+		if !strings.HasSuffix(fi.Name(), "_test.go") {
+			continue
+		}
+		raw, err := os.ReadFile(dir + "/" + fi.Name())
+		is.NoErr(err)
+		if strings.Contains(string(raw), "\nfunc "+name+"(b *testing.B)") {
+			return true
+		}
+	}
+	return false
+}
+
+func TestLeast(t *testing.T) {
+	const out = `BenchmarkA/n=1-12   100   9.5 ns/op   7 B/op
+BenchmarkA/n=1-12   100   8.5 ns/op   9 B/op
+BenchmarkA/n=10-12   100   1 ns/op   1 B/op
+`
+	tests := []struct {
+		name, bench, metric string
+		want                float64
+		ok                  bool
+	}{
+		{"least of two", "BenchmarkA/n=1", "ns/op", 8.5, true},
+		{"each metric has its own", "BenchmarkA/n=1", "B/op", 7, true},
+		{"a longer name is another", "BenchmarkA/n=10", "ns/op", 1, true},
+		{"no such metric", "BenchmarkA/n=1", "us/op", 0, false},
+		{"no such benchmark", "BenchmarkB", "ns/op", 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := least(out, tt.bench, tt.metric)
+			is.Equal(err == nil, tt.ok)
+			is.Equal(got, tt.want)
+		})
+	}
+}
--- a/io/costs/main_test.go
+++ b/io/costs/main_test.go
@@ -30,6 +30,7 @@
 	Upstream string `json:"upstream"`
 	Inner    string `json:"inner"`
 	Account  string `json:"account"`
+	Caller   string `json:"caller"`
 }
 
 // account is what the other end has used and carried.
--- a/io/costs/responder_test.go
+++ b/io/costs/responder_test.go
@@ -12,8 +12,12 @@
 	"os"
 	"strconv"
 	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
 
 	"laburnumvane/core/merge"
+	"laburnumvane/io/front"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/peer"
 	"laburnumvane/io/wire"
@@ -61,8 +65,9 @@
 
 // respond is the other end's whole life.
 func respond() int {
+	hlog.SetLevel(hlog.LevelFatal)
 	tr := new(traffic)
-	var lns [3]net.Listener
+	var lns [4]net.Listener
 	for i := range lns {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -75,7 +80,13 @@
 	inn := peer.NewServer(peer.ServerConfig{Listener: countedListener{lns[1], tr}, Service: holder{}})
 	go func() { _ = inn.Serve() }()
 	go func() { _ = http.Serve(lns[2], http.HandlerFunc(tr.account)) }()
-	line, err := json.Marshal(addrs{lns[0].Addr().String(), lns[1].Addr().String(), lns[2].Addr().String()})
+	go func() { _ = newFront(countedListener{lns[3], tr}).Serve() }()
+	line, err := json.Marshal(addrs{
+		Upstream: lns[0].Addr().String(),
+		Inner:    lns[1].Addr().String(),
+		Account:  lns[2].Addr().String(),
+		Caller:   lns[3].Addr().String(),
+	})
 	if err != nil {
 		return 1
 	}
@@ -233,18 +244,48 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := json.Marshal(wire.SearchAnswer{
-		ID:       sr.ID,
+	raw, err := json.Marshal(answerOf(sr, n))
+	if err != nil {
+		return nil, err
+	}
+	return &inner.RunReply{Version: inner.Version, Answer: raw}, nil
+}
+
+func answerOf(rq wire.SearchRequest, hits int) wire.SearchAnswer {
+	return wire.SearchAnswer{
+		ID:       rq.ID,
 		Outcome:  wire.OutcomeComplete,
 		Snapshot: 7,
 		Coverage: wire.Coverage{Shards: 270, Answered: 270, Share: 1},
-		Hits:     hitsOf(1, n),
+		Hits:     hitsOf(1, hits),
 		Work:     wire.Work{Primaries: 270},
-	})
-	if err != nil {
-		return nil, err
 	}
-	return &inner.RunReply{Version: inner.Version, Answer: raw}, nil
+}
+
+// canned answers searches at once; the id says how many hits.
+type canned struct{}
+
+func (canned) Search(_ context.Context, rq wire.SearchRequest) wire.SearchAnswer {
+	n, _ := strconv.Atoi(rq.ID)
+	return answerOf(rq, n)
+}
+
+func (canned) Tickets(string, int) []string { return nil }
+
+// newFront is the callers' listener before searches that cost nothing.
+func newFront(ln net.Listener) *front.Front {
+	return front.New(front.Config{
+		Listener:    ln,
+		Search:      canned{},
+		Leaving:     func() bool { return false },
+		MaxBody:     1 << 20,
+		ReadTimeout: patience,
+		MaxDeadline: time.Minute,
+		TicketTTL:   time.Minute,
+		NewID:       func() string { return "x" },
+		Refused:     func(string) {},
+		Log:         func(wire.SearchRequest, wire.SearchAnswer) {},
+	})
 }
 
 func (holder) Beat(_ context.Context, rq *inner.BeatRequest) (*inner.BeatReply, error) {
