--- a/io/drive/session.go
+++ b/io/drive/session.go
@@ -112,6 +112,9 @@
 func (se *session) send(ac *search.Action) {
 	at := se.attempt(ac)
 	se.dr.counts.sent(ac.Attempt)
+	if ac.Attempt == search.AttemptRetry {
+		se.dr.cfg.Meter.Count(meter.Retry, ac.Reason)
+	}
 	se.dr.cfg.Table.Begin(ac.Server)
 	se.hold()
 	if se.dr.cfg.Workers.Submit(at.run) == nil {
