--- /dev/null
+++ b/docs/capacity/tables.go
@@ -0,0 +1,259 @@
+package main
+
+import (
+	"laburnumvane/core/conns"
+)
+
+// tables are all of the page, in its order.
+func tables(sl *slopes) []Table {
+	return []Table{
+		sizeTable(),
+		trafficTable(sl),
+		controlTable(sl),
+		serviceTable(sl),
+		connectionTable(sl),
+		waysTable(sl),
+		batchTable(sl),
+		failureTable(sl),
+		slopeTable(sl),
+	}
+}
+
+func sizeTable() Table {
+	return Table{
+		Name: "size",
+		Head: []string{"per", "figure"},
+		Rows: [][]string{
+			{"data centre", whole(nodesPerCentre) + " nodes, " + whole(serversPerCentre) + " servers, " + whole(searchesPerCentre) + " searches/s"},
+			{"node", whole(searchesPerNode) + " searches/s, " + whole(subsPerNode) + " sub-requests/s"},
+			{"server", whole(subsPerServer) + " sub-requests/s"},
+			{"shard of one register over a whole data centre", num(replicasPerShard) + " replicas"},
+			{"fleet", num(changesPerSecond) + " changes/s, one replacement each " + num(1/bootsPerSecond) + " s, " + whole(failuresPerDay) + " failures a day"},
+		},
+	}
+}
+
+const (
+	micros = 1e-6
+	nanos  = 1e-9
+	mega   = 1e6
+	kibi   = 1 << 10
+)
+
+func trafficTable(sl *slopes) Table {
+	row := func(role, cpu, sent, received string, rate float64, mechanism string) []string {
+		return []string{
+			role,
+			whole(rate) + "/s",
+			num(rate*sl.of(cpu)*micros) + " cores",
+			num(rate*(sl.of(sent)+sl.of(received))/mega) + " MB/s",
+			mechanism,
+		}
+	}
+	extra := subsPerNode * (hedgeShare + retryShare)
+	return Table{
+		Name: "traffic",
+		Head: []string{"role", "rate per node", "processor", "bytes, both ways", "mechanism"},
+		Rows: [][]string{
+			row("callers' listener", "callerCPU", "callerReceived", "callerSent", searchesPerNode, "`io/front`, one goroutine a connection"),
+			row("sub-requests, one hit each", "exchangeCPU1", "exchangeSent1", "exchangeReceived1", subsPerNode, "`io/drive`, `core/search`, `io/upst`, workers of `ants`"),
+			row("the same with ten hits each", "exchangeCPU10", "exchangeSent10", "exchangeReceived10", subsPerNode, "the same"),
+			row("hedges and retries at the most", "exchangeCPU1", "exchangeSent1", "exchangeReceived1", extra, "token budgets of `core/budget`: 3% and 10% of primaries"),
+		},
+	}
+}
+
+// What the budgets of a search kind allow beside its primaries.
+const (
+	hedgeShare = 0.03
+	retryShare = 0.10
+)
+
+// control is what a role costs a node, in parts of the budget.
+type control struct {
+	role      string
+	core      float64 // per cent of a core
+	memory    float64 // bytes
+	bytes     float64 // a second, both ways
+	mechanism string
+}
+
+func controls(sl *slopes) []control {
+	beats := sl.of("beatCPU") + sl.of("beatPeerCPU")
+	teamBytes := (sl.of("spreadMemory1000") - sl.of("spreadMemory10")) * kibi / (1000 - 10)
+	churn := (sl.of("memberBytesChurn") - sl.of("memberBytes")) * bootsPerSecond
+	return []control{
+		{"membership: decisions", sl.of("memberCore") * micros * 100, sl.of("memberHeap") * 1000, 0, "`core/member`: three rings of neighbours, digests"},
+		{"membership: messages", ringBeats * beats * micros * 100, 0, sl.of("memberBytes") + churn, "heartbeats over twirp, news of 0.08 replacements a second on them"},
+		{"what rides on heartbeats, at the most", 0, 0, riderBytes * ridingMessages, "`io/node` riders: leaving signs, demands, hints; bounded by room"},
+		{"configuration: watch, relay, leaf", sl.of("spreadCore"), sl.of("spreadMemory10")*kibi + teams*teamBytes, sl.of("spreadBytes"), "`core/spread`: ranked watchers, trees of eight, digests"},
+		{"configuration: reading documents", changesPerSecond * sl.of("parse") * nanos * 100, 0, 0, "`core/team`: each node reads each change once"},
+		{"upstreams: states and maps", serversPerCentre * sl.of("serverStep") * nanos * 100, serversPerCentre * sl.of("serverMemory"), 0, "`core/server`: tallies of replies, at most one a second and server"},
+		{"upstreams: load endpoints", 0, 0, pollBytes, "`core/server.Polls`: a budget of bytes, not of servers"},
+		{"connections: shares", 2 * bootsPerSecond * sl.of("join") * nanos * 100, 0, 0, "`core/conns`: worked out by each node from its view, no message"},
+	}
+}
+
+// Bounds that the code sets, beside what was measured.
+const (
+	ringBeats      = 3.0
+	riderBytes     = 256
+	ridingMessages = 12
+	pollBytes      = 2 << 10
+)
+
+func controlTable(sl *slopes) Table {
+	tb := Table{
+		Name: "control",
+		Head: []string{"role", "% of a core", "memory", "bytes/s, both ways", "mechanism"},
+	}
+	var sum control
+	for _, ro := range controls(sl) {
+		sum.core += ro.core
+		sum.memory += ro.memory
+		sum.bytes += ro.bytes
+		tb.Rows = append(tb.Rows, []string{ro.role, orNone(ro.core, ""), orNone(ro.memory/mega, " MB"), orNone(ro.bytes, ""), ro.mechanism})
+	}
+	tb.Rows = append(tb.Rows,
+		[]string{"**sum**", num(sum.core), num(sum.memory/mega) + " MB", num(sum.bytes), ""},
+		[]string{"**budget**", num(maxControlCore), num(maxControlMB) + " MB", num(maxControlBytes), verdict(sum)},
+	)
+	return tb
+}
+
+func orNone(val float64, unit string) string {
+	if val == 0 {
+		return "-"
+	}
+	return num(val) + unit
+}
+
+func verdict(sum control) string {
+	text := ""
+	for _, part := range []struct {
+		name      string
+		used, may float64
+	}{
+		{"processor", sum.core, maxControlCore},
+		{"memory", sum.memory / mega, maxControlMB},
+		{"bytes", sum.bytes, maxControlBytes},
+	} {
+		word := "met"
+		if part.used > part.may {
+			word = "MISSED"
+		}
+		text += part.name + " " + word + " (" + num(100*part.used/part.may) + "%); "
+	}
+	return text[:len(text)-len("; ")]
+}
+
+func serviceTable(sl *slopes) Table {
+	writes := changesPerSecond * swapsPerChange
+	return Table{
+		Name: "service",
+		Head: []string{"user", "reads/s", "writes/s", "mechanism"},
+		Rows: [][]string{
+			{"watches, reads and changes of the fleet in ordinary running", num(sl.of("spreadCalls") - writes), num(writes), "two ranked watchers a data centre; one read and one swap a change"},
+			{"the most in any second", whole(sl.of("spreadPeak")), "-", "a token budget a VM, which shrinks as the fleet grows"},
+			{"boots and replacements", num(bootsPerSecond * readsPerBoot), "0", "a VM that boots asks peers; it asks the service beside them once"},
+			{"searches and tickets", "0", "0", "tickets live in the memory of the VM that issued them"},
+			{"limits, shares, leaving signs", "0", "0", "they ride on heartbeats"},
+			{"if every node watched: waiting calls alone", whole(nodes), "-", "weighed and left: over twice what the service takes"},
+		},
+	}
+}
+
+const (
+	swapsPerChange = 1
+	readsPerBoot   = 2
+)
+
+// usableOf is the part of a server's connections that its data centre divides.
+func usableOf(limit int) float64 {
+	near, _ := conns.Split(limit, false)
+	return float64(near)
+}
+
+// fanNodes is the number of nodes of a data centre that can hold enough
+// connections to send a search to every shard by themselves.
+func fanNodes(limit int) float64 {
+	return serversPerCentre * usableOf(limit) / (shardsPerSearch * spareConns)
+}
+
+func connectionTable(sl *slopes) Table {
+	tb := Table{
+		Name: "connections",
+		Head: []string{
+			"limit", "divided", "per node", "nodes that can fan out", "searches/s each",
+			"cores each", "exchange time at half use",
+		},
+	}
+	for _, limit := range connLimits {
+		usable := usableOf(limit)
+		all := serversPerCentre * usable
+		homes := min(nodesPerCentre, fanNodes(limit))
+		each := searchesPerCentre / homes
+		tb.Rows = append(tb.Rows, []string{
+			whole(float64(limit)),
+			whole(usable),
+			whole(all / nodesPerCentre),
+			whole(homes) + " of " + whole(nodesPerCentre),
+			whole(each),
+			num(each * shardsPerSearch * sl.of("exchangeCPU1") * micros),
+			num(usable/2/subsPerServer*1000) + " ms",
+		})
+	}
+	return tb
+}
+
+func waysTable(sl *slopes) Table {
+	tb := Table{
+		Name: "ways",
+		Head: []string{"limit", "whole searches to home nodes", "two levels, partial merges", "shared connections, batches"},
+	}
+	hop := sl.of("forwardCPU10") + sl.of("forwardPeerCPU10")
+	for _, limit := range connLimits {
+		usable := usableOf(limit)
+		homes := fanNodes(limit)
+		away := max(0, 1-homes/nodesPerCentre)
+		parts := max(1, nodesPerCentre*spareConns/usable)
+		perServer := searchesPerCentre / min(nodesPerCentre, homes)
+		tb.Rows = append(tb.Rows, []string{
+			whole(float64(limit)),
+			num(searchesPerNode*away*hop*micros) + " cores a node on " + whole(100*away) + "% of searches forwarded once",
+			num(searchesPerNode*parts*hop*micros) + " cores a node on " + whole(parts) + " parts each",
+			num(perServer*batchWindow/1000) + " sub-requests to a server in " + num(batchWindow) + " ms",
+		})
+	}
+	return tb
+}
+
+// batchWindow is how long a sub-request may wait for others to the same server,
+// in milliseconds.
+const batchWindow = 5.0
+
+func batchTable(sl *slopes) Table {
+	tb := Table{
+		Name: "batches",
+		Head: []string{"sub-requests in an exchange", "processor for each", "of one by one", "bytes for each", "of one by one"},
+	}
+	for _, k := range []string{"1", "3", "9", "27", "90", "270"} {
+		cpu, bytes := sl.of("batchCPU"+k), sl.of("batchSent"+k)+sl.of("batchReceived"+k)
+		tb.Rows = append(tb.Rows, []string{
+			k,
+			num(cpu) + " us",
+			num(cpu / sl.of("batchCPU1")),
+			num(bytes),
+			num(bytes / (sl.of("batchSent1") + sl.of("batchReceived1"))),
+		})
+	}
+	return tb
+}
+
+func slopeTable(sl *slopes) Table {
+	tb := Table{Name: "slopes", Head: []string{"slope", "value", "unit", "day", "command"}}
+	for _, one := range sl.list {
+		tb.Rows = append(tb.Rows, []string{one.Name, num(one.Value), one.Unit, one.Date, "`" + one.command() + "`"})
+	}
+	return tb
+}
--- /dev/null
+++ b/docs/operate/page_test.go
@@ -0,0 +1,60 @@
+package operate_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/io/setup"
+)
+
+func readPage(t *testing.T) string {
+	t.Helper()
+	raw, err := os.ReadFile("../OPERATE.md")
+	is.New(t).NoErr(err)
+	return string(raw)
+}
+
+// An operator finds each setting on the page, and no setting that is gone.
+func TestSettingsAreOnThePage(t *testing.T) {
+	page := readPage(t)
+	have := make(map[string]bool)
+	for _, fl := range setup.Flags() {
+		name := fl.Names()[0]
+		have[name] = true
+		row := "| `--" + name + "` | `" + setup.Variable(name) + "` |"
+		if !strings.Contains(page, row) {
+			t.Errorf("the page has no row that begins %s", row)
+		}
+	}
+	for _, row := range regexp.MustCompile("(?m)^\\| `--([a-z-]+)` \\|").FindAllStringSubmatch(page, -1) {
+		if !have[row[1]] {
+			t.Errorf("the page names --%s, which is gone", row[1])
+		}
+	}
+}
+
+// Each alarm that the code can raise has a line that says what to do.
+func TestAlarmsAreOnThePage(t *testing.T) {
+	is := is.New(t)
+	page := readPage(t)
+	kinds := regexp.MustCompile(`AlarmKind = "(\w+)"`)
+	found := 0
+	paths, err := filepath.Glob("../../core/*/*.go")
+	is.NoErr(err)
+	for _, path := range paths {
+		raw, err := os.ReadFile(path)
+		is.NoErr(err)
+		for _, one := range kinds.FindAllStringSubmatch(string(raw), -1) {
+			found++
+			if !strings.Contains(page, "| `"+one[1]+"` |") {
+				t.Errorf("the page has no line for alarm %s of %s", one[1], path)
+			}
+		}
+	}
+	is.True(found > 0)
+}
