--- a/io/node/control.go
+++ b/io/node/control.go
@@ -5,9 +5,7 @@
 	"time"
 
 	"laburnumvane/core/spread"
-	"laburnumvane/core/team"
 	"laburnumvane/core/view"
-	"laburnumvane/io/upst"
 	"laburnumvane/io/wire"
 )
 
@@ -18,25 +16,21 @@
 
 // control owns all state that is not a search's. Only its goroutine touches it.
 type control struct {
-	nd       *Node
-	view     view.View
-	ids      map[string]view.ServerID
-	holdings map[view.ServerID][]wire.ShardHolding
-	alarms   []string
-	conf     *configs
-	members  *members
-	signs    *signs
+	nd      *Node
+	view    view.View
+	alarms  []string
+	conf    *configs
+	members *members
+	signs   *signs
+	ups     *upstreams
 }
 
 func newControl(nd *Node) *control {
-	ct := &control{
-		nd:       nd,
-		ids:      make(map[string]view.ServerID),
-		holdings: make(map[view.ServerID][]wire.ShardHolding),
-	}
+	ct := &control{nd: nd}
+	ct.ups = newUpstreams(ct)
 	ct.conf = newConfigs(ct)
 	ct.members = newMembers(ct)
-	ct.signs = newSigns(ct.members, ct.signHeard)
+	ct.signs = newSigns(ct.members, ct.ups.heard)
 	ct.members.board(digests{nd: nd})
 	ct.members.board(ct.signs)
 	return ct
@@ -49,11 +43,14 @@
 			ev.apply(ct)
 		case <-ct.conf.timer.C:
 			ct.conf.step(spread.Tick{})
+		case <-ct.ups.timer.C:
+			ct.ups.tick()
 		case <-ct.members.timer.C:
 			ct.members.tick()
 		case <-ctx.Done():
 			return
 		}
+		ct.ups.flush()
 	}
 }
 
@@ -106,45 +103,3 @@
 }
 
 const dialTimeout = 2 * time.Second
-
-// placeServers gives each server of a document its id and its connections.
-func (ct *control) placeServers(doc team.Document) {
-	servers := append([]view.Server(nil), ct.view.Servers()...)
-	pools := append([]*upst.Server(nil), *ct.nd.servers.Load()...)
-	for register, rg := range doc.Registers {
-		for service, sc := range rg.Services {
-			for _, sr := range sc.Servers {
-				if _, ok := ct.ids[sr.Addr]; ok {
-					continue
-				}
-				id := view.ServerID(len(servers))
-				ct.ids[sr.Addr] = id
-				servers = append(servers, view.Server{
-					ID:          id,
-					Addr:        sr.Addr,
-					DataCentre:  sr.DataCentre,
-					Service:     service,
-					Team:        doc.Team,
-					Register:    register,
-					State:       view.StateUnknown,
-					Why:         "not heard from yet",
-					Slots:       sc.SlotsPerServer,
-					Connections: sc.ConnectionsPerServer,
-				})
-				pools = append(pools, upst.New(upst.Config{
-					Addr:        sr.Addr,
-					MaxConns:    ct.connectionShare(sc.ConnectionsPerServer),
-					DialTimeout: dialTimeout,
-				}))
-			}
-		}
-	}
-	ct.nd.table.Grow(len(servers))
-	ct.nd.servers.Store(&pools)
-	ct.view = ct.view.WithServers(servers)
-}
-
-// connectionShare is this VM's part of a server's connections.
-func (ct *control) connectionShare(limit int) int {
-	return max(1, limit/max(1, ct.members.sharers()))
-}
--- a/io/node/members_riders.go
+++ b/io/node/members_riders.go
@@ -52,7 +52,7 @@
 // collect asks the riders what a VM shall be told.
 func (ms *members) collect(addr, dataCentre string) cargo {
 	var cg cargo
-	to := recipient{addr: addr, dataCentre: dataCentre, vms: ms.sharers()}
+	to := recipient{addr: addr, dataCentre: dataCentre, vms: len(ms.holders())}
 	room := riderBytes
 	for _, rd := range ms.riders {
 		room -= rd.outgoing(to, room, &cg)
@@ -149,8 +149,7 @@
 
 // note keeps a sign and queues it; false if it says nothing new.
 func (sg *signs) note(sn *inner.Sign) bool {
-	old, ok := sg.known[sn.GetServer()]
-	if ok && (sn.GetIncarnation() < old.GetIncarnation() || proto.Equal(sn, old)) {
+	if old, ok := sg.known[sn.GetServer()]; ok && !stronger(sn, old) {
 		return false
 	}
 	sg.known[sn.GetServer()] = sn
@@ -160,6 +159,17 @@
 	return true
 }
 
+// stronger tells whether a sign outdoes the one known of the same server: by its
+// incarnation, or by a kind of a lower number, leaving being the lowest. Without
+// an order two kinds of one incarnation would replace each other at every VM in
+// turn, for ever.
+func stronger(sn, old *inner.Sign) bool {
+	if sn.GetIncarnation() != old.GetIncarnation() {
+		return sn.GetIncarnation() > old.GetIncarnation()
+	}
+	return sn.GetKind() < old.GetKind()
+}
+
 func (sg *signs) outgoing(to recipient, room int, cg *cargo) int {
 	used := 0
 	sg.queue.Take(member.Retransmits(to.vms), func(sn *inner.Sign) bool {
@@ -185,25 +195,3 @@
 		}
 	}
 }
-
-// signLeaving is the kind of a sign that a server is leaving.
-const signLeaving = 1
-
-// signHeard takes another VM's word that a server is leaving.
-func (ct *control) signHeard(sn *inner.Sign) {
-	id, ok := ct.ids[sn.GetServer()]
-	if !ok || sn.GetKind() != signLeaving {
-		return
-	}
-	sv := ct.view.Server(id)
-	if sn.GetIncarnation() < sv.Incarnation {
-		return
-	}
-	ct.nd.meter.Count(meterMember, "signHeard")
-	leavingSeen{id: id, incarnation: sn.GetIncarnation()}.apply(ct)
-}
-
-// signSeen tells the other VMs that a server said it leaves.
-func (ct *control) signSeen(server string, incarnation uint64) {
-	ct.signs.tell(&inner.Sign{Server: server, Incarnation: incarnation, Kind: signLeaving})
-}
