--- a/io/node/control.go
+++ b/io/node/control.go
@@ -23,6 +23,7 @@
 	members *members
 	signs   *signs
 	ups     *upstreams
+	shares  *shares
 }
 
 func newControl(nd *Node) *control {
@@ -33,6 +34,8 @@
 	ct.signs = newSigns(ct.members, ct.ups.heard)
 	ct.members.board(digests{nd: nd})
 	ct.members.board(ct.signs)
+	ct.shares = newShares(ct)
+	ct.members.board(ct.shares)
 	return ct
 }
 
@@ -47,6 +50,8 @@
 			ct.ups.tick()
 		case <-ct.members.timer.C:
 			ct.members.tick()
+		case <-ct.shares.timer.C:
+			ct.shares.tick()
 		case <-ctx.Done():
 			return
 		}
@@ -99,6 +104,7 @@
 }
 
 func (ev vmsSeen) apply(ct *control) {
+	ct.shares.vmsListed(ev.vms)
 	ct.members.listed(ev.vms)
 }
 
