--- /dev/null
+++ b/core/due/example_test.go
@@ -0,0 +1,22 @@
+package due_test
+
+import (
+	"fmt"
+	"time"
+
+	"laburnumvane/core/due"
+)
+
+func Example() {
+	var qu due.Queue[string]
+	qu.Push(3*time.Second, "ping the idle connection")
+	qu.Push(time.Second, "ask the load endpoint")
+	for what, ok := qu.Pop(2 * time.Second); ok; what, ok = qu.Pop(2 * time.Second) {
+		fmt.Println(what)
+	}
+	at, _ := qu.Next()
+	fmt.Println("next at", at)
+	// Output:
+	// ask the load endpoint
+	// next at 3s
+}
