--- a/docs/capacity/tables.go
+++ b/docs/capacity/tables.go
@@ -12,6 +12,7 @@
 		controlTable(sl),
 		serviceTable(sl),
 		connectionTable(sl),
+		todayTable(),
 		waysTable(sl),
 		batchTable(sl),
 		failureTable(sl),
@@ -117,6 +118,7 @@
 	tb.Rows = append(tb.Rows,
 		[]string{"**sum**", num(sum.core), num(sum.memory/mega) + " MB", num(sum.bytes), ""},
 		[]string{"**budget**", num(maxControlCore), num(maxControlMB) + " MB", num(maxControlBytes), verdict(sum)},
+		[]string{"the busiest node", "", "", num(sum.bytes + sl.of("spreadBusiest") - sl.of("spreadBytes") + 2*sl.of("memberMost") - sl.of("memberBytes")), "one that watches or relays for its data centre"},
 	)
 	return tb
 }
@@ -155,18 +157,15 @@
 		Rows: [][]string{
 			{"watches, reads and changes of the fleet in ordinary running", num(sl.of("spreadCalls") - writes), num(writes), "two ranked watchers a data centre; one read and one swap a change"},
 			{"the most in any second", whole(sl.of("spreadPeak")), "-", "a token budget a VM, which shrinks as the fleet grows"},
-			{"boots and replacements", num(bootsPerSecond * readsPerBoot), "0", "a VM that boots asks peers; it asks the service beside them once"},
+			{"a replacement each 12 s, with the watches of four data centres", num(sl.of("spreadReplacement")), "0", "a VM that boots asks peers; eight watches alone are one call a second"},
 			{"searches and tickets", "0", "0", "tickets live in the memory of the VM that issued them"},
 			{"limits, shares, leaving signs", "0", "0", "they ride on heartbeats"},
-			{"if every node watched: waiting calls alone", whole(nodes), "-", "weighed and left: over twice what the service takes"},
+			{"if every node watched", num(sl.of("watchAllCalls")) + ", " + whole(sl.of("watchAllPeak")) + " in the fullest second, " + whole(nodes) + " waiting", num(writes), "weighed and left: the service takes some 2,000 reads"},
 		},
 	}
 }
 
-const (
-	swapsPerChange = 1
-	readsPerBoot   = 2
-)
+const swapsPerChange = 1
 
 // usableOf is the part of a server's connections that its data centre divides.
 func usableOf(limit int) float64 {
--- a/docs/failures/main.go
+++ b/docs/failures/main.go
@@ -66,8 +66,8 @@
 	return before + beginMark + sb.String() + endMark + after, nil
 }
 
-// demoted is a file without its title, its other headings below that of the
-// matter.
+// demoted is a file without its title, as a part of the page: other headings go
+// below that of the matter.
 func demoted(text string) string {
 	var out []string
 	for line := range strings.Lines(text) {
@@ -80,5 +80,6 @@
 			out = append(out, line)
 		}
 	}
-	return strings.TrimSpace(strings.Join(out, "\n"))
+	// Links lead from the page, which is one folder up.
+	return strings.ReplaceAll(strings.TrimSpace(strings.Join(out, "\n")), "](../", "](")
 }
--- a/docs/failures/main_test.go
+++ b/docs/failures/main_test.go
@@ -79,5 +79,5 @@
 
 func TestDemoted(t *testing.T) {
 	is := is.New(t)
-	is.Equal(demoted("# Title\n\nWords.\n\n## Part\n\n| a |\n"), "Words.\n\n#### Part\n\n| a |")
+	is.Equal(demoted("# Title\n\n[Words](../words.md).\n\n## Part\n\n| a |\n"), "[Words](words.md).\n\n#### Part\n\n| a |")
 }
--- a/docs/operate/page_test.go
+++ b/docs/operate/page_test.go
@@ -58,3 +58,18 @@
 	}
 	is.True(found > 0)
 }
+
+// A reader who follows a link of a page finds what it names.
+func TestLinksLead(t *testing.T) {
+	is := is.New(t)
+	links := regexp.MustCompile(`\]\(([^)#:]+)(?:#[^)]*)?\)`)
+	for _, name := range []string{"CAPACITY.md", "DESIGN.md", "FAILURES.md", "MEASURES.md", "OPERATE.md"} {
+		raw, err := os.ReadFile("../" + name)
+		is.NoErr(err)
+		for _, one := range links.FindAllStringSubmatch(string(raw), -1) {
+			if _, err := os.Stat("../" + one[1]); err != nil {
+				t.Errorf("%s links to %s: %v", name, one[1], err)
+			}
+		}
+	}
+}
