docs: CAPACITY with limits, tickets, garbage and what messages take

Cause: roles were missing from the page, and two figures there were guessed. Change: slopes of core/share, core/limit, core/admit, messages' own sizes and memory allocated; a table of roles; team limits at size shown as what they are: missed (31 MB/s of demands where 3 KB/s ride, 9% of a core where 1.4% are allowed). Before: documents counted whole across a partition; after: as they travel, deflated.

--- a/docs/capacity/size.go
+++ b/docs/capacity/size.go
@@ -22,12 +22,12 @@
 
 // Assumptions that no benchmark can measure.
 const (
-	teams          = 100
-	documentBytes  = 6 << 10
-	rackNodes      = 20
-	rackServers    = 40
-	partitionMins  = 5
-	exchangeMillis = 1.0
+	teams         = 100
+	rackNodes     = 20
+	rackServers   = 40
+	partitionMins = 5
+	// inFlight is how long a search takes at the most, in seconds.
+	inFlight = 0.2
 	// spareConns is how many connections to a server a fan-out needs so that
 	// its sub-requests seldom wait for one another.
 	spareConns = 2
--- a/docs/capacity/tables.go
+++ b/docs/capacity/tables.go
@@ -59,15 +59,20 @@
 			row("callers' listener", "callerCPU", "callerReceived", "callerSent", searchesPerNode, "`io/front`, one goroutine a connection"),
 			row("sub-requests, one hit each", "exchangeCPU1", "exchangeSent1", "exchangeReceived1", subsPerNode, "`io/drive`, `core/search`, `io/upst`, workers of `ants`"),
 			row("the same with ten hits each", "exchangeCPU10", "exchangeSent10", "exchangeReceived10", subsPerNode, "the same"),
-			row("hedges and retries at the most", "exchangeCPU1", "exchangeSent1", "exchangeReceived1", extra, "token budgets of `core/budget`: 3% and 10% of primaries"),
+			row("hedges and retries at budgets of 3% and 10%", "exchangeCPU1", "exchangeSent1", "exchangeReceived1", extra, "token budgets of `core/budget`, set for each search in the configuration"),
+			{"limits, shares and admission", whole(subsPerNode) + "/s", num((subsPerNode*sl.of("limitSub")+searchesPerNode*(sl.of("shareTake")+sl.of("admitDecision")))*nanos) + " cores", "0", "`core/limit`, `core/share`, `core/admit`: no message before a search"},
+			{"tickets, for one search in ten", whole(searchesPerNode*ticketShare) + "/s", num(searchesPerNode*ticketShare*sl.of("ticket")*nanos) + " cores", "0 at the issuer", "`core/ticket`; a foreign one costs a forwarded search"},
+			{"memory allocated and collected", whole(searchesPerNode) + "/s", "in the above", num(searchesPerNode*sl.of("exchangeAlloc1")/mega) + " MB/s of garbage", "records made ahead for each search"},
 		},
 	}
 }
 
-// What the budgets of a search kind allow beside its primaries.
+// What the budgets of a search kind allow beside its primaries, and the share of
+// searches that must not be repeated; all three are assumed.
 const (
-	hedgeShare = 0.03
-	retryShare = 0.10
+	hedgeShare  = 0.03
+	retryShare  = 0.10
+	ticketShare = 0.10
 )
 
 // control is what a role costs a node, in parts of the budget.
@@ -119,6 +124,10 @@
 		[]string{"**sum**", num(sum.core), num(sum.memory/mega) + " MB", num(sum.bytes), ""},
 		[]string{"**budget**", num(maxControlCore), num(maxControlMB) + " MB", num(maxControlBytes), verdict(sum)},
 		[]string{"the busiest node", "", "", num(sum.bytes + sl.of("spreadBusiest") - sl.of("spreadBytes") + 2*sl.of("memberMost") - sl.of("memberBytes")), "one that watches or relays for its data centre"},
+		[]string{
+			"team limits, if every VM's demand reached every other", num(teams * sl.of("shareSecond") * nanos * 100), "",
+			num(teams * nodes * sl.of("payloadDemand")), "`core/share`; not in the sum, as heartbeats do not carry it",
+		},
 	)
 	return tb
 }
--- a/io/costs/forward_test.go
+++ b/io/costs/forward_test.go
@@ -50,13 +50,7 @@
 			ad := startPeer(b)
 			cl := peer.NewClient(peer.ClientConfig{Timeout: time.Second})
 			b.Cleanup(cl.Close)
-			rq := &inner.BeatRequest{
-				Version:  inner.Version,
-				From:     &inner.VM{Addr: "10.0.0.1:7702", DataCentre: "east", Incarnation: 1 << 50},
-				Sequence: 1 << 20,
-				Digest:   1 << 60,
-				Highest:  1 << 20,
-			}
+			rq := emptyBeat()
 			for i := range members {
 				rq.Members = append(rq.Members, &inner.Member{
 					Vm:        &inner.VM{Addr: fmt.Sprintf("10.0.1.%d:7702", i), DataCentre: "east", Region: "north", Incarnation: 1 << 50},
@@ -76,3 +70,14 @@
 		})
 	}
 }
+
+// emptyBeat is a heartbeat with nothing on it.
+func emptyBeat() *inner.BeatRequest {
+	return &inner.BeatRequest{
+		Version:  inner.Version,
+		From:     &inner.VM{Addr: "10.0.0.1:7702", DataCentre: "east", Incarnation: 1 << 50},
+		Sequence: 1 << 20,
+		Digest:   1 << 60,
+		Highest:  1 << 20,
+	}
+}
