--- a/docs/capacity/failures.go
+++ b/docs/capacity/failures.go
@@ -44,7 +44,7 @@
 // fillsPerTick of io/upst, four times a second.
 const fillsPerSecond = 16 * 4
 
-// connsPerNode is a node's part where servers allow the least of connLimits.
+// connsPerNode is a node's part where servers allow the least.
 func connsPerNode() float64 {
-	return serversPerCentre * usableOf(connLimits[0]) / nodesPerCentre
+	return serversPerCentre * usableOf(leastConnLimit) / nodesPerCentre
 }
--- a/docs/capacity/main.go
+++ b/docs/capacity/main.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 )
 
@@ -18,20 +20,23 @@
 	measure := flag.Bool("measure", false, "run the benchmarks of the slopes first; takes minutes")
 	only := flag.String("only", "", "measure only slopes whose names begin so")
 	flag.Parse()
-	if err := run(*dir, *page, *measure, *only); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	err := run(ctx, *dir, *page, *measure, *only)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
 		os.Exit(1)
 	}
 }
 
-func run(dir, page string, measure bool, only string) error {
+func run(ctx context.Context, dir, page string, measure bool, only string) error {
 	path := filepath.Join(dir, slopesFile)
 	sl, err := readSlopes(path)
 	if err != nil {
 		return err
 	}
 	if measure {
-		if err := sl.measure(only); err != nil {
+		if err := sl.measure(ctx, only); err != nil {
 			return err
 		}
 		if err := sl.write(path); err != nil {
--- a/docs/capacity/size.go
+++ b/docs/capacity/size.go
@@ -46,5 +46,10 @@
 	replicasPerShard  = serversPerCentre / shardsPerSearch
 )
 
+// leastConnLimit is the least that servers allow.
+const leastConnLimit = 25
+
 // connLimits are the connections that servers allow.
-var connLimits = [...]int{25, 30, 50, 100}
+func connLimits() []int {
+	return []int{leastConnLimit, 30, 50, 100}
+}
--- a/docs/capacity/slopes.go
+++ b/docs/capacity/slopes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -86,7 +87,7 @@
 }
 
 // measure runs the benchmarks. Slopes of one benchmark share a run.
-func (sl *slopes) measure(only string) error {
+func (sl *slopes) measure(ctx context.Context, only string) error {
 	done := make(map[string]string)
 	for i := range sl.list {
 		one := &sl.list[i]
@@ -96,7 +97,7 @@
 		out, ok := done[one.command()]
 		if !ok {
 			var err error
-			if out, err = bench(*one); err != nil {
+			if out, err = bench(ctx, *one); err != nil {
 				return err
 			}
 			done[one.command()] = out
@@ -111,8 +112,8 @@
 	return nil
 }
 
-func bench(sl Slope) (string, error) {
-	cmd := exec.Command("go", "test", "-run", "^$", "-bench", sl.pattern(), "-count", strconv.Itoa(runs), "./"+sl.Package)
+func bench(ctx context.Context, sl Slope) (string, error) {
+	cmd := exec.CommandContext(ctx, "go", "test", "-run", "^$", "-bench", sl.pattern(), "-count", strconv.Itoa(runs), "./"+sl.Package)
 	out, err := cmd.CombinedOutput()
 	if err != nil {
 		return "", errors.Wrapf(err, "%s: %s", sl.command(), out)
--- a/docs/capacity/tables.go
+++ b/docs/capacity/tables.go
@@ -196,7 +196,7 @@
 			"cores each", "exchange time at half use",
 		},
 	}
-	for _, limit := range connLimits {
+	for _, limit := range connLimits() {
 		usable := usableOf(limit)
 		all := serversPerCentre * usable
 		homes := min(nodesPerCentre, fanNodes(limit))
@@ -220,7 +220,7 @@
 		Head: []string{"limit", "whole searches to home nodes", "two levels, partial merges", "shared connections, batches"},
 	}
 	hop := sl.of("forwardCPU10") + sl.of("forwardPeerCPU10")
-	for _, limit := range connLimits {
+	for _, limit := range connLimits() {
 		usable := usableOf(limit)
 		homes := fanNodes(limit)
 		away := max(0, 1-homes/nodesPerCentre)
--- a/docs/capacity/today.go
+++ b/docs/capacity/today.go
@@ -14,11 +14,13 @@
 }
 
 // shapes are the upstreams of today's two users.
-var shapes = [...]shape{
-	{"Pettigrew: member-desk, renew", 25, 3, 30, 9, 3},
-	{"Pettigrew: partner-ledger, promo", 15, 1, 100, 9, 3},
-	{"Kalimba: enrol-desk, contrib-ledger", 25, 3, 25, 8, 4},
-	{"Kalimba: member-portal, notice-mailer", 8, 1, 50, 8, 4},
+func shapes() []shape {
+	return []shape{
+		{"Pettigrew: member-desk, renew", 25, 3, 30, 9, 3},
+		{"Pettigrew: partner-ledger, promo", 15, 1, 100, 9, 3},
+		{"Kalimba: enrol-desk, contrib-ledger", 25, 3, 25, 8, 4},
+		{"Kalimba: member-portal, notice-mailer", 8, 1, 50, 8, 4},
+	}
 }
 
 // todayTable is what a VM may open today, where each server is reached from all
@@ -28,7 +30,7 @@
 		Name: "today",
 		Head: []string{"upstreams", "limit", "to a server of the own data centre", "to one of another", "of a VM in all"},
 	}
-	for _, sh := range shapes {
+	for _, sh := range shapes() {
 		near, far := conns.Split(sh.limit, true)
 		inCentre := float64(sh.vms) / float64(sh.dataCentres)
 		nearEach := float64(near) / inCentre
--- a/io/costs/batch_test.go
+++ b/io/costs/batch_test.go
@@ -41,6 +41,7 @@
 	is.NoErr(err)
 	raw, err := io.ReadAll(rs.Body)
 	is.NoErr(err)
+	is.NoErr(rs.Body.Close())
 	is.NoErr(json.Unmarshal(raw, out))
 }
 
