member: news of other data centres go to every neighbour

Cause: each message tells of one other data centre, taken in turn, and messages and answers to the same neighbour fell in step, so that it heard of one data centre only. Ruled out: the relays (others heard of it through them), stalls of the process (no VM woke). Now drawn by lot, and the patience grows with the number of data centres.

--- a/core/member/compose.go
+++ b/core/member/compose.go
@@ -17,7 +17,7 @@
 		// What the other side knows best is itself.
 		mg.Other = ma.link(to.DataCentre)
 	} else {
-		mg.Other = ma.nextLink()
+		mg.Other = ma.anyLink()
 	}
 	ma.repair(to, &mg)
 	return mg
@@ -85,16 +85,19 @@
 	return out
 }
 
-// nextLink is the next other data centre in turn.
-func (ma *Machine) nextLink() Link {
+// anyLink is another data centre drawn by lot. To take them in turn would let the
+// turns fall in step with the answers in between, and one neighbour would hear
+// of the same data centre for ever.
+func (ma *Machine) anyLink() Link {
 	names := ma.table.names
-	for range names {
-		ma.other = (ma.other + 1) % len(names)
-		if names[ma.other] != ma.self.DataCentre {
-			return ma.link(names[ma.other])
-		}
+	if len(names) < 2 {
+		return Link{}
+	}
+	name := names[ma.cfg.Random.IntN(len(names))]
+	for name == ma.self.DataCentre {
+		name = names[ma.cfg.Random.IntN(len(names))]
 	}
-	return Link{}
+	return ma.link(name)
 }
 
 func (ma *Machine) link(name string) Link {
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -42,7 +42,6 @@
 
 	news   *Queue[string, Member]
 	relays map[string]*relay
-	other  int
 	diffs  map[diffKey]*diff
 	placed uint64
 }
@@ -224,7 +223,13 @@
 		return true
 	}
 	ar, ok := ma.table.areas[dataCentre]
-	return ok && ar.heard != never && ma.now-ar.heard <= ma.cfg.UnreachableAfter
+	if !ok || ar.heard == never {
+		return false
+	}
+	// Each message tells of one other data centre: where there are many, news
+	// of each take longer to come round.
+	patience := ma.cfg.UnreachableAfter + time.Duration(len(ma.table.names))*ma.cfg.RelayEvery/2
+	return ma.now-ar.heard <= patience
 }
 
 // DataCentres lists the data centres that any VM is known in.
--- a/core/member/machine_test.go
+++ b/core/member/machine_test.go
@@ -187,6 +187,27 @@
 	is.True(!pr.ma.Recovering())
 }
 
+// A VM that is no relay knows of the other data centres by what its neighbours
+// tell. None may hold one for cut off while all is well, whoever its neighbours
+// are and in whatever order messages come.
+func TestHealthyDataCentresAreReachable(t *testing.T) {
+	for seed := range 20 {
+		is := is.New(t)
+		wo := newWorld(uint64(seed), 0.01)
+		prs := wo.fleet(t, 9+seed, 3)
+		is.True(wo.run(bound, wo.agree))
+		wo.run(bound/2, nil)
+		for range 30 {
+			wo.run(time.Second, nil)
+			for _, pr := range prs {
+				for _, name := range pr.ma.DataCentres() {
+					is.True(pr.ma.Reachable(name))
+				}
+			}
+		}
+	}
+}
+
 // Nothing passes between two data centres and the third. Each side goes on with
 // what it knows and gives nobody up over there: a caller's view of the others'
 // shares must not change because a cable was cut. A VM that dies meanwhile is
--- a/core/member/message.go
+++ b/core/member/message.go
@@ -18,8 +18,8 @@
 	Next Place
 	// Digest covers the sender's data centre.
 	Digest uint64
-	// Other is one other data centre in turn, with its digest and the time
-	// since it was heard from; empty where there is none.
+	// Other is one other data centre, with its digest and the time since it
+	// was heard from; empty where there is none.
 	Other Link
 }
 
