--- a/core/server/event.go
+++ b/core/server/event.go
@@ -58,7 +58,7 @@
 // the wire.
 type SignKind uint32
 
-// Kinds of signs.
+// Kinds of signs; of one incarnation's signs the lowest number is the strongest.
 const (
 	// SignLeaving: the server said itself that it leaves. It is a fact of that
 	// incarnation and is believed.
@@ -101,7 +101,7 @@
 	Publish ActionKind = iota
 	// Probe: ask the server's load endpoint and step with what comes of it.
 	Probe
-	// Spread: tell the other VMs soon; the sign is in Table.Signs from now on.
+	// Spread: tell the other VMs the action's sign.
 	Spread
 )
 
