--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -43,6 +43,10 @@
 	InFlight    = "inFlight.searches"
 	Connections = "connections"
 	Workers     = "workers.running"
+	// InnerIn and InnerOut are the bytes read and written on the listener for
+	// other VMs since the start.
+	InnerIn  = "inner.bytesIn"
+	InnerOut = "inner.bytesOut"
 )
 
 // Other is the reason under which a family counts what there is no room to
@@ -93,7 +97,7 @@
 			"abandoned", "messageUnreadable", "alarm.serviceDown", "alarm.unreadable", "alarm.broken", "alarm.serviceBehind", "alarm.servicePast", "alarm.sameRevision",
 		},
 		Member: {
-			"candidate", "live", "suspect", "leaving", "gone", "beatFailed", "helpAsked", "woke", "signHeard",
+			"candidate", "live", "suspect", "leaving", "gone", "beatServed", "beatFailed", "helpAsked", "woke", "signHeard",
 			"signDropped", "ticketsElsewhere",
 		},
 		Logged: {"searches", "sampledOut", "lost"},
@@ -120,5 +124,5 @@
 
 // Gauges lists the names of all gauges.
 func Gauges() []string {
-	return []string{InFlight, Connections, Workers}
+	return []string{InFlight, Connections, Workers, InnerIn, InnerOut}
 }
--- a/io/node/upstreams.go
+++ b/io/node/upstreams.go
@@ -9,6 +9,7 @@
 	"laburnumvane/core/server"
 	"laburnumvane/core/view"
 	"laburnumvane/io/inner"
+	"laburnumvane/io/meter"
 	"laburnumvane/io/upst"
 )
 
@@ -165,7 +166,7 @@
 
 // heard takes another VM's sign.
 func (us *upstreams) heard(sn *inner.Sign) {
-	us.ct.nd.meter.Count(meterMember, "signHeard")
+	us.ct.nd.meter.Count(meter.Member, "signHeard")
 	us.do(us.states.Learn(us.now(), server.Sign{
 		Addr:        sn.GetServer(),
 		Incarnation: sn.GetIncarnation(),
