--- a/io/front/front.go
+++ b/io/front/front.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -49,6 +50,8 @@
 	NewID func() string
 	// Refused is told of each request that was no search, with the reason.
 	Refused func(reason string)
+	// Panicked is told of each panic of a handler.
+	Panicked func(value any, stack []byte)
 	// Log is given each answer.
 	Log func(rq wire.SearchRequest, an wire.SearchAnswer)
 }
@@ -66,7 +69,7 @@
 
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Front {
-	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout, Refused: cfg.Refused}
+	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout, Refused: cfg.Refused, Panicked: cfg.Panicked}
 	fr := &Front{cfg: cfg, ln: accept.New(guard.Listen(cfg.Listener, gc))}
 	fr.srv = guard.New(fr.ln, gc,
 		server.WithOnAccept(accept.Context),
@@ -117,7 +120,7 @@
 		fr.refuse(rc, refusal)
 		return
 	}
-	an := fr.cfg.Search.Search(ctx, rq)
+	an := fr.run(ctx, rq)
 	fr.cfg.Log(rq, an)
 	if an.RetryAfterMs > 0 {
 		rc.Header("Retry-After", strconv.FormatInt(retryAfterSeconds(an.RetryAfterMs), 10))
@@ -125,6 +128,21 @@
 	fr.reply(rc, statusOf(an), an)
 }
 
+// run answers also for a search that panicked: it may have run, and a caller
+// that is told anything else could run it twice.
+func (fr *Front) run(ctx context.Context, rq wire.SearchRequest) (an wire.SearchAnswer) {
+	defer func() {
+		if value := recover(); value != nil {
+			fr.cfg.Panicked(value, debug.Stack())
+			an = wire.SearchAnswer{
+				ID: rq.ID, Outcome: wire.OutcomeUnknown, Reason: guard.ReasonInternal,
+				Message: "a fault of this VM ended the search; it may have run", Hits: []wire.Hit{},
+			}
+		}
+	}()
+	return fr.cfg.Search.Search(ctx, rq)
+}
+
 // retryAfterSeconds rounds up: the header has whole seconds, and coming back too
 // early earns another refusal.
 func retryAfterSeconds(ms int64) int64 {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -61,6 +61,8 @@
 		an.Outcome, an.Reason = wire.OutcomeNotRun, drive.ReasonNoSearch
 	case "lost":
 		an.Outcome, an.Reason = wire.OutcomeUnknown, "deadline"
+	case "panic":
+		panic("fault")
 	case "wait":
 		fk.entered <- struct{}{}
 		<-ctx.Done()
@@ -71,6 +73,9 @@
 }
 
 func (fk *fake) Tickets(team string, n int) []string {
+	if team == "panic" {
+		panic("fault")
+	}
 	return []string{fmt.Sprintf("%s-%d", team, n)}
 }
 
@@ -78,6 +83,7 @@
 	*fake
 	addr    string
 	logged  []string
+	panics  []string
 	refused map[string]int
 }
 
@@ -106,6 +112,12 @@
 			defer mu.Unlock()
 			be.refused[reason]++
 		},
+		Panicked: func(value any, stack []byte) {
+			mu.Lock()
+			defer mu.Unlock()
+			be.panics = append(be.panics, fmt.Sprint(value))
+			is.True(strings.Contains(string(stack), "front_test.go"))
+		},
 		Log: func(_ wire.SearchRequest, an wire.SearchAnswer) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -356,6 +368,24 @@
 	}
 }
 
+// One request brings out a fault of the program. Its caller must not hear that
+// nothing ran, and the callers beside it must not notice.
+func TestPanic(t *testing.T) {
+	is := is.New(t)
+	be := start(t, patience)
+	said := contr.Talk(t, be.addr, one(post(wire.RouteSearch, "X-Request-Id: r1\r\n", `{"team":"wash","search":"panic","query":{}}`))...)
+	is.True(strings.HasPrefix(said, "HTTP/1.1 504 "))
+	is.True(strings.Contains(said, `"id":"r1","outcome":"unknown","reason":"internal"`))
+	is.Equal(be.logged, []string{"r1"})
+	said = contr.Talk(t, be.addr, one(post(wire.RouteTickets, "", `{"team":"panic"}`))...)
+	is.True(strings.HasPrefix(said, "HTTP/1.1 500 "))
+	is.True(strings.Contains(said, `"reason":"internal"`))
+	is.Equal(be.panics, []string{"fault", "fault"})
+	is.Equal(be.refused, map[string]int{"internal": 1})
+	said = contr.Talk(t, be.addr, one(post(wire.RouteSearch, "", good))...)
+	is.True(strings.HasPrefix(said, "HTTP/1.1 200 "))
+}
+
 // Every refusal is counted by its reason.
 func TestRefusalsAreCounted(t *testing.T) {
 	is := is.New(t)
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -36,6 +37,8 @@
 	WriteTime time.Duration
 	// Refused is told of each refusal, with its reason; it may be nil.
 	Refused func(reason string)
+	// Panicked is told of each panic of a handler; it may be nil.
+	Panicked func(value any, stack []byte)
 }
 
 // Listen puts the bounds on all connections of a listener.
@@ -64,7 +67,7 @@
 		server.WithDisablePrintRoute(true),
 	}
 	hz := server.New(append(opts, more...)...)
-	hz.Use(count(cfg.Refused), checkHost)
+	hz.Use(count(cfg.Refused), catch(cfg.Panicked), checkHost)
 	hz.NoRoute(noRoute)
 	hz.NoMethod(noMethod(hz.Engine))
 	return hz
@@ -83,6 +86,9 @@
 	if cfg.Refused == nil {
 		cfg.Refused = func(string) {}
 	}
+	if cfg.Panicked == nil {
+		cfg.Panicked = func(any, []byte) {}
+	}
 	return cfg
 }
 
@@ -96,6 +102,23 @@
 	}
 }
 
+// catch keeps a fault that one request brings out from ending all others with
+// the process. What the request has done by then is not known.
+func catch(panicked func(any, []byte)) app.HandlerFunc {
+	return func(ctx context.Context, rc *app.RequestContext) {
+		defer func() {
+			if value := recover(); value != nil {
+				panicked(value, debug.Stack())
+				Refuse(rc, consts.StatusInternalServerError, wire.ErrorReply{
+					Error:  "a fault of this VM; whether the request had an effect is not known",
+					Reason: ReasonInternal,
+				})
+			}
+		}()
+		rc.Next(ctx)
+	}
+}
+
 // checkHost stands before all handlers: the library sets the status of a request
 // without a host or path, runs them, and adds a plain text if none spoke.
 func checkHost(ctx context.Context, rc *app.RequestContext) {
--- a/io/guard/refuse.go
+++ b/io/guard/refuse.go
@@ -23,6 +23,8 @@
 	ReasonNoMethod    = "methodNotAllowed"
 	ReasonMediaType   = "mediaType"
 	ReasonExpectation = "expectation"
+	// ReasonInternal is the only one after which something may have run.
+	ReasonInternal = "internal"
 )
 
 // keyReason is where Refuse leaves the reason for the middleware that counts.
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -66,7 +66,7 @@
 	// What both listeners refuse before a handler is asked.
 	border := []string{
 		"badRequest", "mediaType", "tooLarge", "headersTooLarge", "requestTimeout", "noSuchRoute",
-		"methodNotAllowed", "expectation",
+		"methodNotAllowed", "expectation", "internal",
 	}
 	operators := []string{"unauthorized", "otherTeam", "noConfig", "invalid", "platform", "leaving", "preconditionRequired"}
 	replies := []string{"otherSnapshot", "wrongReply"}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -196,6 +196,7 @@
 		TicketTTL:   nd.set.TicketTTL,
 		NewID:       nd.newID,
 		Refused:     func(reason string) { nd.meter.Count(meter.Refusal, reason) },
+		Panicked:    nd.logPanic,
 		Log:         nd.logSearch,
 	})
 	nd.oper = oper.New(oper.Config{
@@ -206,6 +207,7 @@
 		MaxBody:     operatorMaxBody,
 		ReadTimeout: readTimeout,
 		Refused:     func(reason string) { nd.meter.Count(meter.Operator, reason) },
+		Panicked:    nd.logPanic,
 	})
 	return nil
 }
--- a/io/node/searchlog.go
+++ b/io/node/searchlog.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"fmt"
+
 	"github.com/phuslu/log"
 
 	"laburnumvane/io/lines"
@@ -47,6 +49,11 @@
 		Msg("search")
 }
 
+// logPanic writes a fault of this program that one request brought out.
+func (nd *Node) logPanic(value any, stack []byte) {
+	nd.log.Error().Str("panic", fmt.Sprint(value)).Bytes("stack", stack).Msg("handler panicked")
+}
+
 // searchEntry begins the line of an answer; nil means that there is none.
 func (nd *Node) searchEntry(an wire.SearchAnswer) *log.Entry {
 	if an.Outcome != wire.OutcomeComplete {
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -69,6 +69,8 @@
 	ReadTimeout time.Duration
 	// Refused is told of each refusal, with its reason; it may be nil.
 	Refused func(reason string)
+	// Panicked is told of each panic of a handler; it may be nil.
+	Panicked func(value any, stack []byte)
 }
 
 // Reasons of this listener's refusals, beside those of package guard.
@@ -97,7 +99,7 @@
 
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Oper {
-	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout, Refused: cfg.Refused}
+	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout, Refused: cfg.Refused, Panicked: cfg.Panicked}
 	op := &Oper{cfg: cfg, ln: accept.New(guard.Listen(cfg.Listener, gc))}
 	op.srv = guard.New(op.ln, gc,
 		server.WithOnAccept(accept.Context),
