--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -28,6 +28,8 @@
 	Config = "config"
 	// Member counts what this VM did and heard as a member of the fleet.
 	Member = "member"
+	// Server counts what this VM learnt and thought of upstream servers.
+	Server = "server"
 	// Logged counts what became of log lines.
 	Logged = "logged"
 )
@@ -96,6 +98,11 @@
 			"candidate", "live", "suspect", "leaving", "gone", "beatFailed", "helpAsked", "woke", "signHeard",
 			"signDropped", "ticketsElsewhere",
 		},
+		Server: {
+			"state.unknown", "state.cold", "state.serving", "state.shedding", "state.suspect", "state.draining",
+			"state.gone", "sign.leaving", "sign.unreachable", "sign.returned", "probe", "newSnapshot",
+			"holdingDropped", "oldNews", "hintLags", "tooManyConnections",
+		},
 		Logged: {"searches", "sampledOut", "lost"},
 	}
 }
--- a/io/meter/source_test.go
+++ b/io/meter/source_test.go
@@ -227,6 +227,12 @@
 	wa.all("wire.ChangeResult", meter.Change, sc.typed["wire.ChangeResult"])
 	wa.all("upst.event", meter.Connection, sc.named["upst.event"])
 	wa.all("member.State", meter.Member, sc.named["member.State"])
+	for _, state := range sc.named["view.State"] {
+		wa.want("view.State", meter.Server, "state."+state)
+	}
+	for _, kind := range sc.named["server.SignKind"] {
+		wa.want("server.SignKind", meter.Server, "sign."+kind)
+	}
 	for _, kind := range sc.typed["spread.AlarmKind"] {
 		wa.want("spread.AlarmKind", meter.Config, "alarm."+kind)
 	}
@@ -279,7 +285,7 @@
 	for family, reasons := range meter.Reasons() {
 		for _, reason := range reasons {
 			said := func(text string) bool { return sc.literals[text] }
-			made := said(strings.TrimSuffix(reason, "Failed")) || said(strings.TrimPrefix(reason, "alarm."))
+			made := said(strings.TrimSuffix(reason, "Failed")) || said(reason[strings.Index(reason, ".")+1:])
 			if !said(reason) && !made {
 				t.Errorf("io/meter/families.go lists %s.%s, which the code has nowhere", family, reason)
 			}
