--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -6,6 +6,8 @@
 	Refusal = "refusal"
 	// Operator counts requests of operators that were refused, by reason.
 	Operator = "operator"
+	// Admitted counts searches that were let in, by class.
+	Admitted = "admitted"
 	// Outcome counts searches by outcome.
 	Outcome = "outcome"
 	// Incomplete counts searches that were not complete, by reason.
@@ -38,6 +40,7 @@
 const (
 	SearchLatency = "latency.searchMs"
 	SubLatency    = "latency.subRequestMs"
+	QueueLatency  = "latency.queueMs"
 )
 
 // Gauges.
@@ -76,12 +79,16 @@
 	}
 	operators := []string{"unauthorized", "otherTeam", "noConfig", "invalid", "platform", "leaving", "preconditionRequired"}
 	replies := []string{"otherSnapshot", "wrongReply"}
+	limits := []string{
+		"deadlineTooClose", "waitTooLong", "queueFull", "teamQueueFull", "waited", "teamRate", "teamConcurrent", "callerGone",
+	}
 	own := []string{"noConfig", "unknownSearch", "noUpstreams"}
 	return map[string][]string{
-		Refusal:    join(border, own, tickets),
+		Refusal:    join(border, own, limits, tickets),
 		Operator:   join(border, operators),
+		Admitted:   {"urgent", "interactive", "batch"},
 		Outcome:    {"complete", "partial", "notRun", "unknown"},
-		Incomplete: join(own, tickets, machine, replies, refusals, failures, []string{"badRequest"}),
+		Incomplete: join(own, limits, tickets, machine, replies, refusals, failures, []string{"badRequest"}),
 		Retry:      join(replies, refusals, failures),
 		Upstream:   join(refusals, failures),
 		Dropped:    {"foreign", "afterAnswer"},
@@ -101,7 +108,7 @@
 		},
 		Member: {
 			"candidate", "live", "suspect", "leaving", "gone", "woke", "beatServed", "beatFailed", "helpAsked",
-			"signHeard", "signDropped", "ticketsElsewhere",
+			"signHeard", "signDropped", "demandDropped", "ticketsElsewhere",
 		},
 		Server: {
 			"state.unknown", "state.cold", "state.serving", "state.shedding", "state.suspect", "state.draining",
@@ -127,7 +134,7 @@
 
 // Histograms lists the names of all histograms.
 func Histograms() []string {
-	return []string{SearchLatency, SubLatency}
+	return []string{SearchLatency, SubLatency, QueueLatency}
 }
 
 // Gauges lists the names of all gauges.
--- a/io/meter/source_test.go
+++ b/io/meter/source_test.go
@@ -32,6 +32,13 @@
 	// uses are the calls that count: the family's name in package meter or its
 	// value, and the reason where the call gives it.
 	uses []use
+	// values are the histograms and gauges that the code names.
+	values []use
+}
+
+// values are the methods of a meter that name a histogram or a gauge.
+func values() []string {
+	return []string{"Observe", "Histogram", "Set"}
 }
 
 type use struct {
@@ -115,21 +122,16 @@
 
 func (sc *source) call(fset *token.FileSet, pkg string, call *ast.CallExpr) {
 	sel, ok := call.Fun.(*ast.SelectorExpr)
-	if !ok || len(call.Args) < 2 || !slices.Contains([]string{"Count", "Add", "Counter"}, sel.Sel.Name) {
+	if !ok || len(call.Args) == 0 || !strings.EqualFold(lastName(sel.X), "meter") && lastName(sel.X) != "mt" {
 		return
 	}
-	counts := strings.EqualFold(lastName(sel.X), "meter") || lastName(sel.X) == "mt"
-	if !counts {
+	at := fset.Position(call.Pos()).String()
+	if slices.Contains(values(), sel.Sel.Name) {
+		sc.values = append(sc.values, use{at: at, family: sc.familyOf(pkg, call.Args[0])})
 		return
 	}
-	family := "?"
-	switch from := call.Args[0].(type) {
-	case *ast.SelectorExpr:
-		family = from.Sel.Name
-	case *ast.Ident:
-		family = sc.consts[pkg+"."+from.Name]
-	case *ast.BasicLit:
-		family, _ = literal(from)
+	if len(call.Args) < 2 || !slices.Contains([]string{"Count", "Add", "Counter"}, sel.Sel.Name) {
+		return
 	}
 	reason, _ := literal(call.Args[1])
 	switch arg := call.Args[1].(type) {
@@ -138,7 +140,22 @@
 	case *ast.SelectorExpr:
 		reason = sc.consts[nameOf(arg.X)+"."+arg.Sel.Name]
 	}
-	sc.uses = append(sc.uses, use{at: fset.Position(call.Pos()).String(), family: family, reason: reason})
+	sc.uses = append(sc.uses, use{at: at, family: sc.familyOf(pkg, call.Args[0]), reason: reason})
+}
+
+// familyOf is the name of a constant of package meter, or a value.
+func (sc *source) familyOf(pkg string, arg ast.Expr) string {
+	switch from := arg.(type) {
+	case *ast.SelectorExpr:
+		return from.Sel.Name
+	case *ast.Ident:
+		return sc.consts[pkg+"."+from.Name]
+	case *ast.BasicLit:
+		text, _ := literal(from)
+		return text
+	default:
+		return "?"
+	}
 }
 
 // lastName is what stands after the last dot of an expression.
@@ -223,6 +240,7 @@
 		wa.all("wire.Refusal", family, sc.typed["wire.Refusal"])
 		wa.all("upst.Kind", family, sc.typed["upst.Kind"])
 	}
+	wa.all("team.Class", meter.Admitted, sc.typed["team.Class"])
 	wa.all("wire.Outcome", meter.Outcome, sc.typed["wire.Outcome"])
 	wa.all("wire.ChangeResult", meter.Change, sc.typed["wire.ChangeResult"])
 	wa.all("upst.event", meter.Connection, sc.named["upst.event"])
@@ -250,11 +268,31 @@
 		switch pkg {
 		case "drive", "search":
 			wa.want(name, meter.Incomplete, reason)
+		case "admit", "share":
+			wa.want(name, meter.Refusal, reason)
+			wa.want(name, meter.Incomplete, reason)
 		case "guard":
 			wa.want(name, meter.Refusal, reason)
 			wa.want(name, meter.Operator, reason)
 		case "oper":
 			wa.want(name, meter.Operator, reason)
+		default:
+			t.Errorf("%s: say in this test under which family it is counted", name)
+		}
+	}
+}
+
+// Histograms and gauges that the code names must be in the lists too.
+func TestValuesAreListed(t *testing.T) {
+	sc, fams := scan(t), families(t)
+	known := append(meter.Gauges(), meter.Histograms()...)
+	for _, us := range sc.values {
+		name := us.family
+		if value, ok := fams[name]; ok {
+			name = value
+		}
+		if !slices.Contains(known, name) {
+			t.Errorf("%s: io/meter/families.go does not list %q", us.at, name)
 		}
 	}
 }
