--- a/io/front/front.go
+++ b/io/front/front.go
@@ -25,9 +25,17 @@
 	"laburnumvane/io/wire"
 )
 
+// ReasonNoTickets refuses tickets where neither this VM, which is leaving, nor
+// another issues any.
+const ReasonNoTickets = "noTickets"
+
+// ticketRetryAfter is in seconds; the balancer will have another VM by then.
+const ticketRetryAfter = "1"
+
 // Searcher is what the callers' listener asks of the VM.
 type Searcher interface {
 	Search(ctx context.Context, rq wire.SearchRequest) wire.SearchAnswer
+	// Tickets gives none where none can be issued.
 	Tickets(team string, n int) []string
 }
 
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -73,8 +73,11 @@
 }
 
 func (fk *fake) Tickets(team string, n int) []string {
-	if team == "panic" {
+	switch team {
+	case "panic":
 		panic("fault")
+	case "nobody":
+		return nil
 	}
 	return []string{fmt.Sprintf("%s-%d", team, n)}
 }
@@ -230,6 +233,7 @@
 		{"tickets", one(post(wire.RouteTickets, "", `{"team":"wash","count":3}`))},
 		{"no tickets", one(post(wire.RouteTickets, "", `{"team":"wash","count":0}`))},
 		{"too many tickets", one(post(wire.RouteTickets, "", `{"team":"wash","count":1001}`))},
+		{"tickets while leaving", one(post(wire.RouteTickets, "", `{"team":"nobody"}`))},
 		{"tickets of nobody", one(post(wire.RouteTickets, "", `{}`))},
 	}
 	var all strings.Builder
--- a/io/meter/source_test.go
+++ b/io/meter/source_test.go
@@ -271,6 +271,8 @@
 		case "admit", "share":
 			wa.want(name, meter.Refusal, reason)
 			wa.want(name, meter.Incomplete, reason)
+		case "front":
+			wa.want(name, meter.Refusal, reason)
 		case "guard":
 			wa.want(name, meter.Refusal, reason)
 			wa.want(name, meter.Operator, reason)
