--- a/io/front/front.go
+++ b/io/front/front.go
@@ -25,9 +25,8 @@
 	"laburnumvane/io/wire"
 )
 
-// ReasonNoTickets refuses tickets where neither this VM, which is leaving, nor
-// another issues any.
-const ReasonNoTickets = "noTickets"
+// ReasonLeaving refuses what a VM whose planned stop has begun takes no more.
+const ReasonLeaving = "leaving"
 
 // ticketRetryAfter is in seconds; the balancer will have another VM by then.
 const ticketRetryAfter = "1"
@@ -172,7 +171,8 @@
 	tickets := fr.cfg.Search.Tickets(rq.Team, rq.Count)
 	if len(tickets) == 0 {
 		// A ticket of a VM that is leaving would be void when it is used.
-		fr.reply(rc, consts.StatusServiceUnavailable, wire.ErrorReply{Error: "this VM is leaving and no other can issue tickets", Reason: "leaving"})
+		rc.Header("Retry-After", ticketRetryAfter)
+		fr.refuse(rc, leaving("this VM is leaving and no other can issue tickets"))
 		return
 	}
 	fr.reply(rc, consts.StatusOK, wire.TicketReply{
@@ -183,7 +183,7 @@
 
 func (fr *Front) health(_ context.Context, rc *app.RequestContext) {
 	if fr.cfg.Leaving() {
-		fr.reply(rc, consts.StatusServiceUnavailable, wire.ErrorReply{Error: "leaving", Reason: "leaving"})
+		fr.refuse(rc, leaving("a planned stop has begun"))
 		return
 	}
 	fr.reply(rc, consts.StatusOK, struct {
@@ -191,6 +191,10 @@
 	}{"serving"})
 }
 
+func leaving(message string) *refusal {
+	return &refusal{status: consts.StatusServiceUnavailable, ErrorReply: wire.ErrorReply{Error: message, Reason: ReasonLeaving}}
+}
+
 func (fr *Front) refuse(rc *app.RequestContext, rf *refusal) {
 	fr.closeIfLeaving(rc)
 	guard.Refuse(rc, rf.status, rf.ErrorReply)
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -84,7 +84,7 @@
 	}
 	own := []string{"noConfig", "unknownSearch", "noUpstreams"}
 	return map[string][]string{
-		Refusal:    join(border, own, limits, tickets, []string{"noTickets"}),
+		Refusal:    join(border, own, limits, tickets, []string{"leaving"}),
 		Operator:   join(border, operators),
 		Admitted:   {"urgent", "interactive", "batch"},
 		Outcome:    {"complete", "partial", "notRun", "unknown"},
