--- a/io/meter/source_test.go
+++ b/io/meter/source_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -45,16 +46,24 @@
 	at, family, reason string
 }
 
-// scan reads all code but tests, generated code, stand-ins and the lists
-// themselves.
+// scanned reads the code once for all tests.
+var scanned = sync.OnceValues(readSource)
+
 func scan(t *testing.T) source {
 	t.Helper()
-	is := is.New(t)
+	sc, err := scanned()
+	is.New(t).NoErr(err)
+	return sc
+}
+
+// readSource reads all code but tests, generated code, stand-ins and the lists
+// themselves.
+func readSource() (source, error) {
 	sc := source{consts: map[string]string{}, typed: map[string][]string{}, literals: map[string]bool{}, named: map[string][]string{}}
 	var files []*ast.File
 	fset := token.NewFileSet()
 	for _, root := range []string{"../../core", "../../io"} {
-		is.NoErr(filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+		err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
 			skipped := strings.Contains(path, "/io/meter/") || strings.Contains(path, "/io/emul/") || strings.Contains(path, "/io/inner/")
 			if err != nil || skipped || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
@@ -62,7 +71,10 @@
 			fl, err := parser.ParseFile(fset, path, nil, 0)
 			files = append(files, fl)
 			return err
-		}))
+		})
+		if err != nil {
+			return sc, err
+		}
 	}
 	for _, fl := range files {
 		sc.declare(fl)
@@ -75,7 +87,7 @@
 			return true
 		})
 	}
-	return sc
+	return sc, nil
 }
 
 func (sc *source) declare(fl *ast.File) {
