--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -35,6 +35,9 @@
 			var st wire.UpstreamStatus
 			err := json.Unmarshal([]byte(`{"slots":3,"holdings":[`+tc.body+`]}`), &st)
 			is.Equal(err == nil, tc.ok)
+			var fast wire.UpstreamStatus
+			err = wire.Decode([]byte(`{"slots":3,"holdings":[`+tc.body+`]}`), &fast)
+			is.Equal(err == nil, tc.ok)
 		})
 	}
 }
@@ -53,6 +56,9 @@
 		var rp wire.ShardReply
 		is.NoErr(json.Unmarshal(raw, &rp))
 		is.Equal(rp.Refusal, want)
+		var fast wire.ShardReply
+		is.NoErr(wire.Decode(raw, &fast))
+		is.Equal(fast.Refusal, want)
 	}
 	var rp wire.ShardReply
 	is.True(json.Unmarshal([]byte(`{"refusal":7}`), &rp) != nil)
