--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -6,6 +6,8 @@
 	Refusal = "refusal"
 	// Operator counts requests of operators that were refused, by reason.
 	Operator = "operator"
+	// Admitted counts searches that were let in, by class.
+	Admitted = "admitted"
 	// Outcome counts searches by outcome.
 	Outcome = "outcome"
 	// Incomplete counts searches that were not complete, by reason.
@@ -26,8 +28,10 @@
 	Change = "change"
 	// Config counts what happened to teams' configurations on this VM.
 	Config = "config"
-	// Member counts what this VM did and heard as a member of the fleet.
+	// Member counts what happened between this VM and the others.
 	Member = "member"
+	// Server counts what this VM learnt and thought of upstream servers.
+	Server = "server"
 	// Logged counts what became of log lines.
 	Logged = "logged"
 )
@@ -36,6 +40,7 @@
 const (
 	SearchLatency = "latency.searchMs"
 	SubLatency    = "latency.subRequestMs"
+	QueueLatency  = "latency.queueMs"
 )
 
 // Gauges.
@@ -70,23 +75,27 @@
 	// What both listeners refuse before a handler is asked.
 	border := []string{
 		"badRequest", "mediaType", "tooLarge", "headersTooLarge", "requestTimeout", "noSuchRoute",
-		"methodNotAllowed", "expectation",
+		"methodNotAllowed", "expectation", "internal",
 	}
 	operators := []string{"unauthorized", "otherTeam", "noConfig", "invalid", "platform", "leaving", "preconditionRequired"}
 	replies := []string{"otherSnapshot", "wrongReply"}
+	limits := []string{
+		"deadlineTooClose", "waitTooLong", "queueFull", "teamQueueFull", "waited", "teamRate", "teamConcurrent", "callerGone",
+	}
 	own := []string{"noConfig", "unknownSearch", "noUpstreams"}
 	return map[string][]string{
-		Refusal:    join(border, own, tickets),
+		Refusal:    join(border, own, limits, tickets, []string{"leaving"}),
 		Operator:   join(border, operators),
+		Admitted:   {"urgent", "interactive", "batch"},
 		Outcome:    {"complete", "partial", "notRun", "unknown"},
-		Incomplete: join(own, tickets, machine, replies, refusals, failures, []string{"badRequest"}),
+		Incomplete: join(own, limits, tickets, machine, replies, refusals, failures, []string{"badRequest"}),
 		Retry:      join(replies, refusals, failures),
 		Upstream:   join(refusals, failures),
 		Dropped:    {"foreign", "afterAnswer"},
 		Sent:       {"primary", "hedge", "retry"},
 		Connection: {
 			"opened", "dialFailed", "refused", "stale", "silent", "late", "ping", "pingFailed", "cancelSent",
-			"cancelLeft", "idleClosed", "backoff",
+			"cancelLeft", "idleClosed", "backoff", "probe",
 		},
 		Platform: {
 			"get", "getFailed", "range", "rangeFailed", "swap", "swapFailed", "watch", "watchFailed", "vmsFailed",
@@ -94,11 +103,17 @@
 		Change: {"accepted", "conflict", "unknown", "dryRun", "refused"},
 		Config: {
 			"applied", "pushed", "pushFailed", "pulled", "pullFailed", "compareFailed", "restored", "restoreUnreadable",
-			"abandoned", "messageUnreadable", "alarm.serviceDown", "alarm.unreadable", "alarm.broken", "alarm.serviceBehind", "alarm.servicePast", "alarm.sameRevision",
+			"abandoned", "messageUnreadable", "alarm.serviceDown", "alarm.unreadable",
+			"alarm.broken", "alarm.serviceBehind", "alarm.servicePast", "alarm.sameRevision",
 		},
 		Member: {
-			"candidate", "live", "suspect", "leaving", "gone", "beatServed", "beatFailed", "helpAsked", "woke", "signHeard",
-			"signDropped", "ticketsElsewhere",
+			"candidate", "live", "suspect", "leaving", "gone", "woke", "beatServed", "beatFailed", "helpAsked",
+			"signHeard", "signDropped", "demandDropped", "ticketsElsewhere",
+		},
+		Server: {
+			"state.unknown", "state.cold", "state.serving", "state.shedding", "state.suspect", "state.draining",
+			"state.gone", "sign.leaving", "sign.unreachable", "sign.returned", "probe", "newSnapshot",
+			"holdingDropped", "oldNews", "hintLags", "tooManyConnections",
 		},
 		Logged: {"searches", "sampledOut", "lost"},
 	}
@@ -119,7 +134,7 @@
 
 // Histograms lists the names of all histograms.
 func Histograms() []string {
-	return []string{SearchLatency, SubLatency}
+	return []string{SearchLatency, SubLatency, QueueLatency}
 }
 
 // Gauges lists the names of all gauges.
