--- a/io/drive/admit.go
+++ b/io/drive/admit.go
@@ -173,8 +173,10 @@
 // place puts new servers into the limits, and takes those that leave out of the
 // sum of their group.
 func (ad *admission) place(now time.Duration, vw *view.View) {
-	known := ad.limits.Len()
-	if ad.placed.Load() == vw || known >= vw.Len() && int64(now) < ad.placeAt.Load() {
+	// Only the table's own length tells that a server is there: another search
+	// may be about to place the servers of the very same view.
+	seen := ad.placed.Load() == vw || int64(now) < ad.placeAt.Load()
+	if seen && ad.limits.Len() >= vw.Len() {
 		return
 	}
 	ad.placing.Lock()
