--- a/docs/capacity/tables.go
+++ b/docs/capacity/tables.go
@@ -13,6 +13,7 @@
 		serviceTable(sl),
 		connectionTable(sl),
 		todayTable(),
+		waitsTable(sl),
 		waysTable(sl),
 		batchTable(sl),
 		failureTable(sl),
@@ -182,34 +183,48 @@
 	return float64(near)
 }
 
-// fanNodes is the number of nodes of a data centre that can hold enough
-// connections to send a search to every shard by themselves.
-func fanNodes(limit int) float64 {
-	return serversPerCentre * usableOf(limit) / (shardsPerSearch * spareConns)
+// fanNodes is the number of nodes of a data centre that can hold so many
+// connections to a server for every shard, and so send a search by themselves.
+func fanNodes(limit int, each float64) float64 {
+	return min(nodesPerCentre, serversPerCentre*usableOf(limit)/(shardsPerSearch*each))
 }
 
 func connectionTable(sl *slopes) Table {
 	tb := Table{
 		Name: "connections",
 		Head: []string{
-			"limit", "divided", "per node", "nodes that can fan out", "searches/s each",
-			"cores each", "exchange time at half use",
+			"limit", "divided", "per node", "fan out with two each", "cores there",
+			"with one each", "cores there", "exchange time at half use",
 		},
 	}
 	for _, limit := range connLimits() {
 		usable := usableOf(limit)
-		all := serversPerCentre * usable
-		homes := min(nodesPerCentre, fanNodes(limit))
-		each := searchesPerCentre / homes
-		tb.Rows = append(tb.Rows, []string{
+		row := []string{
 			whole(float64(limit)),
 			whole(usable),
-			whole(all / nodesPerCentre),
-			whole(homes) + " of " + whole(nodesPerCentre),
-			whole(each),
-			num(each * shardsPerSearch * sl.of("exchangeCPU1") * micros),
-			num(usable/2/subsPerServer*1000) + " ms",
-		})
+			whole(serversPerCentre * usable / nodesPerCentre),
+		}
+		for _, each := range []float64{spareConns, 1} {
+			homes := fanNodes(limit, each)
+			cores := searchesPerCentre / homes * shardsPerSearch * sl.of("exchangeCPU1") * micros
+			row = append(row, whole(homes)+" of "+whole(nodesPerCentre)+" nodes", num(cores))
+		}
+		tb.Rows = append(tb.Rows, append(row, num(usable/2/subsPerServer*1000)+" ms"))
+	}
+	return tb
+}
+
+func waitsTable(sl *slopes) Table {
+	tb := Table{
+		Name: "waits",
+		Head: []string{"mean exchange", "one connection, on twice the nodes", "two", "three, on two thirds", "as many as wanted"},
+	}
+	for _, row := range []struct{ mean, name string }{{"0.5 ms", "Half"}, {"1 ms", "1"}, {"2 ms", "2"}} {
+		cells := []string{row.mean}
+		for _, conns := range []string{"One", "Two", "Three", "Many"} {
+			cells = append(cells, num(sl.of("waits"+conns+row.name))+" ms")
+		}
+		tb.Rows = append(tb.Rows, cells)
 	}
 	return tb
 }
@@ -217,21 +232,24 @@
 func waysTable(sl *slopes) Table {
 	tb := Table{
 		Name: "ways",
-		Head: []string{"limit", "whole searches to home nodes", "two levels, partial merges", "shared connections, batches"},
+		Head: []string{
+			"limit", "whole searches to home nodes, two connections each", "one each",
+			"two levels, partial merges", "batches: sub-requests to a server in " + num(batchWindow) + " ms",
+		},
 	}
-	hop := sl.of("forwardCPU10") + sl.of("forwardPeerCPU10")
+	hop := (sl.of("forwardCPU10") + sl.of("forwardPeerCPU10")) * micros
 	for _, limit := range connLimits() {
-		usable := usableOf(limit)
-		homes := fanNodes(limit)
-		away := max(0, 1-homes/nodesPerCentre)
-		parts := max(1, nodesPerCentre*spareConns/usable)
-		perServer := searchesPerCentre / min(nodesPerCentre, homes)
-		tb.Rows = append(tb.Rows, []string{
-			whole(float64(limit)),
-			num(searchesPerNode*away*hop*micros) + " cores a node on " + whole(100*away) + "% of searches forwarded once",
-			num(searchesPerNode*parts*hop*micros) + " cores a node on " + whole(parts) + " parts each",
-			num(perServer*batchWindow/1000) + " sub-requests to a server in " + num(batchWindow) + " ms",
-		})
+		row := []string{whole(float64(limit))}
+		for _, each := range []float64{spareConns, 1} {
+			away := 1 - fanNodes(limit, each)/nodesPerCentre
+			row = append(row, num(searchesPerNode*away*hop)+" cores a node, "+whole(100*away)+"% of searches")
+		}
+		parts := max(1, nodesPerCentre*spareConns/usableOf(limit))
+		perServer := searchesPerCentre / fanNodes(limit, spareConns)
+		tb.Rows = append(tb.Rows, append(row,
+			num(searchesPerNode*parts*hop)+" cores a node, "+whole(parts)+" parts",
+			num(perServer*batchWindow/1000),
+		))
 	}
 	return tb
 }
