--- a/io/node/members_riders.go
+++ b/io/node/members_riders.go
@@ -6,6 +6,7 @@
 	"laburnumvane/core/member"
 	"laburnumvane/core/spread"
 	"laburnumvane/io/inner"
+	"laburnumvane/io/meter"
 )
 
 // riderBytes bounds what rides on one message beside the membership. A VM sends
@@ -154,7 +155,7 @@
 	}
 	sg.known[sn.GetServer()] = sn
 	if sg.queue.Put(sn.GetServer(), sn) {
-		sg.ms.ct.nd.meter.Count(meterMember, "signDropped")
+		sg.ms.ct.nd.meter.Count(meter.Member, "signDropped")
 	}
 	return true
 }
