drive: a ticket is judged before the configuration

Cause: a caller came back with its ticket through a VM that had no configuration yet and was told notRun, though the first attempt had run on the issuer; with a new ticket it would have run twice. Ruled out: the ticket table, which was never asked. Change: the ticket is judged, or its issuer asked, before anything else. A ticket makes any search run at most once. Conclusion: notRun is said of a ticket only by its issuer, or where the ticket is no ticket.

--- a/io/drive/help_test.go
+++ b/io/drive/help_test.go
@@ -97,12 +97,17 @@
 	// more are further searches by name.
 	more   map[string]team.Search
 	bucket func(string) *share.Bucket
+	// bare leaves the view empty, as on a VM without configuration.
+	bare bool
 }
 
 func newRig(tb testing.TB, cfg rigConfig) *rig {
 	tb.Helper()
 	is := is.New(tb)
-	vw := viewOf(cfg)
+	vw := view.View{}
+	if !cfg.bare {
+		vw = viewOf(cfg)
+	}
 	table := pick.New(pick.Config{DataCentre: "east"})
 	table.Grow(vw.Len())
 	workers, err := ants.NewPool(cfg.workers, ants.WithNonblocking(true))
--- a/io/drive/search.go
+++ b/io/drive/search.go
@@ -54,7 +54,19 @@
 	return an
 }
 
+// search looks at a ticket before anything else: a VM that lacks the team's
+// configuration, as one just replaced may, must not tell a caller that comes
+// back with a ticket that its search did not run. An earlier attempt may have,
+// elsewhere; only the ticket's issuer knows.
 func (dr *Driver) search(ctx context.Context, rq wire.SearchRequest) wire.SearchAnswer {
+	if rq.Ticket != "" {
+		return dr.withTicket(ctx, rq)
+	}
+	return dr.configured(ctx, rq)
+}
+
+// configured runs a search as its team's configuration says.
+func (dr *Driver) configured(ctx context.Context, rq wire.SearchRequest) wire.SearchAnswer {
 	vw := dr.cfg.View()
 	tm, ok := vw.Team(rq.Team)
 	if !ok {
@@ -71,10 +83,8 @@
 	if once && rq.Ticket == "" {
 		return dr.refuse(ReasonTicket, "a search that must not be repeated needs a ticket")
 	}
-	if once {
-		return dr.withTicket(ctx, vw, rq, conf)
-	}
-	return dr.execute(ctx, vw, rq, conf, false)
+	// A ticket asks for at most one run, also of a search that need not.
+	return dr.execute(ctx, vw, rq, conf, rq.Ticket != "")
 }
 
 // execute runs a search here.
--- a/io/drive/ticket.go
+++ b/io/drive/ticket.go
@@ -10,7 +10,6 @@
 
 	"laburnumvane/core/team"
 	"laburnumvane/core/ticket"
-	"laburnumvane/core/view"
 	"laburnumvane/io/meter"
 	"laburnumvane/io/wire"
 )
@@ -48,12 +47,12 @@
 	return dr.tickets.issue(dr.now(), teamName, n)
 }
 
-func (dr *Driver) withTicket(ctx context.Context, vw *view.View, rq wire.SearchRequest, conf team.Search) wire.SearchAnswer {
-	due := dr.now() + dr.budgetOf(rq, conf)
+func (dr *Driver) withTicket(ctx context.Context, rq wire.SearchRequest) wire.SearchAnswer {
+	due := dr.now() + dr.budgetOf(rq, dr.confOf(rq))
 	vd, fr := dr.tickets.begin(dr.now(), rq)
 	switch vd.Kind {
 	case ticket.VerdictRun:
-		return dr.firstRun(ctx, vw, rq, conf, vd.Number, fr)
+		return dr.firstRun(ctx, rq, vd.Number, fr)
 	case ticket.VerdictWait:
 		return dr.await(ctx, due, fr)
 	case ticket.VerdictAnswered:
@@ -65,23 +64,32 @@
 	}
 }
 
+// confOf is the search's configuration, empty where this VM holds none.
+func (dr *Driver) confOf(rq wire.SearchRequest) team.Search {
+	tm, _ := dr.cfg.View().Team(rq.Team)
+	return tm.Document.Searches[rq.Search]
+}
+
 // budgetOf is the time that a caller gives its search.
 func (dr *Driver) budgetOf(rq wire.SearchRequest, conf team.Search) time.Duration {
-	budget := min(conf.HardDeadline(), dr.cfg.MaxDeadline)
+	budget := dr.cfg.MaxDeadline
+	if conf.HardDeadlineMs > 0 {
+		budget = min(budget, conf.HardDeadline())
+	}
 	if rq.DeadlineMs > 0 {
 		budget = min(budget, time.Duration(rq.DeadlineMs)*time.Millisecond)
 	}
 	return budget
 }
 
-func (dr *Driver) firstRun(ctx context.Context, vw *view.View, rq wire.SearchRequest, conf team.Search, number uint64, fr *firstRun) wire.SearchAnswer {
+func (dr *Driver) firstRun(ctx context.Context, rq wire.SearchRequest, number uint64, fr *firstRun) wire.SearchAnswer {
 	// Should the run end in a panic, those who wait must still be woken, and
 	// nobody may run it again.
 	an := unknown("internal", "the search ended without an answer")
 	defer func() { dr.tickets.finish(number, fr, an) }()
 	// The caller may go away and come back with the same ticket: the run
 	// goes on for the answer it will then be given.
-	an = dr.execute(context.WithoutCancel(ctx), vw, rq, conf, true)
+	an = dr.configured(context.WithoutCancel(ctx), rq)
 	return an
 }
 
--- a/io/drive/ticket_test.go
+++ b/io/drive/ticket_test.go
@@ -150,6 +150,26 @@
 			}
 			return pa.first.dr.Search(ctx, renew(token))
 		}, wire.OutcomeNotRun, drive.ReasonTicketFull, 2 * shards},
+		// The caller saw no answer and comes back through a VM that was just
+		// replaced and holds no configuration yet. Told notRun, it would take
+		// a new ticket and run the renewal twice.
+		{"asked again on a VM without configuration", func(pa *pair, token string) wire.SearchAnswer {
+			pa.first.dr.Search(ctx, renew(token))
+			bare := newRig(pa.first.tb, rigConfig{shards: shards, workers: 64, bare: true, forward: pa.fo, tickets: ticketsOf("vm3")})
+			return bare.dr.Search(ctx, renew(token))
+		}, wire.OutcomeComplete, "", shards},
+		{"asked again on a VM without configuration, the issuer gone", func(pa *pair, token string) wire.SearchAnswer {
+			pa.first.dr.Search(ctx, renew(token))
+			pa.fo.err = &net.OpError{Op: "dial", Err: context.DeadlineExceeded}
+			bare := newRig(pa.first.tb, rigConfig{shards: shards, workers: 64, bare: true, forward: pa.fo, tickets: ticketsOf("vm3")})
+			return bare.dr.Search(ctx, renew(token))
+		}, wire.OutcomeUnknown, drive.ReasonIssuerGone, shards},
+		{"a search that may be repeated, asked twice with a ticket", func(pa *pair, token string) wire.SearchAnswer {
+			rq := renew(token)
+			rq.Repeat = wire.RepeatSafe
+			pa.first.dr.Search(ctx, rq)
+			return pa.second.dr.Search(ctx, rq)
+		}, wire.OutcomeComplete, "", shards},
 		{"no ticket", func(pa *pair, _ string) wire.SearchAnswer {
 			return pa.first.dr.Search(ctx, renew(""))
 		}, wire.OutcomeNotRun, drive.ReasonTicket, 0},
