--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -82,7 +82,7 @@
 		Sent:       {"primary", "hedge", "retry"},
 		Connection: {
 			"opened", "dialFailed", "refused", "stale", "silent", "late", "ping", "pingFailed", "cancelSent",
-			"cancelLeft", "idleClosed", "backoff",
+			"cancelLeft", "idleClosed", "backoff", "probe",
 		},
 		Platform: {
 			"get", "getFailed", "range", "rangeFailed", "swap", "swapFailed", "watch", "watchFailed", "vmsFailed",
