--- a/core/stall/example_test.go
+++ b/core/stall/example_test.go
@@ -7,18 +7,16 @@
 	"laburnumvane/core/stall"
 )
 
-// Connection a goes silent under its request while b and c go on answering.
-func Example() {
+// Connection "a" swallows its request while "b" goes on answering.
+func ExampleTracker() {
 	tr := stall.New[string](stall.Config{})
-	due := 30 * time.Second
-	tr.Begin(0, "a", due)
-	for i := range 100 {
-		now := time.Duration(i) * 10 * time.Millisecond
-		for _, key := range []string{"b", "c"} {
-			tr.Begin(now, key, now+due)
-			tr.Answer(now+5*time.Millisecond, key)
-		}
+	now := time.Second // monotonic, from the start of the process
+	tr.Begin(now, "a", now+30*time.Second)
+	for range 100 {
+		tr.Begin(now, "b", now+30*time.Second)
+		now += 8 * time.Millisecond
+		tr.Answer(now, "b")
 	}
-	fmt.Println(tr.Silent(time.Second, nil))
+	fmt.Println(tr.Silent(now, nil))
 	// Output: [a]
 }
--- a/core/warm/example_test.go
+++ b/core/warm/example_test.go
@@ -8,23 +8,19 @@
 	"laburnumvane/core/warm"
 )
 
-// A server comes up: its connections are opened one, then two, then four at a
-// time, up to the limit, however many requests wait.
-func Example() {
-	ga := warm.New(warm.Config{Limit: 6, Rand: rand.New(rand.NewPCG(1, 1))})
-	for ga.Open() < ga.Limit() {
-		at := 0
-		for ga.MayOpen(time.Duration(0)) {
-			ga.Begin()
-			at++
-		}
-		for range at {
+// A server refuses the third connection: the gate keeps to two and waits before
+// it tries one more.
+func ExampleGate() {
+	ga := warm.New(warm.Config{Limit: 10, Rand: rand.New(rand.NewPCG(1, 1))})
+	now := time.Second // monotonic, from the start of the process
+	for ga.MayOpen(now) {
+		ga.Begin()
+		if ga.Open() < 2 {
 			ga.Opened()
+		} else {
+			ga.Failed(now, warm.FaultRefused)
 		}
-		fmt.Println("opened", at)
 	}
-	// Output:
-	// opened 1
-	// opened 2
-	// opened 3
+	fmt.Println(ga.Open(), ga.Waiting(now), ga.Waiting(now+time.Second))
+	// Output: 2 true false
 }
