--- a/io/node/shares.go
+++ b/io/node/shares.go
@@ -9,6 +9,7 @@
 	"laburnumvane/core/share"
 	"laburnumvane/core/team"
 	"laburnumvane/io/inner"
+	"laburnumvane/io/meter"
 	"laburnumvane/io/wire"
 )
 
@@ -148,7 +149,7 @@
 	key := keyOf(de)
 	sh.newest[key] = de.GetSequence()
 	if sh.queue.Put(key, de) {
-		sh.ct.nd.meter.Count(meterMember, "demandDropped")
+		sh.ct.nd.meter.Count(meter.Member, "demandDropped")
 	}
 }
 
