node: a VM that leaves before it knows any other still has tickets

Failed: TestRollingReplacement, in 7 of 12 runs side by side, with callers who got no tickets from a VM that was leaving. Cause: it had booted within the last 2 s, before the VM list named the others, and asked only live VMs. Ruled out: those asked refusing (the list of whom to ask was empty). Now VMs that are only on the list are asked too (2 of 18 runs failed still, on an empty list), and if none answers this VM issues tickets whose whole life fits into its grace, for which it stays. After: 0 of 24.

--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -114,6 +114,7 @@
 	nd := sr.nd
 	switch ac.Kind {
 	case drain.ActFailHealth:
+		nd.desk.ends.Store(int64(time.Since(nd.started) + nd.set.StopGrace))
 		nd.leaving.Store(true)
 		nd.log.Info().Msg("leaving: health fails, listeners go on")
 	case drain.ActAnnounce:
--- a/io/node/tickets.go
+++ b/io/node/tickets.go
@@ -23,8 +23,9 @@
 type desk struct {
 	nd     *Node
 	driver *drive.Driver
-	// until is when the last ticket issued here expires, since the start.
-	until atomic.Int64
+	// until is when the last ticket issued here expires, ends when the grace of
+	// a stop does; both count from the start.
+	until, ends atomic.Int64
 }
 
 // Search takes a search.
@@ -32,8 +33,8 @@
 	return de.driver.Search(ctx, rq)
 }
 
-// Tickets issues tickets, or has another VM issue them; none if there is no
-// other.
+// Tickets issues tickets. A VM that is leaving has another one issue them; if
+// there is none it issues those that it can answer for to their end, or none.
 func (de *desk) Tickets(team string, n int) []string {
 	if de.nd.Leaving() {
 		return de.elsewhere(team, n)
@@ -62,26 +63,41 @@
 			nd.meter.Count(meter.Member, "ticketsElsewhere")
 			return rp.GetTickets()
 		}
+		nd.log.Warn().Str("vm", vm.Addr).Err(err).Msg("another VM could not issue tickets")
+	}
+	if time.Since(nd.started)+nd.set.TicketTTL <= time.Duration(de.ends.Load()) {
+		// This VM stays until they have expired.
+		return de.issue(team, n)
 	}
 	return nil
 }
 
-// candidates are live VMs, those of this data centre first.
+// candidates are the VMs to ask: live ones before those that are only on the
+// list, as all are to a VM that has just booted, and within each those of this
+// data centre first.
 func (de *desk) candidates(team string) []member.VM {
-	var live []member.VM
-	de.nd.ask(func(ct *control) { live = ct.members.ma.Live() })
-	var near, far []member.VM
-	for _, vm := range live {
+	var all []member.Member
+	de.nd.ask(func(ct *control) { all = ct.members.ma.Members() })
+	var out []member.VM
+	for _, state := range []member.State{member.StateLive, member.StateCandidate} {
+		near, far := de.split(all, state)
+		out = append(out, member.Rank(near, "tickets "+team, issuers)...)
+		out = append(out, member.Rank(far, "tickets "+team, issuers)...)
+	}
+	return out[:min(issuers, len(out))]
+}
+
+func (de *desk) split(all []member.Member, state member.State) (near, far []member.VM) {
+	for _, mb := range all {
 		switch {
-		case vm.Addr == de.nd.addr:
-		case vm.DataCentre == de.nd.set.DataCentre:
-			near = append(near, vm)
+		case mb.Addr == de.nd.addr || mb.State() != state:
+		case mb.DataCentre == de.nd.set.DataCentre:
+			near = append(near, mb.VM)
 		default:
-			far = append(far, vm)
+			far = append(far, mb.VM)
 		}
 	}
-	out := append(member.Rank(near, "tickets "+team, issuers), member.Rank(far, "tickets "+team, issuers)...)
-	return out[:min(issuers, len(out))]
+	return near, far
 }
 
 // maxIssue bounds the tickets that another VM may ask for at once, as the
