--- a/io/meter/source_test.go
+++ b/io/meter/source_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -32,22 +33,37 @@
 	// uses are the calls that count: the family's name in package meter or its
 	// value, and the reason where the call gives it.
 	uses []use
+	// values are the histograms and gauges that the code names.
+	values []use
+}
+
+// values are the methods of a meter that name a histogram or a gauge.
+func values() []string {
+	return []string{"Observe", "Histogram", "Set"}
 }
 
 type use struct {
 	at, family, reason string
 }
 
-// scan reads all code but tests, generated code, stand-ins and the lists
-// themselves.
+// scanned reads the code once for all tests.
+var scanned = sync.OnceValues(readSource)
+
 func scan(t *testing.T) source {
 	t.Helper()
-	is := is.New(t)
+	sc, err := scanned()
+	is.New(t).NoErr(err)
+	return sc
+}
+
+// readSource reads all code but tests, generated code, stand-ins and the lists
+// themselves.
+func readSource() (source, error) {
 	sc := source{consts: map[string]string{}, typed: map[string][]string{}, literals: map[string]bool{}, named: map[string][]string{}}
 	var files []*ast.File
 	fset := token.NewFileSet()
 	for _, root := range []string{"../../core", "../../io"} {
-		is.NoErr(filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+		err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
 			skipped := strings.Contains(path, "/io/meter/") || strings.Contains(path, "/io/emul/") || strings.Contains(path, "/io/inner/")
 			if err != nil || skipped || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
@@ -55,7 +71,10 @@
 			fl, err := parser.ParseFile(fset, path, nil, 0)
 			files = append(files, fl)
 			return err
-		}))
+		})
+		if err != nil {
+			return sc, err
+		}
 	}
 	for _, fl := range files {
 		sc.declare(fl)
@@ -68,7 +87,7 @@
 			return true
 		})
 	}
-	return sc
+	return sc, nil
 }
 
 func (sc *source) declare(fl *ast.File) {
@@ -115,21 +134,16 @@
 
 func (sc *source) call(fset *token.FileSet, pkg string, call *ast.CallExpr) {
 	sel, ok := call.Fun.(*ast.SelectorExpr)
-	if !ok || len(call.Args) < 2 || !slices.Contains([]string{"Count", "Add", "Counter"}, sel.Sel.Name) {
+	if !ok || len(call.Args) == 0 || !strings.EqualFold(lastName(sel.X), "meter") && lastName(sel.X) != "mt" {
 		return
 	}
-	counts := strings.EqualFold(lastName(sel.X), "meter") || lastName(sel.X) == "mt"
-	if !counts {
+	at := fset.Position(call.Pos()).String()
+	if slices.Contains(values(), sel.Sel.Name) {
+		sc.values = append(sc.values, use{at: at, family: sc.familyOf(pkg, call.Args[0])})
 		return
 	}
-	family := "?"
-	switch from := call.Args[0].(type) {
-	case *ast.SelectorExpr:
-		family = from.Sel.Name
-	case *ast.Ident:
-		family = sc.consts[pkg+"."+from.Name]
-	case *ast.BasicLit:
-		family, _ = literal(from)
+	if len(call.Args) < 2 || !slices.Contains([]string{"Count", "Add", "Counter"}, sel.Sel.Name) {
+		return
 	}
 	reason, _ := literal(call.Args[1])
 	switch arg := call.Args[1].(type) {
@@ -138,7 +152,22 @@
 	case *ast.SelectorExpr:
 		reason = sc.consts[nameOf(arg.X)+"."+arg.Sel.Name]
 	}
-	sc.uses = append(sc.uses, use{at: fset.Position(call.Pos()).String(), family: family, reason: reason})
+	sc.uses = append(sc.uses, use{at: at, family: sc.familyOf(pkg, call.Args[0]), reason: reason})
+}
+
+// familyOf is the name of a constant of package meter, or a value.
+func (sc *source) familyOf(pkg string, arg ast.Expr) string {
+	switch from := arg.(type) {
+	case *ast.SelectorExpr:
+		return from.Sel.Name
+	case *ast.Ident:
+		return sc.consts[pkg+"."+from.Name]
+	case *ast.BasicLit:
+		text, _ := literal(from)
+		return text
+	default:
+		return "?"
+	}
 }
 
 // lastName is what stands after the last dot of an expression.
@@ -223,10 +252,17 @@
 		wa.all("wire.Refusal", family, sc.typed["wire.Refusal"])
 		wa.all("upst.Kind", family, sc.typed["upst.Kind"])
 	}
+	wa.all("team.Class", meter.Admitted, sc.typed["team.Class"])
 	wa.all("wire.Outcome", meter.Outcome, sc.typed["wire.Outcome"])
 	wa.all("wire.ChangeResult", meter.Change, sc.typed["wire.ChangeResult"])
 	wa.all("upst.event", meter.Connection, sc.named["upst.event"])
 	wa.all("member.State", meter.Member, sc.named["member.State"])
+	for _, state := range sc.named["view.State"] {
+		wa.want("view.State", meter.Server, "state."+state)
+	}
+	for _, kind := range sc.named["server.SignKind"] {
+		wa.want("server.SignKind", meter.Server, "sign."+kind)
+	}
 	for _, kind := range sc.typed["spread.AlarmKind"] {
 		wa.want("spread.AlarmKind", meter.Config, "alarm."+kind)
 	}
@@ -244,11 +280,33 @@
 		switch pkg {
 		case "drive", "search":
 			wa.want(name, meter.Incomplete, reason)
+		case "admit", "share":
+			wa.want(name, meter.Refusal, reason)
+			wa.want(name, meter.Incomplete, reason)
+		case "front":
+			wa.want(name, meter.Refusal, reason)
 		case "guard":
 			wa.want(name, meter.Refusal, reason)
 			wa.want(name, meter.Operator, reason)
 		case "oper":
 			wa.want(name, meter.Operator, reason)
+		default:
+			t.Errorf("%s: say in this test under which family it is counted", name)
+		}
+	}
+}
+
+// Histograms and gauges that the code names must be in the lists too.
+func TestValuesAreListed(t *testing.T) {
+	sc, fams := scan(t), families(t)
+	known := append(meter.Gauges(), meter.Histograms()...)
+	for _, us := range sc.values {
+		name := us.family
+		if value, ok := fams[name]; ok {
+			name = value
+		}
+		if !slices.Contains(known, name) {
+			t.Errorf("%s: io/meter/families.go does not list %q", us.at, name)
 		}
 	}
 }
@@ -279,7 +337,7 @@
 	for family, reasons := range meter.Reasons() {
 		for _, reason := range reasons {
 			said := func(text string) bool { return sc.literals[text] }
-			made := said(strings.TrimSuffix(reason, "Failed")) || said(strings.TrimPrefix(reason, "alarm."))
+			made := said(strings.TrimSuffix(reason, "Failed")) || said(reason[strings.Index(reason, ".")+1:])
 			if !said(reason) && !made {
 				t.Errorf("io/meter/families.go lists %s.%s, which the code has nowhere", family, reason)
 			}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -26,6 +26,7 @@
 	"laburnumvane/io/plat"
 	"laburnumvane/io/setup"
 	"laburnumvane/io/upst"
+	"laburnumvane/io/wire"
 )
 
 const (
@@ -95,6 +96,9 @@
 
 // Start starts a VM; it serves as soon as it returns.
 func Start(cfg Config) (*Node, error) {
+	if err := wire.Warm(); err != nil {
+		return nil, errors.Wrap(err, "node.Start")
+	}
 	lns, err := listen(cfg.Settings)
 	if err != nil {
 		return nil, err
@@ -200,6 +204,7 @@
 		TicketTTL:   nd.set.TicketTTL,
 		NewID:       nd.newID,
 		Refused:     func(reason string) { nd.meter.Count(meter.Refusal, reason) },
+		Panicked:    nd.logPanic,
 		Log:         nd.logSearch,
 	})
 	nd.oper = oper.New(oper.Config{
@@ -210,6 +215,7 @@
 		MaxBody:     operatorMaxBody,
 		ReadTimeout: readTimeout,
 		Refused:     func(reason string) { nd.meter.Count(meter.Operator, reason) },
+		Panicked:    nd.logPanic,
 	})
 	return nil
 }
