--- a/io/front/front.go
+++ b/io/front/front.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -24,9 +25,16 @@
 	"laburnumvane/io/wire"
 )
 
+// ReasonLeaving refuses what a VM whose planned stop has begun takes no more.
+const ReasonLeaving = "leaving"
+
+// ticketRetryAfter is in seconds; the balancer will have another VM by then.
+const ticketRetryAfter = "1"
+
 // Searcher is what the callers' listener asks of the VM.
 type Searcher interface {
 	Search(ctx context.Context, rq wire.SearchRequest) wire.SearchAnswer
+	// Tickets gives none where none can be issued.
 	Tickets(team string, n int) []string
 }
 
@@ -49,6 +57,8 @@
 	NewID func() string
 	// Refused is told of each request that was no search, with the reason.
 	Refused func(reason string)
+	// Panicked is told of each panic of a handler.
+	Panicked func(value any, stack []byte)
 	// Log is given each answer.
 	Log func(rq wire.SearchRequest, an wire.SearchAnswer)
 }
@@ -66,7 +76,7 @@
 
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Front {
-	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout, Refused: cfg.Refused}
+	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout, Refused: cfg.Refused, Panicked: cfg.Panicked}
 	fr := &Front{cfg: cfg, ln: accept.New(guard.Listen(cfg.Listener, gc))}
 	fr.srv = guard.New(fr.ln, gc,
 		server.WithOnAccept(accept.Context),
@@ -123,7 +133,7 @@
 		fr.refuse(rc, refusal)
 		return
 	}
-	an := fr.cfg.Search.Search(ctx, rq)
+	an := fr.run(ctx, rq)
 	fr.cfg.Log(rq, an)
 	if an.RetryAfterMs > 0 {
 		rc.Header("Retry-After", strconv.FormatInt(retryAfterSeconds(an.RetryAfterMs), 10))
@@ -131,6 +141,21 @@
 	fr.reply(rc, statusOf(an), an)
 }
 
+// run answers also for a search that panicked: it may have run, and a caller
+// that is told anything else could run it twice.
+func (fr *Front) run(ctx context.Context, rq wire.SearchRequest) (an wire.SearchAnswer) {
+	defer func() {
+		if value := recover(); value != nil {
+			fr.cfg.Panicked(value, debug.Stack())
+			an = wire.SearchAnswer{
+				ID: rq.ID, Outcome: wire.OutcomeUnknown, Reason: guard.ReasonInternal,
+				Message: "a fault of this VM ended the search; it may have run", Hits: []wire.Hit{},
+			}
+		}
+	}()
+	return fr.cfg.Search.Search(ctx, rq)
+}
+
 // retryAfterSeconds rounds up: the header has whole seconds, and coming back too
 // early earns another refusal.
 func retryAfterSeconds(ms int64) int64 {
@@ -146,7 +171,8 @@
 	tickets := fr.cfg.Search.Tickets(rq.Team, rq.Count)
 	if len(tickets) == 0 {
 		// A ticket of a VM that is leaving would be void when it is used.
-		fr.reply(rc, consts.StatusServiceUnavailable, wire.ErrorReply{Error: "this VM is leaving and no other can issue tickets", Reason: "leaving"})
+		rc.Header("Retry-After", ticketRetryAfter)
+		fr.refuse(rc, leaving("this VM is leaving and no other can issue tickets"))
 		return
 	}
 	fr.reply(rc, consts.StatusOK, wire.TicketReply{
@@ -157,7 +183,7 @@
 
 func (fr *Front) health(_ context.Context, rc *app.RequestContext) {
 	if fr.cfg.Leaving() {
-		fr.reply(rc, consts.StatusServiceUnavailable, wire.ErrorReply{Error: "leaving", Reason: "leaving"})
+		fr.refuse(rc, leaving("a planned stop has begun"))
 		return
 	}
 	fr.reply(rc, consts.StatusOK, struct {
@@ -165,6 +191,10 @@
 	}{"serving"})
 }
 
+func leaving(message string) *refusal {
+	return &refusal{status: consts.StatusServiceUnavailable, ErrorReply: wire.ErrorReply{Error: message, Reason: ReasonLeaving}}
+}
+
 func (fr *Front) refuse(rc *app.RequestContext, rf *refusal) {
 	fr.closeIfLeaving(rc)
 	guard.Refuse(rc, rf.status, rf.ErrorReply)
