--- a/docs/capacity/failures.go
+++ b/docs/capacity/failures.go
@@ -41,8 +41,11 @@
 }
 
 // fillsPerSecond is how many connections a node opens without demand:
-// fillsPerTick of io/upst, four times a second.
-const fillsPerSecond = 16 * 4
+// fillsPerTick of io/upst, at each tick of its keeper.
+const (
+	ticksPerSecond = 4
+	fillsPerSecond = 16 * ticksPerSecond
+)
 
 // connsPerNode is a node's part where servers allow the least.
 func connsPerNode() float64 {
--- a/docs/capacity/page_test.go
+++ b/docs/capacity/page_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -78,6 +80,34 @@
 	return false
 }
 
+// Bounds that the tables take from the code are those of the code.
+func TestBoundsAreTheCodes(t *testing.T) {
+	for _, tt := range []struct {
+		file, name string
+		want       int
+	}{
+		{"io/node/members_riders.go", "riderBytes", riderBytes},
+		{"io/node/upstreams.go", "hintBytes", pollBytes},
+		{"io/upst/keep.go", "fillsPerTick", fillsPerSecond / ticksPerSecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			raw, err := os.ReadFile("../../" + tt.file)
+			is.NoErr(err)
+			found := regexp.MustCompile(`\b` + tt.name + ` *= (\d+)(?: << (\d+))?\n`).FindSubmatch(raw)
+			is.True(found != nil) // the constant has another name now
+			got, err := strconv.Atoi(string(found[1]))
+			is.NoErr(err)
+			if len(found[2]) > 0 {
+				shift, err := strconv.Atoi(string(found[2]))
+				is.NoErr(err)
+				got <<= shift
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
 func TestLeast(t *testing.T) {
 	const out = `BenchmarkA/n=1-12   100   9.5 ns/op   7 B/op
 BenchmarkA/n=1-12   100   8.5 ns/op   9 B/op
--- a/docs/capacity/tables.go
+++ b/docs/capacity/tables.go
@@ -104,7 +104,7 @@
 // Bounds that the code sets, beside what was measured.
 const (
 	ringBeats      = 3.0
-	riderBytes     = 256
+	riderBytes     = 192
 	ridingMessages = 12
 	pollBytes      = 2 << 10
 )
