--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -10,14 +10,14 @@
 //
 // # Usage
 //
-//	mc := admit.New[chan admit.Grant](admit.Config{Room: pool.Room})
+//	mc := admit.New[*waiter](admit.Config{Room: pool.Room})
 //	de := mc.Offer(now, admit.Request{Class: admit.Urgent, Team: 3, Cost: 10, Deadline: now + 200*time.Millisecond}, waiter)
 //	switch de.Kind {
-//	case admit.Admitted: // run it, then: mc.Done(now, admit.Urgent, took, sound)
+//	case admit.Admitted: // send; mc.Begun(); in the end mc.Done(now, admit.Urgent, took, false)
 //	case admit.Queued:   // wait for a grant, at most until de.Until, then mc.Withdraw(de.Handle)
 //	case admit.Refused:  // answer with de.Reason and de.RetryAfter
 //	}
-//	for _, gr := range mc.Step(now) { gr.Waiter <- gr }
+//	for _, gr := range mc.Step(now) { gr.Waiter.tell(gr.Start, gr.Reason, gr.RetryAfter) }
 //
 // A Machine belongs to one goroutine at a time; its owner guards it with one
 // mutex. Times are monotonic and count from the start of the process; a time
--- a/core/share/doc.go
+++ b/core/share/doc.go
@@ -39,13 +39,13 @@
 // The control goroutine owns a Machine; traffic takes from a Bucket:
 //
 //	mc := share.New(share.Config{Self: self})
-//	bucket := mc.Limit("wash", share.Limit{Rate: 100, Concurrent: 20})
+//	bucket := mc.Limit(now, "wash", share.Limit{Rate: 100, Concurrent: 20})
 //	mc.Members(now, peers)
 //	mc.Incoming(now, demandsHeard)
 //	demandsToTell := mc.Outgoing(now) // each heartbeat
-//	mc.Step(now)                      // about once a second
+//	mc.Step(now)                      // after it
 //
-//	if ok, after := bucket.Take(now); ok { defer bucket.Give() }
+//	if reason, after := bucket.Take(now); reason == "" { defer bucket.Give() }
 //
 // Times are monotonic and count from the start of the process; a step back of
 // the caller's clock counts as no time at all.
