--- a/io/contr/reply_fuzz_test.go
+++ b/io/contr/reply_fuzz_test.go
@@ -29,6 +29,7 @@
 // liar is a VM whose only upstream answers all searches with given bytes, in
 // which $ID and $SHARD stand for those of the request.
 type liar struct {
+	node   *node.Node
 	reply  atomic.Pointer[[]byte]
 	caller string
 	client http.Client
@@ -64,7 +65,7 @@
 		defer cancel()
 		is.NoErr(nd.Stop(ctx))
 	})
-	li.caller = nd.Addrs().Caller
+	li.node, li.caller = nd, nd.Addrs().Caller
 	for len(nd.Status().Registers) == 0 || nd.Status().Registers[0].Live < 2 {
 		time.Sleep(time.Millisecond)
 	}
@@ -181,6 +182,11 @@
 		})
 	}
 	honest(is, li.search(t, []byte(goodReply)))
+	metrics := li.node.Metrics()
+	for _, name := range []string{"dropped.foreign", "upstream.otherRefusal", "upstream.decode", "retry.decode", "sent.retry"} {
+		is.True(metrics[name] > 0) // each lie is counted by its reason
+	}
+	is.True(metrics["retry.wrongReply"]+metrics["retry.foreignReply"] > 0)
 }
 
 func allocated() uint64 {
