--- a/core/member/machine_test.go
+++ b/core/member/machine_test.go
@@ -139,6 +139,31 @@
 	}
 }
 
+// Two faults come one upon the other, at two VMs of one data centre and at two of
+// different ones. What the others come to hold of each is the same as if it had
+// come alone.
+func TestFaultsInPairs(t *testing.T) {
+	for _, one := range faults {
+		for _, two := range faults {
+			for _, second := range []int{1, 3} {
+				t.Run(one.name+" and "+two.name, func(t *testing.T) {
+					t.Parallel()
+					is := is.New(t)
+					wo := newWorld(8, 0.01)
+					prs := wo.fleet(t, 9, 3)
+					is.True(wo.run(bound, wo.agree))
+					one.do(t, wo, prs[0])
+					two.do(t, wo, prs[second])
+					both := func() bool {
+						return wo.allHold(prs[0].self.Addr, one.then) && wo.allHold(prs[second].self.Addr, two.then)
+					}
+					is.True(wo.run(bound, both))
+				})
+			}
+		}
+	}
+}
+
 func (wo *world) allHold(addr string, then func(member.Member) bool) bool {
 	for _, pr := range wo.order {
 		if pr.dead {
@@ -187,6 +212,27 @@
 	is.True(!pr.ma.Recovering())
 }
 
+// A VM that is no relay knows of the other data centres by what its neighbours
+// tell. None may hold one for cut off while all is well, whoever its neighbours
+// are and in whatever order messages come.
+func TestHealthyDataCentresAreReachable(t *testing.T) {
+	for seed := range 20 {
+		is := is.New(t)
+		wo := newWorld(uint64(seed), 0.01)
+		prs := wo.fleet(t, 9+seed, 3)
+		is.True(wo.run(bound, wo.agree))
+		wo.run(bound/2, nil)
+		for range 30 {
+			wo.run(time.Second, nil)
+			for _, pr := range prs {
+				for _, name := range pr.ma.DataCentres() {
+					is.True(pr.ma.Reachable(name))
+				}
+			}
+		}
+	}
+}
+
 // Nothing passes between two data centres and the third. Each side goes on with
 // what it knows and gives nobody up over there: a caller's view of the others'
 // shares must not change because a cable was cut. A VM that dies meanwhile is
