--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -28,6 +28,12 @@
 	Config = "config"
 	// Member counts what this VM did and heard as a member of the fleet.
 	Member = "member"
+	// Server counts what was learnt of upstream servers and decided on them.
+	Server = "server"
+	// ServerState counts upstream servers that came into a state.
+	ServerState = "serverState"
+	// Sign counts signs on upstream servers that this VM told others, by kind.
+	Sign = "sign"
 	// Logged counts what became of log lines.
 	Logged = "logged"
 )
@@ -96,7 +102,10 @@
 			"candidate", "live", "suspect", "leaving", "gone", "beatFailed", "helpAsked", "woke", "signHeard",
 			"signDropped", "ticketsElsewhere",
 		},
-		Logged: {"searches", "sampledOut", "lost"},
+		Server:      {"probe", "hintLags", "oldNews", "newSnapshot", "holdingDropped", "tooManyConnections"},
+		ServerState: {"unknown", "cold", "serving", "shedding", "suspect", "draining", "gone"},
+		Sign:        {"leaving", "unreachable", "returned"},
+		Logged:      {"searches", "sampledOut", "lost"},
 	}
 }
 
--- a/io/node/upstreams.go
+++ b/io/node/upstreams.go
@@ -9,6 +9,7 @@
 	"laburnumvane/core/server"
 	"laburnumvane/core/view"
 	"laburnumvane/io/inner"
+	"laburnumvane/io/meter"
 	"laburnumvane/io/upst"
 )
 
@@ -37,8 +38,6 @@
 
 	// sweepEvery bounds the pause between two looks at the clock.
 	sweepEvery = time.Second
-
-	meterServer = "server"
 )
 
 // upstreams runs the decisions on upstream servers on the control goroutine.
@@ -119,7 +118,7 @@
 		case server.Publish:
 			us.show(ac.ID)
 		case server.Probe:
-			us.ct.nd.meter.Count(meterServer, "probe")
+			us.ct.nd.meter.Count(meter.Server, "probe")
 			us.ask(ac.ID, true)
 		case server.Spread:
 			us.tell(ac.Sign)
@@ -133,7 +132,7 @@
 	st := us.states.Status(id)
 	restarted := sv.Incarnation != 0 && sv.Incarnation != st.Incarnation
 	if sv.State != st.State {
-		us.ct.nd.meter.Count(meterServer, "state."+st.State.String())
+		us.ct.nd.meter.Count(meter.ServerState, st.State.String())
 		us.ct.nd.log.Info().Str("server", sv.Addr).Str("state", st.State.String()).Str("why", st.Why).
 			Uint64("incarnation", st.Incarnation).Msg("upstream's state")
 	}
@@ -175,7 +174,7 @@
 
 // tell spreads a sign; one that came from another VM is passed on already.
 func (us *upstreams) tell(sg server.Sign) {
-	us.ct.nd.meter.Count(meterServer, "sign."+sg.Kind.String())
+	us.ct.nd.meter.Count(meter.Sign, sg.Kind.String())
 	us.ct.signs.tell(&inner.Sign{Server: sg.Addr, Incarnation: sg.Incarnation, Kind: uint32(sg.Kind)})
 }
 
--- a/io/node/upstreams_hint.go
+++ b/io/node/upstreams_hint.go
@@ -9,6 +9,7 @@
 
 	"laburnumvane/core/server"
 	"laburnumvane/core/view"
+	"laburnumvane/io/meter"
 	"laburnumvane/io/upst"
 	"laburnumvane/io/wire"
 )
@@ -44,7 +45,7 @@
 	}
 	if us.states.Status(ev.id).Incarnation > ev.status.Incarnation && us.states.Status(ev.id).State != view.StateGone {
 		// The endpoint lags: this is the account of a process that is over.
-		us.ct.nd.meter.Count(meterServer, "hintLags")
+		us.ct.nd.meter.Count(meter.Server, "hintLags")
 		return
 	}
 	us.step(ev.id, server.Event{
@@ -142,7 +143,7 @@
 }
 
 func (us *upstreams) urgeOthers(id view.ServerID, key view.RegisterKey) {
-	us.ct.nd.meter.Count(meterServer, "newSnapshot")
+	us.ct.nd.meter.Count(meter.Server, "newSnapshot")
 	for _, other := range us.placed.byRegister[key] {
 		if other != id {
 			us.polls.Urge(us.now(), other)
--- a/io/node/upstreams_reply.go
+++ b/io/node/upstreams_reply.go
@@ -9,6 +9,7 @@
 
 	"laburnumvane/core/server"
 	"laburnumvane/core/view"
+	"laburnumvane/io/meter"
 	"laburnumvane/io/upst"
 	"laburnumvane/io/wire"
 )
@@ -101,7 +102,7 @@
 	if ev.gone {
 		for _, key := range us.placed.registersOf(ev.id, ev.register) {
 			if us.maps.Drop(ev.id, key, ev.version) {
-				ct.nd.meter.Count(meterServer, "holdingDropped")
+				ct.nd.meter.Count(meter.Server, "holdingDropped")
 			}
 		}
 	}
@@ -144,7 +145,7 @@
 // news hands over what cannot wait for a tally: another incarnation, a drain.
 func (up *upstream) news(load wire.UpstreamLoad, leaving bool) {
 	if load.Incarnation < up.incarnation.Load() {
-		up.nd.meter.Count(meterServer, "oldNews")
+		up.nd.meter.Count(meter.Server, "oldNews")
 		return
 	}
 	if up.newsOut.CompareAndSwap(false, true) {
@@ -192,7 +193,7 @@
 
 func (ev turnedAway) apply(ct *control) {
 	ct.nd.upstream(ev.id).turned.Store(false)
-	ct.nd.meter.Count(meterServer, "tooManyConnections")
+	ct.nd.meter.Count(meter.Server, "tooManyConnections")
 	ct.ups.plan.refused(ct.ups.now(), ev.id, ev.open)
 	if ev.open == 0 {
 		// Without a single connection it is no sign of too many.
