--- a/core/conns/planner.go
+++ b/core/conns/planner.go
@@ -63,10 +63,9 @@
 	return GroupID(len(pl.groups) - 1)
 }
 
-// Resize changes a group's replicas and limit.
-func (pl *Planner) Resize(id GroupID, replicas, limit int) {
+// Resize changes the number of a group's replicas.
+func (pl *Planner) Resize(id GroupID, replicas int) {
 	pl.groups[id].Replicas = replicas
-	pl.groups[id].Limit = limit
 }
 
 // Apply takes a change of the roster.
@@ -145,7 +144,7 @@
 		reached[pl.groups[i].Service] = reached[pl.groups[i].Service] || pl.reaches(GroupID(i))
 	}
 	for i := range pl.groups {
-		if service := pl.groups[i].Service; !reached[service] {
+		if service := pl.groups[i].Service; pl.groups[i].Replicas > 0 && !reached[service] {
 			out = append(out, service)
 			reached[service] = true
 		}
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -72,8 +72,7 @@
 }
 
 func (nd *Node) upstreamsOf(vw *view.View) []wire.UpstreamOfVM {
-	pools := *nd.servers.Load()
-	out := make([]wire.UpstreamOfVM, 0, len(vw.Servers()))
+	out := make([]wire.UpstreamOfVM, 0, vw.Len())
 	for _, sv := range vw.Servers() {
 		out = append(out, wire.UpstreamOfVM{
 			Addr:        sv.Addr,
@@ -83,7 +82,7 @@
 			Why:         sv.Why,
 			Incarnation: sv.Incarnation,
 			InFlight:    nd.table.InFlight(sv.ID),
-			Connections: pools[sv.ID].Open(),
+			Connections: nd.upstream(sv.ID).Open(),
 			LatencyMs:   float64(nd.table.Latency(sv.ID).Microseconds()) / 1000,
 		})
 	}
--- a/io/node/upstreams.go
+++ b/io/node/upstreams.go
@@ -51,11 +51,14 @@
 	plan   *connPlan
 	timer  *time.Timer
 	dirty  bool
+	// none stands for the connections to servers that this VM does not use.
+	none *upst.Server
 }
 
 func newUpstreams(ct *control) *upstreams {
 	set := ct.nd.set
 	us := &upstreams{ct: ct, placed: newPlacement(), timer: time.NewTimer(sweepEvery)}
+	us.none = upst.New(upst.Config{})
 	us.rnd = rand.New(rand.NewPCG(set.Incarnation, seedOf(ct.nd.addr)))
 	us.maps = server.NewMaps(func(id view.ServerID) bool { return !ct.view.ServerRef(id).State.Leaving() })
 	us.states = server.New(server.Config{Rand: us.rnd, Last: us.maps.Last})
--- a/io/node/upstreams_conns.go
+++ b/io/node/upstreams_conns.go
@@ -19,20 +19,27 @@
 	ramp    *conns.Ramp
 	counted map[conns.VM]bool
 	// slots is each server's place in the planner.
-	slots []planSlot
-	used  []bool
+	slots  []planSlot
+	groups map[string]*planGroup
+	used   []bool
 	// settled, cautious and far are as the shares in force assume.
 	settled, cautious, far bool
 }
 
 type planSlot struct {
-	group   conns.GroupID
+	group   *planGroup
 	replica int
-	listed  bool
+}
+
+// planGroup is the replicas of one service in one data centre, by address, so
+// that all VMs number them alike.
+type planGroup struct {
+	id      conns.GroupID
+	members []view.ServerID
 }
 
 func newConnPlan(us *upstreams, self conns.VM) *connPlan {
-	cp := &connPlan{us: us, self: self, counted: make(map[conns.VM]bool), far: true}
+	cp := &connPlan{us: us, self: self, counted: make(map[conns.VM]bool), groups: make(map[string]*planGroup), far: true}
 	cp.roster = conns.NewRoster(conns.RosterConfig{Self: self, Hold: departedHold, Patience: listPatience})
 	cp.planner = conns.NewPlanner(conns.PlannerConfig{Self: self, Far: true})
 	cp.ramp = conns.NewRamp(conns.RampConfig{Rand: us.rnd, Setup: connectSetup, Load: connectLoad})
@@ -76,57 +83,81 @@
 	}
 }
 
-// rebuild makes the planner anew, as after a change of the configuration: one
-// group for each service and data centre, its replicas by address, so that all
-// VMs number them alike.
+// rebuild makes the planner anew.
 func (cp *connPlan) rebuild(now time.Duration) {
 	cp.planner = conns.NewPlanner(conns.PlannerConfig{Self: cp.self, Far: cp.far})
 	for vm := range cp.counted {
 		cp.planner.Apply(conns.Change{VM: vm, Joined: true})
 	}
-	servers := cp.us.ct.view.Servers()
-	cp.slots = make([]planSlot, len(servers))
-	servers = slices.DeleteFunc(servers, func(sv view.Server) bool { return len(cp.us.placed.places[sv.ID]) == 0 })
-	slices.SortFunc(servers, func(a, b view.Server) int {
-		return cmp.Or(cmp.Compare(cp.groupOf(a), cp.groupOf(b)), cmp.Compare(a.Connections, b.Connections), cmp.Compare(a.Addr, b.Addr))
-	})
-	for len(servers) > 0 {
-		n := 1
-		for n < len(servers) && cp.alike(servers[0], servers[n]) {
-			n++
-		}
-		cp.addGroup(servers[:n])
-		servers = servers[n:]
+	clear(cp.groups)
+	clear(cp.slots)
+	all := make([]view.ServerID, cp.us.ct.view.Len())
+	for i := range all {
+		all[i] = view.ServerID(i)
 	}
-	cp.apply(now)
+	cp.placed(now, all)
 }
 
-func (cp *connPlan) groupOf(sv view.Server) string {
-	return cp.us.placed.places[sv.ID][0].group() + "@" + sv.DataCentre
-}
-
-// alike tells whether two servers are replicas of one group. Servers of one
-// service whose limits differ, as where one stands in another register too, are
-// divided apart.
-func (cp *connPlan) alike(a, b view.Server) bool {
-	return a.Connections == b.Connections && cp.groupOf(a) == cp.groupOf(b)
+// placed takes servers whose place in the configuration has changed.
+func (cp *connPlan) placed(now time.Duration, ids []view.ServerID) {
+	touched := make(map[*planGroup]bool)
+	for _, id := range ids {
+		for int(id) >= len(cp.slots) {
+			cp.slots = append(cp.slots, planSlot{})
+		}
+		if gr := cp.slots[id].group; gr != nil {
+			gr.members = slices.DeleteFunc(gr.members, func(other view.ServerID) bool { return other == id })
+			cp.slots[id] = planSlot{}
+			touched[gr] = true
+		}
+		if len(cp.us.placed.places[id]) > 0 {
+			gr := cp.groupOf(id)
+			gr.members = append(gr.members, id)
+			touched[gr] = true
+		}
+	}
+	for gr := range touched {
+		cp.number(gr)
+	}
+	cp.apply(now)
 }
 
-func (cp *connPlan) addGroup(servers []view.Server) {
-	first := servers[0]
-	group := cp.planner.Add(conns.Group{
-		Service:    cp.us.placed.places[first.ID][0].group() + "#" + strconv.Itoa(first.Connections),
-		DataCentre: first.DataCentre,
-		Replicas:   len(servers),
-		Limit:      first.Connections,
+// number gives a group's replicas their numbers.
+func (cp *connPlan) number(gr *planGroup) {
+	vw := cp.us.ct.view
+	slices.SortFunc(gr.members, func(a, b view.ServerID) int {
+		return cmp.Compare(vw.ServerRef(a).Addr, vw.ServerRef(b).Addr)
 	})
-	for i, sv := range servers {
-		cp.slots[sv.ID] = planSlot{group: group, replica: i, listed: true}
+	for i, id := range gr.members {
+		cp.slots[id] = planSlot{group: gr, replica: i}
 	}
+	cp.planner.Resize(gr.id, len(gr.members))
+}
+
+// groupOf is the group that a server belongs to. Servers of one service whose
+// limits differ, as where one stands in another register too, are divided apart.
+func (cp *connPlan) groupOf(id view.ServerID) *planGroup {
+	sv := cp.us.ct.view.ServerRef(id)
+	service := cp.us.placed.places[id][0].group() + "#" + strconv.Itoa(sv.Connections)
+	key := service + "@" + sv.DataCentre
+	gr, ok := cp.groups[key]
+	if !ok {
+		gr = &planGroup{id: cp.planner.Add(conns.Group{Service: service, DataCentre: sv.DataCentre, Limit: sv.Connections})}
+		cp.groups[key] = gr
+	}
+	return gr
 }
 
 // apply works out all shares; only what changed reaches the connections.
 func (cp *connPlan) apply(now time.Duration) {
+	var fresh []view.ServerID
+	for i := range cp.slots {
+		id := view.ServerID(i)
+		if share, _ := cp.shareOf(id); share > 0 && !cp.us.ct.nd.upstream(id).pooled {
+			fresh = append(fresh, id)
+		}
+	}
+	cp.us.open(fresh)
 	for i := range cp.slots {
 		id := view.ServerID(i)
 		share, users := cp.shareOf(id)
@@ -137,14 +168,14 @@
 
 func (cp *connPlan) shareOf(id view.ServerID) (share, users int) {
 	sl := cp.slots[id]
-	if !sl.listed || !cp.settled {
+	if sl.group == nil || !cp.settled {
 		return 0, 1
 	}
-	share = cp.planner.Share(sl.group, sl.replica)
+	share = cp.planner.Share(sl.group.id, sl.replica)
 	if cp.cautious {
 		share = min(share, 1)
 	}
-	return share, cp.planner.Users(sl.group)
+	return share, cp.planner.Users(sl.group.id)
 }
 
 // use takes a server into the maps and the polls, or out of them.
@@ -161,7 +192,9 @@
 
 func (cp *connPlan) limit(limits []conns.Limit) {
 	for _, li := range limits {
-		cp.us.ct.nd.upstream(li.ID).SetLimit(li.N)
+		if up := cp.us.ct.nd.upstream(li.ID); up.pooled {
+			up.SetLimit(li.N)
+		}
 	}
 }
 
--- a/io/node/upstreams_place.go
+++ b/io/node/upstreams_place.go
@@ -7,7 +7,6 @@
 	"laburnumvane/core/server"
 	"laburnumvane/core/team"
 	"laburnumvane/core/view"
-	"laburnumvane/io/upst"
 )
 
 // place is one entry of a server in a configuration. A server, known by its
@@ -36,12 +35,15 @@
 	ids        map[string]view.ServerID
 	places     [][]place
 	byRegister map[view.RegisterKey][]view.ServerID
+	// byTeam are the servers that a team's document in force names.
+	byTeam map[string][]view.ServerID
 }
 
 func newPlacement() *placement {
 	return &placement{
 		ids:        make(map[string]view.ServerID),
 		byRegister: make(map[view.RegisterKey][]view.ServerID),
+		byTeam:     make(map[string][]view.ServerID),
 	}
 }
 
@@ -86,30 +88,37 @@
 		pc.ids[addr] = view.ServerID(len(pc.places))
 		pc.places = append(pc.places, nil)
 	}
-	for addr, id := range pc.ids {
+	named := make([]view.ServerID, 0, len(in))
+	entries := make(map[view.ServerID][]place, len(in))
+	for addr, places := range in {
+		named = append(named, pc.ids[addr])
+		entries[pc.ids[addr]] = places
+	}
+	for _, id := range slices.Concat(pc.byTeam[doc.Team], named) {
 		next := slices.DeleteFunc(slices.Clone(pc.places[id]), func(pl place) bool { return pl.team == doc.Team })
-		next = append(next, in[addr]...)
+		next = append(next, entries[id]...)
 		slices.SortFunc(next, place.compare)
 		if !slices.Equal(next, pc.places[id]) {
-			pc.places[id] = next
+			pc.reindex(id, next)
 			changed = append(changed, id)
 		}
 	}
+	pc.byTeam[doc.Team] = named
 	slices.Sort(changed)
-	if len(changed) > 0 {
-		pc.index()
-	}
 	return changed, added
 }
 
-func (pc *placement) index() {
-	clear(pc.byRegister)
-	for id, places := range pc.places {
-		for _, pl := range places {
-			key := view.RegisterKey{Team: pl.team, Register: pl.register}
-			if ids := pc.byRegister[key]; len(ids) == 0 || ids[len(ids)-1] != view.ServerID(id) {
-				pc.byRegister[key] = append(ids, view.ServerID(id))
-			}
+// reindex replaces a server's entries.
+func (pc *placement) reindex(id view.ServerID, next []place) {
+	for _, pl := range pc.places[id] {
+		key := view.RegisterKey{Team: pl.team, Register: pl.register}
+		pc.byRegister[key] = slices.DeleteFunc(pc.byRegister[key], func(other view.ServerID) bool { return other == id })
+	}
+	pc.places[id] = next
+	for _, pl := range next {
+		key := view.RegisterKey{Team: pl.team, Register: pl.register}
+		if at, found := slices.BinarySearch(pc.byRegister[key], id); !found {
+			pc.byRegister[key] = slices.Insert(pc.byRegister[key], at, id)
 		}
 	}
 }
@@ -124,35 +133,50 @@
 		us.replace(id)
 	}
 	if len(changed) > 0 {
-		us.plan.rebuild(us.now())
+		us.plan.placed(us.now(), changed)
 	}
 	us.dirty = true
 }
 
+// add takes new servers. Their connections come with a part of the plan: at
+// 32,000 servers pools for all would take 26 MB of the 64 that a node has for
+// control, and a VM uses some hundred of them.
 func (us *upstreams) add(addrs []string) {
 	if len(addrs) == 0 {
 		return
 	}
 	nd := us.ct.nd
-	pools := slices.Clone(*nd.servers.Load())
 	ups := slices.Clone(*nd.ups.Load())
 	for _, addr := range addrs {
-		id := view.ServerID(len(pools))
-		sv := us.newServer(addr)
-		pools = append(pools, sv)
-		ups = append(ups, &upstream{Server: sv, id: id, nd: nd})
+		id := view.ServerID(len(ups))
+		ups = append(ups, &upstream{Server: us.none, id: id, nd: nd})
 		us.states.Add(id, addr)
 		us.ct.view = us.ct.view.WithServer(view.Server{ID: id, Addr: addr})
 	}
-	nd.table.Grow(len(pools))
+	nd.table.Grow(len(ups))
 	nd.ups.Store(&ups)
-	storePools(nd, pools)
-	for i := len(pools) - len(addrs); i < len(pools); i++ {
+	for i := len(ups) - len(addrs); i < len(ups); i++ {
 		us.show(view.ServerID(i))
 	}
 }
 
-func storePools(nd *Node, pools []*upst.Server) {
+// open makes the connections to servers that this VM begins to use. Traffic
+// knows none of them yet, so that their counts may begin anew.
+func (us *upstreams) open(ids []view.ServerID) {
+	if len(ids) == 0 {
+		return
+	}
+	nd := us.ct.nd
+	ups := slices.Clone(*nd.ups.Load())
+	pools := slices.Clone(*nd.servers.Load())
+	for _, id := range ids {
+		pool := us.newServer(us.ct.view.ServerRef(id).Addr)
+		up := &upstream{Server: pool, id: id, nd: nd, pooled: true}
+		up.known(us.states.Status(id))
+		ups[id] = up
+		pools = append(pools, pool)
+	}
+	nd.ups.Store(&ups)
 	nd.servers.Store(&pools)
 }
 
--- a/io/node/upstreams_reply.go
+++ b/io/node/upstreams_reply.go
@@ -25,6 +25,8 @@
 	*upst.Server
 	id view.ServerID
 	nd *Node
+	// pooled tells that the connections are the server's own.
+	pooled bool
 
 	// incarnation is the one in the view.
 	incarnation atomic.Uint64
