--- a/io/site/upstreams_test.go
+++ b/io/site/upstreams_test.go
@@ -195,7 +195,7 @@
 
 // The caller of a quiet VM is never sent to a drained server: only the first VM
 // has traffic and is refused. The others learn it by the sign alone: the
-// endpoints lie, and the VM list says nothing of upstreams.
+// endpoints lie, and the VM list lags by a minute.
 func TestDrainIsToldToQuietVM(t *testing.T) {
 	is := is.New(t)
 	st := startSite(t, site.Config{VMs: 9, DataCentres: []string{"east"}, Services: 1, Connections: 30})
@@ -207,6 +207,7 @@
 		}
 		return true
 	})
+	st.VMs().SetLag(time.Minute) // as of when none of them was there
 	sv := st.Fleet().Servers()[1]
 	sv.Upstream.SetFaults(emul.UpstreamFaults{Claim: wire.UpstreamServing})
 	sv.Upstream.SetState(wire.UpstreamDraining)
