--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -30,8 +30,12 @@
 	Config = "config"
 	// Member counts what happened between this VM and the others.
 	Member = "member"
-	// Server counts what this VM learnt and thought of upstream servers.
+	// Server counts what was learnt of upstream servers and decided on them.
 	Server = "server"
+	// ServerState counts upstream servers that came into a state.
+	ServerState = "serverState"
+	// Sign counts signs on upstream servers that this VM told others, by kind.
+	Sign = "sign"
 	// Logged counts what became of log lines.
 	Logged = "logged"
 )
@@ -110,12 +114,10 @@
 			"candidate", "live", "suspect", "leaving", "gone", "woke", "beatServed", "beatFailed", "helpAsked",
 			"signHeard", "signDropped", "demandDropped", "ticketsElsewhere",
 		},
-		Server: {
-			"state.unknown", "state.cold", "state.serving", "state.shedding", "state.suspect", "state.draining",
-			"state.gone", "sign.leaving", "sign.unreachable", "sign.returned", "probe", "newSnapshot",
-			"holdingDropped", "oldNews", "hintLags", "tooManyConnections",
-		},
-		Logged: {"searches", "sampledOut", "lost"},
+		Server:      {"probe", "hintLags", "oldNews", "newSnapshot", "holdingDropped", "tooManyConnections"},
+		ServerState: {"unknown", "cold", "serving", "shedding", "suspect", "draining", "gone"},
+		Sign:        {"leaving", "unreachable", "returned"},
+		Logged:      {"searches", "sampledOut", "lost"},
 	}
 }
 
--- a/io/node/upstreams.go
+++ b/io/node/upstreams.go
@@ -38,8 +38,6 @@
 
 	// sweepEvery bounds the pause between two looks at the clock.
 	sweepEvery = time.Second
-
-	meterServer = "server"
 )
 
 // upstreams runs the decisions on upstream servers on the control goroutine.
@@ -53,11 +51,14 @@
 	plan   *connPlan
 	timer  *time.Timer
 	dirty  bool
+	// none stands for the connections to servers that this VM does not use.
+	none *upst.Server
 }
 
 func newUpstreams(ct *control) *upstreams {
 	set := ct.nd.set
 	us := &upstreams{ct: ct, placed: newPlacement(), timer: time.NewTimer(sweepEvery)}
+	us.none = upst.New(upst.Config{})
 	us.rnd = rand.New(rand.NewPCG(set.Incarnation, seedOf(ct.nd.addr)))
 	us.maps = server.NewMaps(func(id view.ServerID) bool { return !ct.view.ServerRef(id).State.Leaving() })
 	us.states = server.New(server.Config{Rand: us.rnd, Last: us.maps.Last})
@@ -120,7 +121,7 @@
 		case server.Publish:
 			us.show(ac.ID)
 		case server.Probe:
-			us.ct.nd.meter.Count(meterServer, "probe")
+			us.ct.nd.meter.Count(meter.Server, "probe")
 			us.ask(ac.ID, true)
 		case server.Spread:
 			us.tell(ac.Sign)
@@ -134,7 +135,7 @@
 	st := us.states.Status(id)
 	restarted := sv.Incarnation != 0 && sv.Incarnation != st.Incarnation
 	if sv.State != st.State {
-		us.ct.nd.meter.Count(meterServer, "state."+st.State.String())
+		us.ct.nd.meter.Count(meter.ServerState, st.State.String())
 		us.ct.nd.log.Info().Str("server", sv.Addr).Str("state", st.State.String()).Str("why", st.Why).
 			Uint64("incarnation", st.Incarnation).Msg("upstream's state")
 	}
@@ -176,7 +177,7 @@
 
 // tell spreads a sign; one that came from another VM is passed on already.
 func (us *upstreams) tell(sg server.Sign) {
-	us.ct.nd.meter.Count(meterServer, "sign."+sg.Kind.String())
+	us.ct.nd.meter.Count(meter.Sign, sg.Kind.String())
 	us.ct.signs.tell(&inner.Sign{Server: sg.Addr, Incarnation: sg.Incarnation, Kind: uint32(sg.Kind)})
 }
 
