docs: CAPACITY with the membership as it is now, and what would close its bytes

Cause: the model of heartbeats took up real headers since; the page had the older figures, and its way to close the budget no longer sufficed. Change: a table of three changes and what each takes off. Conclusion: without a leaner frame for heartbeats the bytes are missed at size.

--- a/docs/capacity/tables.go
+++ b/docs/capacity/tables.go
@@ -10,6 +10,7 @@
 		sizeTable(),
 		trafficTable(sl),
 		controlTable(sl),
+		closingTable(sl),
 		serviceTable(sl),
 		connectionTable(sl),
 		todayTable(),
@@ -133,6 +134,30 @@
 	return tb
 }
 
+// closingTable is what changes would take off the bytes of a node, one after the
+// other.
+func closingTable(sl *slopes) Table {
+	left := 0.0
+	for _, ro := range controls(sl) {
+		left += ro.bytes
+	}
+	headers := sl.of("beatSent0") + sl.of("beatReceived0") - 2*sl.of("payloadBeat")
+	tb := Table{Name: "closing", Head: []string{"change", "saves B/s", "left", "of the budget"}}
+	for _, step := range []struct {
+		name  string
+		saves float64
+	}{
+		{"none", 0},
+		{"load endpoints polled a quarter as much", pollBytes * 3 / 4},
+		{"half the room for riders", riderBytes * ridingMessages / 2},
+		{"heartbeats without HTTP's headers", 2 * ringBeats * headers},
+	} {
+		left -= step.saves
+		tb.Rows = append(tb.Rows, []string{step.name, orNone(step.saves, ""), num(left), num(100*left/maxControlBytes) + "%"})
+	}
+	return tb
+}
+
 func orNone(val float64, unit string) string {
 	if val == 0 {
 		return "-"
