--- a/io/meter/source_test.go
+++ b/io/meter/source_test.go
@@ -258,10 +258,10 @@
 	wa.all("upst.event", meter.Connection, sc.named["upst.event"])
 	wa.all("member.State", meter.Member, sc.named["member.State"])
 	for _, state := range sc.named["view.State"] {
-		wa.want("view.State", meter.Server, "state."+state)
+		wa.want("view.State", meter.ServerState, state)
 	}
 	for _, kind := range sc.named["server.SignKind"] {
-		wa.want("server.SignKind", meter.Server, "sign."+kind)
+		wa.want("server.SignKind", meter.Sign, kind)
 	}
 	for _, kind := range sc.typed["spread.AlarmKind"] {
 		wa.want("spread.AlarmKind", meter.Config, "alarm."+kind)
