--- a/docs/capacity/tables.go
+++ b/docs/capacity/tables.go
@@ -39,6 +39,7 @@
 const (
 	micros = 1e-6
 	nanos  = 1e-9
+	millis = 1e-3
 	mega   = 1e6
 	kibi   = 1 << 10
 )
@@ -95,10 +96,10 @@
 		{"membership: messages", ringBeats * beats * micros * 100, 0, sl.of("memberBytes") + churn, "heartbeats over twirp, news of 0.08 replacements a second on them"},
 		{"what rides on heartbeats, at the most", 0, 0, riderBytes * ridingMessages, "`io/node` riders: leaving signs, demands, hints; bounded by room"},
 		{"configuration: watch, relay, leaf", sl.of("spreadCore"), sl.of("spreadMemory10")*kibi + teams*teamBytes, sl.of("spreadBytes"), "`core/spread`: ranked watchers, trees of eight, digests"},
-		{"configuration: reading documents", changesPerSecond * sl.of("parse") * nanos * 100, 0, 0, "`core/team`: each node reads each change once"},
-		{"upstreams: states and maps", serversPerCentre * sl.of("serverStep") * nanos * 100, serversPerCentre * sl.of("serverMemory"), 0, "`core/server`: tallies of replies, at most one a second and server"},
+		{"configuration: reading documents", changesPerSecond * (sl.of("parse")*nanos + sl.of("documentPlaced")*millis) * 100, 0, 0, "`core/team`, `io/node`: each node reads each change once and places its servers"},
+		{"upstreams: states and maps", serversPerCentre * sl.of("serverStep") * nanos * 100, sl.of("upstreamsHeap") * mega, 0, "`core/server`: control is told only where there is something to decide; here one tally a second of each server of the data centre"},
 		{"upstreams: load endpoints", 0, 0, pollBytes, "`core/server.Polls`: a budget of bytes, not of servers"},
-		{"connections: shares", 2 * bootsPerSecond * sl.of("join") * nanos * 100, 0, 0, "`core/conns`: worked out by each node from its view, no message"},
+		{"connections: shares", 2 * bootsPerSecond * sl.of("vmJoins") * millis * 100, 0, 0, "`core/conns`: worked out by each node from its view, no message; one VM gone and one come with each replacement"},
 	}
 }
 
