emulate: platform and upstreams as a process of their own

Cause: VMs could only be tried in one process (demo) or against stand-ins written in Go tests, so that no VM could be killed, frozen or stopped by a signal while others went on.

'laburnumvane emulate' runs a stage on fixed or free ports, writes the team's first configuration and prints a serve line for each VM; 'emulate fault', 'show' and 'runs' steer it. The stand-ins can be given ports.

Tests: go test ./io/emul ./cmd/laburnumvane ./docs/... pass; emulate ended by SIGTERM exits 0.

--- a/cmd/laburnumvane/main.go
+++ b/cmd/laburnumvane/main.go
@@ -94,6 +94,7 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			demoCommand(),
+			emulateCommand(),
 			loadCommand(),
 			searchCommand(),
 			ticketCommand(),
--- a/io/emul/error.go
+++ b/io/emul/error.go
@@ -12,6 +12,7 @@
 	KindQuery  Kind = "query"  // a query does not follow the query language
 	KindConfig Kind = "config" // a configuration value is out of range
 	KindState  Kind = "state"  // a call does not fit the server's state
+	KindCall   Kind = "call"   // a call of the administration got no good reply
 )
 
 // Error is the error type of this package. Op names the function.
--- a/io/emul/fleet.go
+++ b/io/emul/fleet.go
@@ -29,6 +29,9 @@
 	ReportsOnly bool
 	// Prefix starts the names of the services; empty means the register's name.
 	Prefix string
+	// Port is the first server's on loopback, the others' follow; 0 takes free
+	// ones.
+	Port int
 }
 
 // Server is one upstream of a fleet.
@@ -89,6 +92,7 @@
 		Service:     cfg.Service,
 		Keep:        cfg.Keep,
 		ReportsOnly: cfg.ReportsOnly,
+		Addr:        loopback(cfg.Port, service*cfg.Replicas+replica),
 	})
 	if err := up.Start(); err != nil {
 		return err
--- a/io/emul/host.go
+++ b/io/emul/host.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -14,11 +16,27 @@
 )
 
 const (
-	anyLoopbackPort = "127.0.0.1:0"
+	loopbackHost    = "127.0.0.1"
+	anyLoopbackPort = loopbackHost + ":0"
 	maxBody         = 4 << 20 // bytes; above the key-value service's own limit
 	contentJSON     = "application/json"
 )
 
+// loopback is the address so many ports after the first; 0 means a free port.
+func loopback(first, after int) string {
+	if first == 0 {
+		return anyLoopbackPort
+	}
+	return net.JoinHostPort(loopbackHost, strconv.Itoa(first+after))
+}
+
+func orLoopback(addr string) string {
+	if addr == "" {
+		return anyLoopbackPort
+	}
+	return addr
+}
+
 // host is one life of an HTTP server: it is closed once and not reused.
 type host struct {
 	gate   *gate
--- a/io/emul/kv.go
+++ b/io/emul/kv.go
@@ -23,6 +23,8 @@
 	MaxEvents int
 	// Sweep is the real time between looks for lapsed leases.
 	Sweep time.Duration
+	// Addr is listened on; empty means a free loopback port.
+	Addr string
 }
 
 // KVFaults are the ways in which the service can fail. The zero value works.
@@ -96,9 +98,9 @@
 	}
 }
 
-// Start serves on a free loopback port.
+// Start serves on the configured address.
 func (kv *KV) Start() error {
-	ho, err := startHost(anyLoopbackPort, func(*gate) {}, kv.routes())
+	ho, err := startHost(orLoopback(kv.cfg.Addr), func(*gate) {}, kv.routes())
 	if err != nil {
 		return newError("KV.Start", KindListen, err)
 	}
--- a/io/emul/reason.go
+++ b/io/emul/reason.go
@@ -10,4 +10,6 @@
 	reasonCancelled = "cancelled" // given up while it ran
 	reasonDeadline  = "deadline"  // the time ran out while it ran
 	reasonStopped   = "stopped"   // the server went away while it ran
+	reasonTarget    = "target"    // no server is meant
+	reasonAction    = "action"    // an action that does not fit the server's state
 )
--- /dev/null
+++ b/io/emul/stage_test.go
@@ -0,0 +1,90 @@
+package emul
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/io/wire"
+)
+
+func startStage(t *testing.T) (*Stage, *Admin) {
+	t.Helper()
+	is := is.New(t)
+	rg, err := SampleRegister("members", 1, 40)
+	is.NoErr(err)
+	sg, err := NewStage(StageConfig{Fleet: FleetConfig{Register: rg, Services: 2, Replicas: 2, DataCentres: []string{"east", "west"}}})
+	is.NoErr(err)
+	t.Cleanup(sg.Close)
+	ad := NewAdmin(sg.Admin())
+	t.Cleanup(ad.Close)
+	return sg, ad
+}
+
+// Faults that a process of its own brings about have to reach the stand-in that
+// is named, and no other; an empty request mends.
+func TestAdminOfUpstreams(t *testing.T) {
+	sg, ad := startStage(t)
+	svs := sg.Fleet().Servers()
+	one := svs[0]
+	for _, tc := range []struct {
+		rq    UpstreamFaultRequest
+		meant int
+		state wire.UpstreamState
+		life  uint64
+	}{
+		{UpstreamFaultRequest{Target: one.Addr, Action: ActionDrain}, 1, wire.UpstreamDraining, 1},
+		{UpstreamFaultRequest{Target: one.Service, Action: ActionCold}, 2, wire.UpstreamCold, 1},
+		{UpstreamFaultRequest{Target: EveryUpstream, Action: ActionServe, Mute: true}, 4, wire.UpstreamServing, 1},
+		{UpstreamFaultRequest{Target: one.Addr, Action: ActionCrash}, 1, wire.UpstreamServing, 1},
+		{UpstreamFaultRequest{Target: one.Addr, Action: ActionRestart}, 1, wire.UpstreamServing, 2},
+		{UpstreamFaultRequest{Target: EveryUpstream, SlowShare: 0.5, SlowTimes: 3}, 4, wire.UpstreamServing, 2},
+		{UpstreamFaultRequest{Target: EveryUpstream}, 4, wire.UpstreamServing, 2},
+	} {
+		is := is.New(t)
+		ry, err := ad.Upstream(t.Context(), tc.rq)
+		is.NoErr(err)
+		is.Equal(len(ry.Addrs), tc.meant)
+		is.Equal(one.Upstream.Load().State, tc.state)
+		is.Equal(one.Upstream.Load().Incarnation, tc.life)
+		is.Equal(one.Upstream.faults, faultsOf(tc.rq))
+		other := svs[3].Upstream
+		is.Equal(other.Load().Incarnation, uint64(1))
+		if tc.meant < 4 {
+			is.Equal(other.Load().State, wire.UpstreamServing)
+		}
+	}
+	is := is.New(t)
+	_, err := ad.Upstream(t.Context(), UpstreamFaultRequest{Target: "nobody"})
+	is.True(err != nil)
+	_, err = ad.Upstream(t.Context(), UpstreamFaultRequest{Target: one.Addr, Action: "explode"})
+	is.True(err != nil)
+}
+
+func TestAdminOfPlatform(t *testing.T) {
+	is := is.New(t)
+	sg, ad := startStage(t)
+	is.NoErr(ad.KV(t.Context(), KVFaultRequest{Down: true, SlowMs: 5, LoseSwaps: true, SilentWatches: true, Past: true, Fail: true}))
+	is.Equal(sg.kv.faults, KVFaults{Refuse: true, Fail: true, Slow: millis(5), LoseSwaps: true, SilentWatches: true, Past: true})
+	is.NoErr(ad.KV(t.Context(), KVFaultRequest{}))
+	is.Equal(sg.kv.faults, KVFaults{})
+
+	vm := wire.VM{Addr: "127.0.0.1:1", DataCentre: "east", State: wire.VMLive}
+	is.NoErr(ad.VMs(t.Context(), VMsRequest{Set: []wire.VM{vm}}))
+	is.NoErr(ad.VMs(t.Context(), VMsRequest{Leaving: []string{vm.Addr}}))
+	ry, err := ad.Stage(t.Context())
+	is.NoErr(err)
+	is.Equal(ry.VMs, []wire.VM{{Addr: vm.Addr, DataCentre: vm.DataCentre, State: wire.VMLeaving}})
+	is.Equal(ry.Admin, sg.Admin())
+	is.NoErr(ad.VMs(t.Context(), VMsRequest{Remove: []string{vm.Addr}}))
+	is.Equal(len(sg.vms.visible()), 0)
+
+	sn, err := ad.Snapshot(t.Context(), SnapshotRequest{Shards: 5})
+	is.NoErr(err)
+	is.Equal(sn, SnapshotReply{Snapshot: 2, Shards: 5})
+	sn, err = ad.Snapshot(t.Context(), SnapshotRequest{})
+	is.NoErr(err)
+	is.Equal(sn, SnapshotReply{Snapshot: 3, Shards: 5})
+	_, err = ad.Snapshot(t.Context(), SnapshotRequest{Shards: -1})
+	is.True(err != nil)
+}
--- a/io/emul/upstream.go
+++ b/io/emul/upstream.go
@@ -47,6 +47,8 @@
 	ReportsOnly bool
 	// State is the state at the start; empty means serving.
 	State wire.UpstreamState
+	// Addr is listened on; empty means a free loopback port.
+	Addr string
 }
 
 // UpstreamFaults are the ways in which a server can fail. The zero value works.
@@ -112,7 +114,7 @@
 	}
 	return &Upstream{
 		cfg:      cfg,
-		addr:     anyLoopbackPort,
+		addr:     orLoopback(cfg.Addr),
 		rnd:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		state:    cfg.State,
 		jobs:     map[string]*job{},
@@ -128,7 +130,7 @@
 	return val
 }
 
-// Start serves on a free loopback port as incarnation 1.
+// Start serves on the configured address as incarnation 1.
 func (up *Upstream) Start() error {
 	return up.start("Upstream.Start", up.cfg.State)
 }
--- a/io/emul/vms.go
+++ b/io/emul/vms.go
@@ -22,12 +22,15 @@
 	Clock Clock
 	// Lag is how far the served list is behind.
 	Lag time.Duration
+	// Addr is listened on; empty means a free loopback port.
+	Addr string
 }
 
 // VMs stands in for the platform's VM list. It serves the list as it was one
 // lag ago, and an empty one before that.
 type VMs struct {
 	clock Clock
+	addr  string
 	host  *host
 
 	mu      sync.Mutex
@@ -45,15 +48,16 @@
 func NewVMs(cfg VMsConfig) *VMs {
 	return &VMs{
 		clock:   orRealClock(cfg.Clock),
+		addr:    orLoopback(cfg.Addr),
 		lag:     cfg.Lag,
 		current: map[string]wire.VM{},
 	}
 }
 
-// Start serves on a free loopback port.
+// Start serves on the configured address.
 func (vs *VMs) Start() error {
 	rts := []route{{http.MethodGet, wire.RouteVMs, vs.serve}}
-	ho, err := startHost(anyLoopbackPort, func(*gate) {}, rts)
+	ho, err := startHost(vs.addr, func(*gate) {}, rts)
 	if err != nil {
 		return newError("VMs.Start", KindListen, err)
 	}
