--- a/cmd/laburnumvane/emulate_fault.go
+++ b/cmd/laburnumvane/emulate_fault.go
@@ -51,7 +51,8 @@
 		Usage: "key-value service: down, failing, slow, lost answers, silent watches, the past",
 		Description: `Replaces the faults of the key-value service; without a flag it works again.
 --past answers reads from the state that --remember kept, as a replica does that
-has fallen behind, and swaps from the present one.
+has fallen behind, and swaps from the present one; --restore goes back to that
+state for good.
 
 Examples:
    laburnumvane emulate fault kv --down
@@ -66,6 +67,7 @@
 			&cli.BoolFlag{Name: "silent-watches", Usage: "watches are never answered"},
 			&cli.BoolFlag{Name: "past", Usage: "reads see the state remembered"},
 			&cli.BoolFlag{Name: "remember", Usage: "keep the present state for --past"},
+			&cli.BoolFlag{Name: "restore", Usage: "go back to the state remembered, as from a backup"},
 			&cli.BoolFlag{Name: "compact", Usage: "forget all events, once"},
 		),
 		Action: faultKVAction,
@@ -83,7 +85,7 @@
 		return ad.KV(ctx, emul.KVFaultRequest{
 			Down: cmd.Bool("down"), Fail: cmd.Bool("fail"), SlowMs: cmd.Duration("slow").Milliseconds(),
 			LoseSwaps: cmd.Bool("lose-swaps"), SilentWatches: cmd.Bool("silent-watches"),
-			Past: cmd.Bool("past"), Remember: cmd.Bool("remember"), Compact: cmd.Bool("compact"),
+			Past: cmd.Bool("past"), Remember: cmd.Bool("remember"), Restore: cmd.Bool("restore"), Compact: cmd.Bool("compact"),
 		})
 	})
 }
--- a/io/emul/adminmsg.go
+++ b/io/emul/adminmsg.go
@@ -48,6 +48,8 @@
 	Past bool `json:"past,omitempty"`
 	// Remember keeps the present state for Past, before Past takes hold.
 	Remember bool `json:"remember,omitempty"`
+	// Restore goes back to the state remembered last, for writes too.
+	Restore bool `json:"restore,omitempty"`
 	// Compact forgets all events, once.
 	Compact bool `json:"compact,omitempty"`
 }
--- a/io/emul/kv.go
+++ b/io/emul/kv.go
@@ -141,6 +141,18 @@
 	kv.past = kv.now.clone()
 }
 
+// Restore goes back to the state that Remember took, for writes too, as when a
+// backup is put in place. All events and leases are forgotten.
+func (kv *KV) Restore() {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.now = kv.past.clone()
+	kv.now.compacted = kv.now.revision
+	kv.log = nil
+	kv.leases = map[uint64]*lease{}
+	kv.wake()
+}
+
 // Compact forgets all events, so that a watch from any earlier revision is told
 // to read the range anew.
 func (kv *KV) Compact() {
--- a/io/emul/stage.go
+++ b/io/emul/stage.go
@@ -158,6 +158,9 @@
 	if rq.Remember {
 		sg.kv.Remember()
 	}
+	if rq.Restore {
+		sg.kv.Restore()
+	}
 	if rq.Compact {
 		sg.kv.Compact()
 	}
--- a/io/emul/stage_test.go
+++ b/io/emul/stage_test.go
@@ -69,6 +69,13 @@
 	is.NoErr(ad.KV(t.Context(), KVFaultRequest{}))
 	is.Equal(sg.kv.faults, KVFaults{})
 
+	sg.kv.swap(wire.KVSwapRequest{Key: "a", Value: []byte("1")})
+	is.NoErr(ad.KV(t.Context(), KVFaultRequest{Remember: true}))
+	sg.kv.swap(wire.KVSwapRequest{Key: "b", Value: []byte("2")})
+	is.NoErr(ad.KV(t.Context(), KVFaultRequest{Restore: true}))
+	is.Equal(sg.kv.now.revision, uint64(1))
+	is.Equal(len(sg.kv.now.pairs), 1)
+
 	vm := wire.VM{Addr: "127.0.0.1:1", DataCentre: "east", State: wire.VMLive}
 	is.NoErr(ad.VMs(t.Context(), VMsRequest{Set: []wire.VM{vm}}))
 	is.NoErr(ad.VMs(t.Context(), VMsRequest{Leaving: []string{vm.Addr}}))
