status: limits, parts of teams, queues and tokens left

Cause: an operator could see that searches were refused, but not by what: the status had a map of limits that nothing filled, and each upstream's limit was 0. Change: GET /v1/status gives each upstream's adaptive limit and connection plan, each team's share of its limits and whether it is held, the searches waiting by register and class, and the tokens left for extra work; laburnumvane status shows them as tables. The map is gone: no VM ever sent one. The golden session has the new form in place of the old one. Run: go test ./cmd/laburnumvane ./io/node ./io/oper ./io/wire ./io/drive ./core/admit ./core/share ./io/contr ./io/client, all passed.

--- a/cmd/laburnumvane/main_test.go
+++ b/cmd/laburnumvane/main_test.go
@@ -27,8 +27,8 @@
 	bodyConflict = `{"result":"conflict","changeId":"c13","message":"revision 13 came first","current":{"team":"wash","revision":13,"changeId":"c99","document":{"version":1}}}`
 	bodyStatus   = `{"vm":"10.0.0.1:7000","dataCentre":"north","incarnation":5,"phase":"serving","version":"v0.1","teams":[{"team":"wash","revision":12,"changeId":"c12"}],` +
 		`"registers":[{"register":"members","snapshot":7,"shards":10,"live":9}],` +
-		`"upstreams":[{"addr":"10.0.1.1:9000","dataCentre":"north","service":"desk","state":"draining","why":"its reply said so","incarnation":2,"inFlight":1,"limit":3,"connections":4,"latencyMs":2.5}],` +
-		`"vms":[{"addr":"10.0.0.2:7000","dataCentre":"south","state":"alive","incarnation":3}],"alarms":["members: shard 4 has no live replica"],"limits":{"wash.concurrent":"4 of 20"}}`
+		`"upstreams":[{"addr":"10.0.1.1:9000","dataCentre":"north","service":"desk","state":"draining","why":"its reply said so","incarnation":2,"inFlight":1,"limit":3,"connections":4,"connectionPlan":6,"latencyMs":2.5}],` +
+		`"vms":[{"addr":"10.0.0.2:7000","dataCentre":"south","state":"alive","incarnation":3}],"alarms":["members: shard 4 has no live replica"],"limits":{"teams":[{"team":"hr","share":0.25,"held":false,"searchesPerSecond":0,"searchesPerSecondPart":0,"concurrent":0,"concurrentPart":0,"inFlight":3},{"team":"wash","share":0.125,"held":true,"searchesPerSecond":100,"searchesPerSecondPart":12.5,"concurrent":20,"concurrentPart":2,"inFlight":1}],"queues":[{"register":"wash/members","inFlight":9,"urgent":0,"interactive":2,"batch":7}],"extraLeft":-3,"budgets":[{"search":"wash/kiosk","hedges":18,"retries":50}]}}`
 )
 
 func TestSession_Search(t *testing.T) {
--- a/cmd/laburnumvane/status.go
+++ b/cmd/laburnumvane/status.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
-	"slices"
 
 	"github.com/urfave/cli/v3"
 
@@ -21,10 +19,17 @@
 reason for it, the other VMs, the limits in force and any alarms. Views of two
 VMs may differ for a second or two.
 
+Of the limits it shows, for each upstream, the sub-requests in flight and
+allowed by its replies, and the connections open and planned; for each team the
+VM's share of the team's limits, and whether it is held, that is, may not rise;
+for each register what waits, by class; and the tokens left for hedges and
+retries.
+
 Examples:
    laburnumvane status
    laburnumvane status --operator-url http://10.1.2.3:8081
-   laburnumvane status --json | jq -r '.upstreams[] | select(.state != "serving") | .addr'`,
+   laburnumvane status --json | jq -r '.upstreams[] | select(.state != "serving") | .addr'
+   laburnumvane status --json | jq -r '.limits.teams[] | select(.held) | .team'`,
 		Flags:  operatorFlags(),
 		Action: statusAction,
 	}
@@ -98,8 +103,8 @@
 	fmt.Fprintln(out)
 	tbl := newTable(out, "UPSTREAM", "DATA CENTRE", "SERVICE", "STATE", "WHY", "IN FLIGHT", "CONNECTIONS", "LATENCY")
 	for _, up := range ups {
-		load := fmt.Sprintf("%d/%d", up.InFlight, up.Limit)
-		tbl.row(up.Addr, up.DataCentre, up.Service, up.State, up.Why, load, number(up.Connections), millis(up.LatencyMs))
+		open := of(up.Connections, up.ConnectionPlan)
+		tbl.row(up.Addr, up.DataCentre, up.Service, up.State, up.Why, of(up.InFlight, up.Limit), open, millis(up.LatencyMs))
 	}
 	tbl.flush()
 }
@@ -115,15 +120,3 @@
 	}
 	tbl.flush()
 }
-
-func printLimits(out io.Writer, lims map[string]string) {
-	if len(lims) == 0 {
-		return
-	}
-	fmt.Fprintln(out)
-	tbl := newTable(out, "LIMIT", "VALUE")
-	for _, name := range slices.Sorted(maps.Keys(lims)) {
-		tbl.row(name, lims[name])
-	}
-	tbl.flush()
-}
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -97,6 +97,11 @@
 	return n
 }
 
+// Queued is the number of searches of one class that wait.
+func (mc *Machine[W]) Queued(cl Class) int {
+	return mc.queues[cl].n
+}
+
 // Offer decides on a search. The waiter comes back in a grant if it is queued.
 func (mc *Machine[W]) Offer(now time.Duration, rq Request, waiter W) Decision {
 	mc.advance(now)
--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -93,6 +93,20 @@
 	return bu.inFlight
 }
 
+// Part is what this VM may start of the team's searches: so many a second and
+// so many at once, 0 where there is no such limit.
+func (bu *Bucket) Part() (rate float64, concurrent int) {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	if !math.IsInf(bu.rate, 1) {
+		rate = bu.rate
+	}
+	if bu.most != math.MaxInt {
+		concurrent = bu.most
+	}
+	return rate, concurrent
+}
+
 func (bu *Bucket) refill(now time.Duration) {
 	if now <= bu.now {
 		return
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -26,11 +26,13 @@
 		Upstreams:   nd.upstreamsOf(vw),
 		VMs:         []wire.VMStatus{},
 		Alarms:      []string{},
+		Limits:      nd.limits(),
 	}
 	nd.ask(func(ct *control) {
 		st.Alarms = append(st.Alarms, ct.alarms...)
 		st.Alarms = append(st.Alarms, ct.conf.alarmTexts()...)
 		st.VMs = ct.members.status()
+		st.Limits.Teams = nd.teamLimits(ct, vw)
 	})
 	return st
 }
@@ -76,15 +78,17 @@
 	out := make([]wire.UpstreamOfVM, 0, len(vw.Servers()))
 	for _, sv := range vw.Servers() {
 		out = append(out, wire.UpstreamOfVM{
-			Addr:        sv.Addr,
-			DataCentre:  sv.DataCentre,
-			Service:     sv.Service,
-			State:       sv.State.String(),
-			Why:         sv.Why,
-			Incarnation: sv.Incarnation,
-			InFlight:    nd.table.InFlight(sv.ID),
-			Connections: pools[sv.ID].Open(),
-			LatencyMs:   float64(nd.table.Latency(sv.ID).Microseconds()) / 1000,
+			Addr:           sv.Addr,
+			DataCentre:     sv.DataCentre,
+			Service:        sv.Service,
+			State:          sv.State.String(),
+			Why:            sv.Why,
+			Incarnation:    sv.Incarnation,
+			InFlight:       nd.table.InFlight(sv.ID),
+			Limit:          nd.serverLimit(sv.ID),
+			Connections:    pools[sv.ID].Open(),
+			ConnectionPlan: pools[sv.ID].Limit(),
+			LatencyMs:      float64(nd.table.Latency(sv.ID).Microseconds()) / 1000,
 		})
 	}
 	return out
--- a/io/wire/operator.go
+++ b/io/wire/operator.go
@@ -90,17 +90,17 @@
 
 // Status is one VM's view of itself, its peers and its upstreams.
 type Status struct {
-	VM          string            `json:"vm"`
-	DataCentre  string            `json:"dataCentre"`
-	Incarnation uint64            `json:"incarnation"`
-	Phase       string            `json:"phase"`
-	Version     string            `json:"version"`
-	Teams       []TeamStatus      `json:"teams"`
-	Registers   []RegisterStatus  `json:"registers"`
-	Upstreams   []UpstreamOfVM    `json:"upstreams"`
-	VMs         []VMStatus        `json:"vms"`
-	Alarms      []string          `json:"alarms"`
-	Limits      map[string]string `json:"limits,omitempty"`
+	VM          string           `json:"vm"`
+	DataCentre  string           `json:"dataCentre"`
+	Incarnation uint64           `json:"incarnation"`
+	Phase       string           `json:"phase"`
+	Version     string           `json:"version"`
+	Teams       []TeamStatus     `json:"teams"`
+	Registers   []RegisterStatus `json:"registers"`
+	Upstreams   []UpstreamOfVM   `json:"upstreams"`
+	VMs         []VMStatus       `json:"vms"`
+	Alarms      []string         `json:"alarms"`
+	Limits      *LimitsOfVM      `json:"limits,omitempty"`
 }
 
 // TeamStatus is the revision of a team's configuration in force.
@@ -119,17 +119,21 @@
 }
 
 // UpstreamOfVM is a server as this VM sees it, with the reason for its state.
+// InFlight and Limit are sub-requests of this VM, Connections its open ones and
+// ConnectionPlan how many it may open now. A Limit of 0 means that no search has
+// met the server yet.
 type UpstreamOfVM struct {
-	Addr        string  `json:"addr"`
-	DataCentre  string  `json:"dataCentre"`
-	Service     string  `json:"service"`
-	State       string  `json:"state"`
-	Why         string  `json:"why"`
-	Incarnation uint64  `json:"incarnation"`
-	InFlight    int     `json:"inFlight"`
-	Limit       int     `json:"limit"`
-	Connections int     `json:"connections"`
-	LatencyMs   float64 `json:"latencyMs"`
+	Addr           string  `json:"addr"`
+	DataCentre     string  `json:"dataCentre"`
+	Service        string  `json:"service"`
+	State          string  `json:"state"`
+	Why            string  `json:"why"`
+	Incarnation    uint64  `json:"incarnation"`
+	InFlight       int     `json:"inFlight"`
+	Limit          int     `json:"limit"`
+	Connections    int     `json:"connections"`
+	ConnectionPlan int     `json:"connectionPlan"`
+	LatencyMs      float64 `json:"latencyMs"`
 }
 
 // VMStatus is a VM as this one sees it.
