--- a/core/member/measure_test.go
+++ b/core/member/measure_test.go
@@ -36,7 +36,7 @@
 	at := func(q float64) time.Duration {
 		return ds[min(len(ds)-1, int(q*float64(len(ds))))].Round(time.Millisecond)
 	}
-	return fmt.Sprintf("%v | %v | %v", at(0.5), at(0.99), ds[len(ds)-1].Round(10*time.Millisecond))
+	return fmt.Sprintf("%v | %v | %v", at(0.5), at(0.99), ds[len(ds)-1].Round(time.Millisecond))
 }
 
 // TestMeasureDetection kills one VM silently and measures until the last living
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -74,9 +74,9 @@
 }
 
 func (nd *Node) upstreamsOf(vw *view.View) []wire.UpstreamOfVM {
-	pools := *nd.servers.Load()
-	out := make([]wire.UpstreamOfVM, 0, len(vw.Servers()))
+	out := make([]wire.UpstreamOfVM, 0, vw.Len())
 	for _, sv := range vw.Servers() {
+		up := nd.upstream(sv.ID)
 		out = append(out, wire.UpstreamOfVM{
 			Addr:           sv.Addr,
 			DataCentre:     sv.DataCentre,
@@ -86,8 +86,8 @@
 			Incarnation:    sv.Incarnation,
 			InFlight:       nd.table.InFlight(sv.ID),
 			Limit:          nd.serverLimit(sv.ID),
-			Connections:    pools[sv.ID].Open(),
-			ConnectionPlan: pools[sv.ID].Limit(),
+			Connections:    up.Open(),
+			ConnectionPlan: up.Limit(),
 			LatencyMs:      float64(nd.table.Latency(sv.ID).Microseconds()) / 1000,
 		})
 	}
