drive: a budget of moves bounds the messages under any refusals

Change: each further server for a shard takes a token of a second budget of the VM, one for each primary, burst 1000, where the server is chosen. The reason moveBudget counts shards not asked further.

--- a/io/drive/admit.go
+++ b/io/drive/admit.go
@@ -31,6 +31,16 @@
 	spareBurst = 100
 )
 
+// The VM's budget of moves: sub-requests that go to a further server for a shard,
+// whatever became of the one before. Of those after a refusal that cost nothing
+// no search's own budget is asked, and where every server refuses, each search
+// would turn into as many messages as there are replicas. One for each primary
+// is enough to find the last replica of three that has not left.
+const (
+	moveShare = 1
+	moveBurst = 1000
+)
+
 // placeEvery bounds how often a view that brings no new server is looked
 // through for servers that leave.
 const placeEvery = 50 * time.Millisecond
@@ -41,6 +51,7 @@
 	dr     *Driver
 	limits *limit.Table
 	spare  *budget.Budget
+	moves  *budget.Budget
 	// placed is the view whose servers limits knows, placeAt the earliest time
 	// for the next.
 	placed  atomic.Pointer[view.View]
@@ -59,6 +70,7 @@
 		dr:     dr,
 		limits: limit.New(limit.Config{}),
 		spare:  budget.New(budget.Config{Share: spareShare, Burst: spareBurst}),
+		moves:  budget.New(budget.Config{Share: moveShare, Burst: moveBurst}),
 		waited: dr.cfg.Meter.Histogram(queueWait),
 	}
 	for _, tc := range team.Classes() {
--- a/io/drive/door.go
+++ b/io/drive/door.go
@@ -9,6 +9,7 @@
 	"laburnumvane/core/admit"
 	"laburnumvane/core/pick"
 	"laburnumvane/core/view"
+	"laburnumvane/io/meter"
 )
 
 type machine = admit.Machine[*waiter]
@@ -112,8 +113,28 @@
 	roomyTries = 3
 )
 
-// Pick returns a server of the list, none of tried.
+// Pick returns a server of the list, none of tried. A further server for a shard
+// needs a token, so that no pattern of refusals makes a storm of messages.
 func (ch roomy) Pick(replicas, tried []view.ServerID) (view.ServerID, bool) {
+	if len(tried) == 0 {
+		ch.ad.moves.Earn(1)
+		return ch.pick(replicas, tried)
+	}
+	if !ch.ad.moves.Spend() {
+		ch.ad.dr.cfg.Meter.Count(meter.Upstream, reasonMoves)
+		return 0, false
+	}
+	id, ok := ch.pick(replicas, tried)
+	if !ok {
+		ch.ad.moves.Refund()
+	}
+	return id, ok
+}
+
+// reasonMoves counts the shards that were not asked of a further server.
+const reasonMoves = "moveBudget"
+
+func (ch roomy) pick(replicas, tried []view.ServerID) (view.ServerID, bool) {
 	now := ch.ad.dr.now()
 	if len(replicas) > mostRoomy {
 		return ch.sample(now, replicas, tried)
--- a/io/drive/help_test.go
+++ b/io/drive/help_test.go
@@ -99,6 +99,8 @@
 	bucket func(string) *share.Bucket
 	// bare leaves the view empty, as on a VM without configuration.
 	bare bool
+	// upOf gives each server its own upstream in place of up.
+	upOf func(view.ServerID) *upstream
 }
 
 func newRig(tb testing.TB, cfg rigConfig) *rig {
@@ -116,10 +118,13 @@
 	if cfg.forward == nil {
 		cfg.forward = noForward{}
 	}
+	if cfg.upOf == nil {
+		cfg.upOf = func(view.ServerID) *upstream { return cfg.up }
+	}
 	ri := &rig{tb: tb, mt: meter.New(), workers: workers}
 	ri.dr = drive.New(drive.Config{
 		View:        func() *view.View { return &vw },
-		Upstream:    func(view.ServerID) drive.Upstream { return cfg.up },
+		Upstream:    func(id view.ServerID) drive.Upstream { return cfg.upOf(id) },
 		Table:       table,
 		Workers:     workers,
 		Forward:     cfg.forward,
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -94,7 +94,7 @@
 		Outcome:    {"complete", "partial", "notRun", "unknown"},
 		Incomplete: join(own, limits, tickets, machine, replies, refusals, failures, []string{"badRequest"}),
 		Retry:      join(replies, refusals, failures),
-		Upstream:   join(refusals, failures),
+		Upstream:   join(refusals, failures, []string{"moveBudget"}),
 		Dropped:    {"foreign", "afterAnswer"},
 		Sent:       {"primary", "hedge", "retry"},
 		Connection: {
