--- a/io/node/status.go
+++ b/io/node/status.go
@@ -26,11 +26,13 @@
 		Upstreams:   nd.upstreamsOf(vw),
 		VMs:         []wire.VMStatus{},
 		Alarms:      []string{},
+		Limits:      nd.limits(),
 	}
 	nd.ask(func(ct *control) {
 		st.Alarms = append(st.Alarms, ct.alarms...)
 		st.Alarms = append(st.Alarms, ct.conf.alarmTexts()...)
 		st.VMs = ct.members.status()
+		st.Limits.Teams = nd.teamLimits(ct, vw)
 	})
 	return st
 }
@@ -74,16 +76,19 @@
 func (nd *Node) upstreamsOf(vw *view.View) []wire.UpstreamOfVM {
 	out := make([]wire.UpstreamOfVM, 0, vw.Len())
 	for _, sv := range vw.Servers() {
+		up := nd.upstream(sv.ID)
 		out = append(out, wire.UpstreamOfVM{
-			Addr:        sv.Addr,
-			DataCentre:  sv.DataCentre,
-			Service:     sv.Service,
-			State:       sv.State.String(),
-			Why:         sv.Why,
-			Incarnation: sv.Incarnation,
-			InFlight:    nd.table.InFlight(sv.ID),
-			Connections: nd.upstream(sv.ID).Open(),
-			LatencyMs:   float64(nd.table.Latency(sv.ID).Microseconds()) / 1000,
+			Addr:           sv.Addr,
+			DataCentre:     sv.DataCentre,
+			Service:        sv.Service,
+			State:          sv.State.String(),
+			Why:            sv.Why,
+			Incarnation:    sv.Incarnation,
+			InFlight:       nd.table.InFlight(sv.ID),
+			Limit:          nd.serverLimit(sv.ID),
+			Connections:    up.Open(),
+			ConnectionPlan: up.Limit(),
+			LatencyMs:      float64(nd.table.Latency(sv.ID).Microseconds()) / 1000,
 		})
 	}
 	return out
