drive, node: tickets are forwarded to VMs only

Cause: a ticket names its issuer, and a VM that did not issue it cannot check the signature. A forged ticket could name any address and have this VM send requests there. Ruled out: a secret shared by the fleet, which would have to be kept and handed out. Change: control publishes the addresses of the membership; a ticket of any other address is answered unknown at once. A VM that is not known yet is refused in the same way, which costs its callers a retry within its first seconds.

--- a/io/drive/help_test.go
+++ b/io/drive/help_test.go
@@ -128,6 +128,7 @@
 		Table:       table,
 		Workers:     workers,
 		Forward:     cfg.forward,
+		KnownVM:     func(addr string) bool { return addr != "stranger" },
 		Observe:     nobody{},
 		Meter:       ri.mt,
 		Tickets:     cfg.tickets,
