--- a/core/conns/ramp.go
+++ b/core/conns/ramp.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"laburnumvane/core/due"
+	"laburnumvane/core/sched"
 	"laburnumvane/core/view"
 )
 
@@ -34,7 +34,7 @@
 type Ramp struct {
 	cfg     RampConfig
 	servers []climb
-	queue   due.Queue[view.ServerID]
+	queue   sched.Queue[view.ServerID]
 	changes []Limit
 }
 
--- a/core/due/example_test.go
+++ b/core/sched/example_test.go
@@ -1,14 +1,14 @@
-package due_test
+package sched_test
 
 import (
 	"fmt"
 	"time"
 
-	"laburnumvane/core/due"
+	"laburnumvane/core/sched"
 )
 
 func Example() {
-	var qu due.Queue[string]
+	var qu sched.Queue[string]
 	qu.Push(3*time.Second, "ping the idle connection")
 	qu.Push(time.Second, "ask the load endpoint")
 	for what, ok := qu.Pop(2 * time.Second); ok; what, ok = qu.Pop(2 * time.Second) {
--- a/core/due/queue.go
+++ b/core/sched/queue.go
@@ -1,8 +1,8 @@
-// Package due keeps things in the order of their times.
+// Package sched keeps things in the order of their times.
 //
 // # Usage
 //
-//	var qu due.Queue[view.ServerID]
+//	var qu sched.Queue[view.ServerID]
 //	qu.Push(now+time.Second, id)
 //	for id, ok := qu.Pop(now); ok; id, ok = qu.Pop(now) {
 //		// id's time has come
@@ -10,7 +10,7 @@
 //
 // It is a binary heap without container/heap's interface, so that a push
 // allocates nothing but the slice's growth. The zero value is empty and usable.
-package due
+package sched
 
 import "time"
 
--- a/core/due/queue_test.go
+++ b/core/sched/queue_test.go
@@ -1,4 +1,4 @@
-package due_test
+package sched_test
 
 import (
 	"slices"
@@ -8,14 +8,14 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"laburnumvane/core/due"
+	"laburnumvane/core/sched"
 )
 
 // Items come out in the order of their times and never before.
 func TestQueueOrder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		is := is.New(t)
-		var qu due.Queue[time.Duration]
+		var qu sched.Queue[time.Duration]
 		var waiting []time.Duration
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			if at := time.Duration(rapid.IntRange(0, 50).Draw(rt, "at")); rapid.Bool().Draw(rt, "push") {
--- a/core/server/polls.go
+++ b/core/server/polls.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"laburnumvane/core/due"
+	"laburnumvane/core/sched"
 	"laburnumvane/core/view"
 )
 
@@ -40,7 +40,7 @@
 type Polls struct {
 	cfg      PollsConfig
 	servers  []polled
-	asks     due.Queue[view.ServerID]
+	asks     sched.Queue[view.ServerID]
 	count    int
 	tokens   float64
 	at       time.Duration
--- a/core/server/table.go
+++ b/core/server/table.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"laburnumvane/core/due"
+	"laburnumvane/core/sched"
 	"laburnumvane/core/view"
 )
 
@@ -23,7 +23,7 @@
 	machines []machine
 	addrs    []string
 	ids      map[string]view.ServerID
-	queue    due.Queue[wake]
+	queue    sched.Queue[wake]
 	actions  []Action
 }
 
