--- a/cmd/laburnumvane/main_test.go
+++ b/cmd/laburnumvane/main_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"github.com/urfave/cli/v3"
+
+	"laburnumvane/internal/golden"
 )
 
 const (
@@ -32,7 +34,7 @@
 )
 
 func TestSession_Search(t *testing.T) {
-	golden(t, "search", session(t, []step{
+	golden.Check(t, "search", session(t, []step{
 		{args: "search --team wash --search kiosk plate=KX53", replies: []scripted{{status: 200, body: bodyComplete}}},
 		{args: "search --team wash --search kiosk --json --id a1 plate=KX53", replies: []scripted{{status: 200, body: bodyComplete}}},
 		{
@@ -61,7 +63,7 @@
 }
 
 func TestSession_Ticket(t *testing.T) {
-	golden(t, "ticket", session(t, []step{
+	golden.Check(t, "ticket", session(t, []step{
 		{args: "ticket --team wash --count 2", replies: []scripted{{status: 200, body: `{"tickets":["t1","t2"],"expiresMs":30000}`}}},
 		{args: "ticket --team wash --json", replies: []scripted{{status: 200, body: `{"tickets":["t1"],"expiresMs":30000}`}}},
 		{args: "ticket --team wash", replies: []scripted{{status: 503, body: `{"error":"the VM is leaving","reason":"leaving"}`}}},
@@ -75,7 +77,7 @@
 func TestSession_Config(t *testing.T) {
 	cfg := scripted{status: 200, body: bodyConfig12}
 	hist := scripted{status: 200, body: bodyHistory}
-	golden(t, "config", session(t, []step{
+	golden.Check(t, "config", session(t, []step{
 		{args: "config get --team wash", replies: []scripted{cfg}},
 		{args: "config get --team wash --json", replies: []scripted{cfg}},
 		{args: "config get --team wash --revision 11", replies: []scripted{hist}},
@@ -130,7 +132,7 @@
 }
 
 func TestSession_Status(t *testing.T) {
-	golden(t, "status", session(t, []step{
+	golden.Check(t, "status", session(t, []step{
 		{args: "status", replies: []scripted{{status: 200, body: bodyStatus}}},
 		{args: "status --json", replies: []scripted{{status: 200, body: bodyStatus}}},
 		{args: "status", replies: []scripted{{status: 401, body: `{"error":"a token is needed","reason":"unauthorized"}`}}},
@@ -140,7 +142,7 @@
 }
 
 func TestSession_Check(t *testing.T) {
-	golden(t, "check", session(t, []step{
+	golden.Check(t, "check", session(t, []step{
 		{args: "check testdata/wash.json testdata/faulty.json"},
 		{args: "check --team hr testdata/wash.json --json"},
 		{args: "check -", stdin: "nonsense"},
@@ -152,7 +154,7 @@
 }
 
 func TestSession_Usage(t *testing.T) {
-	golden(t, "usage", session(t, []step{
+	golden.Check(t, "usage", session(t, []step{
 		{args: "serach"},
 		{args: "--bogus"},
 		{args: "status --timeout soon"},
--- a/cmd/laburnumvane/session_test.go
+++ b/cmd/laburnumvane/session_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,8 +15,6 @@
 	"github.com/matryer/is"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 // step is one command of a session and what the VM replies meanwhile.
 type step struct {
 	args    string
@@ -138,15 +135,3 @@
 	}
 	return all.String()
 }
-
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	is := is.New(t)
-	path := "testdata/" + name + ".golden"
-	if *update {
-		is.NoErr(os.WriteFile(path, []byte(got), 0o600))
-	}
-	want, err := os.ReadFile(path)
-	is.NoErr(err)
-	is.Equal(got, string(want)) // run with -update to write it anew
-}
--- a/core/change/proposer_test.go
+++ b/core/change/proposer_test.go
@@ -1,28 +1,14 @@
 package change
 
 import (
-	"flag"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-)
-
-var update = flag.Bool("update", false, "write the golden files anew")
 
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name+".golden")
-	if *update {
-		is.New(t).NoErr(os.WriteFile(path, []byte(got), 0o644))
-	}
-	want, err := os.ReadFile(path)
-	is.New(t).NoErr(err)
-	is.New(t).Equal(got, string(want))
-}
+	"laburnumvane/internal/golden"
+)
 
 func at(revision uint64) *uint64 { return &revision }
 
@@ -84,7 +70,7 @@
 			log.WriteString("== " + tc.name + "\n" + ss.log.String())
 		})
 	}
-	golden(t, "proposer", log.String())
+	golden.Check(t, "proposer", log.String())
 }
 
 func fails(n int) []step {
--- a/core/drain/machine_test.go
+++ b/core/drain/machine_test.go
@@ -1,22 +1,17 @@
 package drain_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"laburnumvane/core/drain"
+	"laburnumvane/internal/golden"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 type at struct {
 	sec float64
 	ev  drain.Event
@@ -51,15 +46,8 @@
 func TestSessions(t *testing.T) {
 	for _, tt := range sessions {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
 			got := play(tt.events)
-			path := filepath.Join("testdata", tt.name+".golden")
-			if *update {
-				is.NoErr(os.WriteFile(path, []byte(got), 0o644))
-			}
-			want, err := os.ReadFile(path)
-			is.NoErr(err)
-			is.Equal(got, string(want))
+			golden.Check(t, tt.name, got)
 		})
 	}
 }
--- a/core/member/session_test.go
+++ b/core/member/session_test.go
@@ -1,21 +1,15 @@
 package member_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
-
 	"laburnumvane/core/member"
+	"laburnumvane/internal/golden"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // sessions are what one VM of four does over some seconds, to the message.
 var sessions = []struct {
 	name string
@@ -46,7 +40,6 @@
 func TestSessions(t *testing.T) {
 	for _, tt := range sessions {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
 			wo := newWorld(1, 0)
 			prs := wo.fleet(t, 4, 1)
 			var out strings.Builder
@@ -56,13 +49,7 @@
 				}
 			}
 			tt.do(wo, prs)
-			path := filepath.Join("testdata", tt.name+".golden")
-			if *update {
-				is.NoErr(os.WriteFile(path, []byte(out.String()), 0o644))
-			}
-			want, err := os.ReadFile(path)
-			is.NoErr(err)
-			is.Equal(out.String(), string(want))
+			golden.Check(t, tt.name, out.String())
 		})
 	}
 }
--- a/core/search/golden_test.go
+++ b/core/search/golden_test.go
@@ -1,7 +1,6 @@
 package search_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -13,10 +12,9 @@
 
 	"laburnumvane/core/search"
 	"laburnumvane/core/view"
+	"laburnumvane/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the actions in golden sessions anew")
-
 // outPrefix marks the lines of a session that the machine wrote.
 const outPrefix = "< "
 
@@ -29,17 +27,14 @@
 		t.Fatalf("no golden sessions: %v", err)
 	}
 	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".golden"), func(t *testing.T) {
+		name := strings.TrimSuffix(filepath.Base(file), ".golden")
+		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			want, err := os.ReadFile(file)
+			old, err := os.ReadFile(file)
 			is.NoErr(err)
-			got, err := replay(string(want))
+			got, err := replay(string(old))
 			is.NoErr(err)
-			if *update {
-				is.NoErr(os.WriteFile(file, []byte(got), 0o600))
-				return
-			}
-			is.Equal(got, string(want))
+			golden.Check(t, name, got)
 		})
 	}
 }
--- a/core/server/session_test.go
+++ b/core/server/session_test.go
@@ -1,23 +1,17 @@
 package server_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
-
 	"laburnumvane/core/server"
 	"laburnumvane/core/view"
+	"laburnumvane/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 const (
 	ms   = time.Millisecond
 	addr = "10.0.0.7:9000"
@@ -158,17 +152,10 @@
 		}, 2 * time.Second},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
 			pl := newPlayer(false)
 			pl.play(tt.lines)
 			pl.until(tt.end)
-			file := filepath.Join("testdata", tt.name+".golden")
-			if *update {
-				is.NoErr(os.WriteFile(file, []byte(pl.out.String()), 0o644))
-			}
-			want, err := os.ReadFile(file)
-			is.NoErr(err)
-			is.Equal(pl.out.String(), string(want))
+			golden.Check(t, tt.name, pl.out.String())
 		})
 	}
 }
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -1,29 +1,15 @@
 package spread
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-)
-
-var update = flag.Bool("update", false, "write the golden files anew")
 
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name+".golden")
-	if *update {
-		is.New(t).NoErr(os.WriteFile(path, []byte(got), 0o644))
-	}
-	want, err := os.ReadFile(path)
-	is.New(t).NoErr(err)
-	is.New(t).Equal(got, string(want))
-}
+	"laburnumvane/internal/golden"
+)
 
 // holding counts the VMs on which a change, or a later one, is in force.
 func (fl *fleet) holding(up Update) int {
@@ -345,5 +331,5 @@
 	note("change c4")
 	fl.change(fl.vms[1], "wash", "c4", 10)
 	fl.run(2 * time.Second)
-	golden(t, "session", fl.log.String())
+	golden.Check(t, "session", fl.log.String())
 }
--- a/core/team/parse_test.go
+++ b/core/team/parse_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -13,10 +12,9 @@
 	"github.com/matryer/is"
 
 	"laburnumvane/core/team"
+	"laburnumvane/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 func TestParse_Good(t *testing.T) {
 	is := is.New(t)
 	doc, err := team.Parse("wash", readFile(t, "testdata/good.json"))
@@ -76,7 +74,7 @@
 			fmt.Fprintf(&got, "  %-12s %s: %s\n", flt.Kind, flt.Path, flt.Msg)
 		}
 	}
-	golden(t, "testdata/bad.golden", got.Bytes())
+	golden.Check(t, "bad", got.String())
 }
 
 // A document of a megabyte can be nothing but faults. The error stays short
@@ -160,14 +158,3 @@
 	is.New(t).NoErr(err)
 	return raw
 }
-
-func golden(t *testing.T, path string, got []byte) {
-	t.Helper()
-	is := is.New(t)
-	if *update {
-		is.NoErr(os.WriteFile(path, got, 0o600))
-	}
-	want, err := os.ReadFile(path)
-	is.NoErr(err)
-	is.Equal(string(got), string(want)) // run with -update to write it anew
-}
--- a/io/inner/inner_test.go
+++ b/io/inner/inner_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/hex"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
@@ -14,11 +12,10 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 	"google.golang.org/protobuf/types/dynamicpb"
 
+	"laburnumvane/internal/golden"
 	"laburnumvane/io/inner"
 )
 
-var update = flag.Bool("update", false, "write the golden file anew")
-
 // kinds are all messages of the protocol.
 func kinds() []protoreflect.MessageDescriptor {
 	var out []protoreflect.MessageDescriptor
@@ -93,13 +90,7 @@
 			sb.WriteString(line + "\n")
 		}
 	}
-	const path = "testdata/fields.golden"
-	if *update {
-		is.NoErr(os.WriteFile(path, []byte(sb.String()), 0o644))
-	}
-	want, err := os.ReadFile(path)
-	is.NoErr(err)
-	for line := range strings.Lines(string(want)) {
+	for line := range strings.Lines(golden.Want(t, "fields", sb.String())) {
 		if line = strings.TrimSpace(line); !now[line] {
 			t.Errorf("older VMs know the field as %s", line)
 		}
