--- a/io/node/upstreams_bench_test.go
+++ b/io/node/upstreams_bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -79,7 +80,7 @@
 		heap := (heapNow() - before) / (1 << 20)
 		b.Run("join/"+name, func(b *testing.B) {
 			for i := range b.N {
-				joined := append(vms[:len(vms):len(vms)], conns.VM{Addr: fmt.Sprint("10.9.9.9:", i), DataCentre: "dc0"})
+				joined := append(slices.Clone(vms), conns.VM{Addr: fmt.Sprint("10.9.9.9:", i), DataCentre: "dc0"})
 				ct.ups.membersChanged(joined)
 			}
 			b.ReportMetric(heap, "heapMB")
