--- a/cmd/laburnumvane/procs_help_test.go
+++ b/cmd/laburnumvane/procs_help_test.go
@@ -6,12 +6,15 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"laburnumvane/core/fault"
 )
 
 const (
@@ -38,13 +41,20 @@
 }
 
 func testMain(m *testing.M) int {
+	defer func() { _ = os.RemoveAll(program.dir) }()
+	return m.Run()
+}
+
+// build is not done before a test needs it: this binary also runs as a child,
+// which ends without cleaning up.
+func (bu *builds) build() error {
 	dir, err := os.MkdirTemp("", "laburnumvane-procs-")
 	if err != nil {
-		panic(err)
+		return err
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	program.dir = dir
-	return m.Run()
+	bu.dir, bu.path = dir, filepath.Join(dir, "laburnumvane")
+	out, err := exec.Command("go", "build", "-buildvcs=false", "-o", bu.path, ".").CombinedOutput()
+	return fault.Wrap(err, "go build: "+string(out))
 }
 
 // needProgram gives the path of the built program. Tests of processes call it
@@ -54,14 +64,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	program.once.Do(func() {
-		program.path = filepath.Join(program.dir, "laburnumvane")
-		out, err := exec.Command("go", "build", "-buildvcs=false", "-o", program.path, ".").CombinedOutput()
-		program.err = err
-		if err != nil {
-			t.Logf("go build: %s", out)
-		}
-	})
+	program.once.Do(func() { program.err = program.build() })
 	is.New(t).NoErr(program.err)
 	return program.path
 }
@@ -110,6 +113,10 @@
 		// A frozen process, too, is ended by this signal.
 		_ = pr.cmd.Process.Kill()
 		<-pr.exited
+		// Only where the program was built with the detector, by GOFLAGS=-race.
+		if strings.Contains(pr.log.String(), "DATA RACE") {
+			t.Errorf("%s has a data race", name)
+		}
 		if t.Failed() {
 			t.Logf("log of %s:\n%s", name, tail(pr.log.String()))
 		}
--- a/cmd/laburnumvane/procs_world_test.go
+++ b/cmd/laburnumvane/procs_world_test.go
@@ -40,6 +40,8 @@
 	admin *emul.Admin
 	vms   []*vmProc
 	trans *http.Transport
+	// platform is the process of the stand-ins.
+	platform *proc
 }
 
 // vmProc is a VM in a process of its own.
@@ -89,6 +91,7 @@
 		}
 		return json.Unmarshal([]byte(out.String()), &wd.stage) == nil
 	})
+	wd.platform = pr
 	wd.admin = emul.NewAdmin(wd.stage.Admin)
 	t.Cleanup(wd.admin.Close)
 	for i, dc := range wd.cfg.dataCentres {
