--- a/io/drive/driver.go
+++ b/io/drive/driver.go
@@ -50,12 +50,9 @@
 	Table    *pick.Table
 	Workers  *ants.Pool
 	Forward  Forwarder
-	// KnownVM tells whether an address is a VM's; tickets of others are not
-	// forwarded.
-	KnownVM func(addr string) bool
-	Observe Observer
-	Meter   *meter.Meter
-	Tickets ticket.Config
+	Observe  Observer
+	Meter    *meter.Meter
+	Tickets  ticket.Config
 	// Incarnation makes the ids of sub-requests unique over restarts.
 	Incarnation uint64
 	// MaxDeadline bounds the deadline that a caller may ask for.
--- a/io/drive/ticket.go
+++ b/io/drive/ticket.go
@@ -108,11 +108,6 @@
 
 // forward asks the VM that issued the ticket.
 func (dr *Driver) forward(ctx context.Context, due time.Duration, to ticket.Issuer, rq wire.SearchRequest) wire.SearchAnswer {
-	// A ticket is signed by its issuer, and only the issuer can check that: a
-	// forged one could name any address and have this VM send requests there.
-	if !dr.cfg.KnownVM(to.Addr) {
-		return dr.issuerGone()
-	}
 	ctx, cancel := context.WithDeadline(ctx, dr.start.Add(due))
 	defer cancel()
 	left := due - dr.now()
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -86,21 +86,10 @@
 	if _, ok := ev.(member.Listed); ok || changed {
 		ms.ct.conf.peersChanged(ms.ct)
 		ms.ct.ups.membersChanged(ms.holders())
-		ms.publishKnown()
 	}
 	ms.timer.Reset(max(0, ms.ma.Wake()-time.Since(ms.ct.nd.started)))
 }
 
-// publishKnown tells traffic which addresses are VMs', those given up included:
-// a ticket of one that has only gone silent may still be asked for.
-func (ms *members) publishKnown() {
-	known := make(map[string]struct{})
-	for _, me := range ms.ma.Members() {
-		known[me.VM.Addr] = struct{}{}
-	}
-	ms.ct.nd.known.Store(&known)
-}
-
 // do performs an action and tells whether the fleet has changed.
 func (ms *members) do(ac member.Action) (changed bool) {
 	switch ac := ac.(type) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -48,29 +48,27 @@
 
 // Node is a running VM.
 type Node struct {
-	cfg     Config
-	set     setup.Settings
-	addr    string
-	log     *log.Logger
-	lines   *lines.Queue
-	meter   *meter.Meter
-	view    atomic.Pointer[view.View]
-	servers atomic.Pointer[[]*upst.Server]
-	ups     atomic.Pointer[[]*upstream]
-	table   *pick.Table
-	workers *ants.Pool
-	driver  *drive.Driver
-	buckets sync.Map // team's name to *share.Bucket
-	kv      *plat.Client
-	vms     *plat.Client
-	peers   *peer.Client
-	inner   *peer.Server
-	front   *front.Front
-	oper    *oper.Oper
-	events  chan event
-	leaving atomic.Bool
-	// known are the addresses of the VMs; the control goroutine replaces it.
-	known    atomic.Pointer[map[string]struct{}]
+	cfg      Config
+	set      setup.Settings
+	addr     string
+	log      *log.Logger
+	lines    *lines.Queue
+	meter    *meter.Meter
+	view     atomic.Pointer[view.View]
+	servers  atomic.Pointer[[]*upst.Server]
+	ups      atomic.Pointer[[]*upstream]
+	table    *pick.Table
+	workers  *ants.Pool
+	driver   *drive.Driver
+	buckets  sync.Map // team's name to *share.Bucket
+	kv       *plat.Client
+	vms      *plat.Client
+	peers    *peer.Client
+	inner    *peer.Server
+	front    *front.Front
+	oper     *oper.Oper
+	events   chan event
+	leaving  atomic.Bool
 	stopping context.Context
 	stop     context.CancelFunc
 	running  sync.WaitGroup
@@ -180,7 +178,6 @@
 		Table:    nd.table,
 		Workers:  workers,
 		Forward:  nd.peers,
-		KnownVM:  nd.knownVM,
 		Observe:  nd,
 		Bucket:   nd.bucket,
 		Meter:    nd.meter,
@@ -271,12 +268,3 @@
 func (nd *Node) Leaving() bool {
 	return nd.leaving.Load()
 }
-
-func (nd *Node) knownVM(addr string) bool {
-	known := nd.known.Load()
-	if known == nil {
-		return false
-	}
-	_, ok := (*known)[addr]
-	return ok
-}
