ticket: one key for all VMs lets each check the tickets of others

Cause: a ticket names its issuer and only the issuer could check it; a forged one made a VM send a request to any address. With it a ticket that does not check is answered unknown (ticketUnverified) and nobody is asked; without it all is as before. Conclusion: unknown rather than notRun, since during an exchange of keys the ticket may be a true one.

--- a/core/ticket/table.go
+++ b/core/ticket/table.go
@@ -22,8 +22,11 @@
 	// Addr and Incarnation name this process to other VMs.
 	Addr        string
 	Incarnation uint64
-	// Secret signs tickets; it lives as long as the process.
+	// Secret signs tickets; it lives at least as long as the process.
 	Secret []byte
+	// Shared tells that all VMs have the same Secret, so that each can check
+	// the tickets of others before it asks their issuer.
+	Shared bool
 	// TTL is how long a ticket may be used, counted from its issue.
 	TTL time.Duration
 	// Cap bounds the used tickets remembered. One team has at most half.
@@ -45,6 +48,10 @@
 	VerdictAnswered
 	// VerdictForgotten: it ran, and its answer was dropped to save memory.
 	VerdictForgotten
+	// VerdictUnverified: another VM's by its address, but not signed with the
+	// shared secret. It is forged, or was issued under another secret: while
+	// secrets are exchanged an earlier use may have run.
+	VerdictUnverified
 	// VerdictElsewhere: Issuer must be asked.
 	VerdictElsewhere
 	// VerdictVoid: issued by an earlier process at this address.
@@ -129,6 +136,11 @@
 		return Verdict[A]{Kind: VerdictForged}
 	}
 	if tk.Addr != tb.cfg.Addr {
+		// Unchecked, a forged ticket makes this VM send a request to
+		// whatever address it names.
+		if tb.cfg.Shared && !hmac.Equal(tk.MAC, tk.sign(tb.cfg.Secret)) {
+			return Verdict[A]{Kind: VerdictUnverified}
+		}
 		return Verdict[A]{Kind: VerdictElsewhere, Issuer: Issuer{Addr: tk.Addr, Incarnation: tk.Incarnation}}
 	}
 	if tk.Incarnation != tb.cfg.Incarnation {
--- a/io/drive/ticket.go
+++ b/io/drive/ticket.go
@@ -16,14 +16,16 @@
 
 // Reasons of answers to searches with tickets.
 const (
-	ReasonTicketForged    = "ticketForged"
-	ReasonTicketTeam      = "ticketOfOtherTeam"
-	ReasonTicketBody      = "ticketOfOtherRequest"
-	ReasonTicketFull      = "ticketTableFull"
-	ReasonTicketExpired   = "ticketExpired"
-	ReasonTicketVoid      = "ticketVoid"
-	ReasonTicketRunning   = "ticketRunning"
-	ReasonTicketForgotten = "ticketAnswerForgotten"
+	ReasonTicketForged  = "ticketForged"
+	ReasonTicketTeam    = "ticketOfOtherTeam"
+	ReasonTicketBody    = "ticketOfOtherRequest"
+	ReasonTicketFull    = "ticketTableFull"
+	ReasonTicketExpired = "ticketExpired"
+	ReasonTicketVoid    = "ticketVoid"
+	// ReasonTicketUnverified: the ticket is not signed with the VMs' shared key.
+	ReasonTicketUnverified = "ticketUnverified"
+	ReasonTicketRunning    = "ticketRunning"
+	ReasonTicketForgotten  = "ticketAnswerForgotten"
 	// ReasonIssuerGone: the issuer could not be reached, so this attempt did
 	// not run.
 	ReasonIssuerGone = "ticketIssuerUnreachable"
@@ -162,6 +164,8 @@
 		an := dr.refuse(ReasonTicketFull, "this VM remembers as many tickets as it may; come back later")
 		an.RetryAfterMs = ticketRetryAfter.Milliseconds()
 		return an
+	case ticket.VerdictUnverified:
+		return dr.doubt(ReasonTicketUnverified, "the ticket is not signed with this VM's key: its issuer was not asked, an earlier attempt may have run")
 	case ticket.VerdictForgotten:
 		return dr.doubt(ReasonTicketForgotten, "an earlier attempt ran; its answer is no longer kept")
 	case ticket.VerdictExpired:
--- a/io/drive/ticket_test.go
+++ b/io/drive/ticket_test.go
@@ -170,6 +170,18 @@
 			pa.first.dr.Search(ctx, rq)
 			return pa.second.dr.Search(ctx, rq)
 		}, wire.OutcomeComplete, "", shards},
+		// A forged ticket names an address that is no VM's: nothing must be
+		// sent there. Signed under another key it may also be a true one, of
+		// a VM that has the next key already.
+		{"issued elsewhere under another key", func(pa *pair, _ string) wire.SearchAnswer {
+			cfg := ticketsOf("stranger")
+			cfg.Secret = []byte("another")
+			forged := newRig(pa.first.tb, rigConfig{shards: shards, workers: 64, up: counting(&pa.runs), search: renewal(), tickets: cfg})
+			cfg = ticketsOf("vm2")
+			cfg.Shared = true
+			checks := newRig(pa.first.tb, rigConfig{shards: shards, workers: 64, up: counting(&pa.runs), search: renewal(), tickets: cfg, forward: pa.fo})
+			return checks.dr.Search(ctx, renew(forged.dr.Tickets(teamName, 1)[0]))
+		}, wire.OutcomeUnknown, drive.ReasonTicketUnverified, 0},
 		{"no ticket", func(pa *pair, _ string) wire.SearchAnswer {
 			return pa.first.dr.Search(ctx, renew(""))
 		}, wire.OutcomeNotRun, drive.ReasonTicket, 0},
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -72,7 +72,7 @@
 	}
 	tickets := []string{
 		"ticketNeeded", "ticketForged", "ticketOfOtherTeam", "ticketOfOtherRequest", "ticketTableFull",
-		"ticketExpired", "ticketVoid", "ticketRunning", "ticketAnswerForgotten", "ticketIssuerUnreachable",
+		"ticketExpired", "ticketVoid", "ticketUnverified", "ticketRunning", "ticketAnswerForgotten", "ticketIssuerUnreachable",
 		"ticketIssuerSilent",
 	}
 	machine := []string{"deadline", "softDeadline", "cancelled", "noReplica", "retryBudget"}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -164,8 +164,8 @@
 	if err != nil {
 		return errors.Wrap(err, "node.Start")
 	}
-	secret := make([]byte, secretLen)
-	if _, err := rand.Read(secret); err != nil {
+	secret, err := ticketSecret(nd.set.TicketKey)
+	if err != nil {
 		return errors.Wrap(err, "node.Start")
 	}
 	nd.workers = workers
@@ -185,6 +185,7 @@
 			Addr:        nd.addr,
 			Incarnation: nd.set.Incarnation,
 			Secret:      secret,
+			Shared:      nd.set.TicketKey != "",
 			TTL:         nd.set.TicketTTL,
 			Cap:         nd.set.TicketCap,
 		},
@@ -268,3 +269,15 @@
 func (nd *Node) Leaving() bool {
 	return nd.leaving.Load()
 }
+
+// ticketSecret is the key shared by all VMs, or one that dies with the process.
+func ticketSecret(key string) ([]byte, error) {
+	if key != "" {
+		return []byte(key), nil
+	}
+	secret := make([]byte, secretLen)
+	if _, err := rand.Read(secret); err != nil {
+		return nil, err
+	}
+	return secret, nil
+}
--- a/io/setup/check.go
+++ b/io/setup/check.go
@@ -172,6 +172,9 @@
 func (ck *checker) tokens() {
 	ck.operatorToken()
 	owners := map[string]string{}
+	if ck.se.TicketKey != "" && len(ck.se.TicketKey) < MinTokenLen {
+		ck.add(FlagTicketKey, KindUnsafe, "has under %d characters", MinTokenLen)
+	}
 	if ck.se.OperatorToken != "" {
 		owners[ck.se.OperatorToken] = "the operators"
 	}
--- a/io/setup/flags.go
+++ b/io/setup/flags.go
@@ -16,6 +16,7 @@
 	FlagKV            = "kv"
 	FlagVMList        = "vm-list"
 	FlagOperatorToken = "operator-token"
+	FlagTicketKey     = "ticket-key"
 	FlagTeamTokens    = "team-tokens"
 	FlagLogLevel      = "log-level"
 	FlagLogSample     = "log-sample"
@@ -118,6 +119,11 @@
 
 func tokenSettings() []setting {
 	return []setting{
+		{
+			flag: FlagTicketKey, category: categoryToken,
+			usage: "secret `KEY` that signs tickets, the same on all VMs; without one a VM cannot check the tickets of others. Give it by the variable",
+			put:   func(se *Settings, s string) error { return putText(&se.TicketKey, s) },
+		},
 		{
 			flag: FlagOperatorToken, category: categoryToken,
 			usage: "bearer `TOKEN` that allows everything; better given by its variable, as flags show in the process list",
--- a/io/setup/settings.go
+++ b/io/setup/settings.go
@@ -41,6 +41,10 @@
 	// VMList is the address of the VM list, ip:port.
 	VMList string
 
+	// TicketKey signs tickets on all VMs alike; empty for one of the process's
+	// own, with which no VM can check the tickets of another.
+	TicketKey string
+
 	// OperatorToken allows everything on the operators' listener.
 	OperatorToken string
 	// TeamTokens holds each team's token, which allows changes to that team
--- a/io/setup/setup_test.go
+++ b/io/setup/setup_test.go
@@ -409,8 +409,8 @@
 	is.NoErr(cmd.Run(t.Context(), []string{"serve", "--help"}))
 
 	names := flagNames()
-	is.Equal(len(names), 20)
-	is.Equal(len(slices.Compact(slices.Sorted(slices.Values(names)))), 20)
+	is.Equal(len(names), 21)
+	is.Equal(len(slices.Compact(slices.Sorted(slices.Values(names)))), 21)
 	for _, name := range names {
 		is.True(strings.Contains(help.String(), "--"+name+" "))
 		is.True(strings.Contains(help.String(), "$"+setup.Variable(name)))
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -56,6 +56,9 @@
 	CallerAddr string
 }
 
+// ticketKey signs the tickets of a site's VMs.
+const ticketKey = "one key for all VMs of a site"
+
 // Site is a running installation.
 type Site struct {
 	cfg   Config
@@ -173,6 +176,7 @@
 	set.KV = []string{st.kv.Addr()}
 	set.VMList = st.vms.Addr()
 	set.BalancerLag = cfg.BalancerLag
+	set.TicketKey = ticketKey
 	if cfg.TicketTTL > 0 {
 		set.TicketTTL = cfg.TicketTTL
 	}
