--- a/cmd/laburnumvane/procs_kv_test.go
+++ b/cmd/laburnumvane/procs_kv_test.go
@@ -21,6 +21,7 @@
 	is.NoErr(wd.admin.KV(t.Context(), emul.KVFaultRequest{Remember: true}))
 	rev := wd.edit(wd.vms[1], hitLimit(3))
 	is.NoErr(wd.admin.KV(t.Context(), emul.KVFaultRequest{Down: true}))
+	pushesRest(t, wd.vms)
 
 	wd.vms[2].kill()
 	wd.vms[2] = wd.boot(2)
@@ -53,3 +54,23 @@
 	is.Equal(sam.reverted, nil)
 	is.True(sam.looks > 0)
 }
+
+// pushesRest waits until no VM has pushed a change for a hundred looks. A push
+// still on its way would bring the replacement what it has to ask its peers for:
+// the test passed without the asking until it waited here.
+func pushesRest(t *testing.T, vms []*vmProc) {
+	t.Helper()
+	const enough = 100
+	last, same := -1.0, 0
+	eventually(t, "pushes have come to rest", func() bool {
+		sum := 0.0
+		for _, vm := range vms {
+			sum += vm.metric(t, "config.pushed")
+		}
+		if sum != last {
+			last, same = sum, 0
+		}
+		same++
+		return same > enough
+	})
+}
