--- a/io/site/pairs_check_test.go
+++ b/io/site/pairs_check_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -24,6 +25,7 @@
 // asked is a query that no other search has, and its attempts in their order.
 // Only one with a ticket has more than one.
 type asked struct {
+	by       string // the caller
 	query    string
 	ticket   bool
 	attempts []attempt
@@ -159,6 +161,9 @@
 	return false
 }
 
+// pairSlow is what each call to the slow service takes.
+const pairSlow = 200 * time.Millisecond
+
 // pairMembers is enough that no shard of a pair's snapshots is empty.
 const pairMembers = 60
 
