--- a/io/site/pairs_test.go
+++ b/io/site/pairs_test.go
@@ -111,7 +111,7 @@
 	for _, sv := range pr.servers(1) {
 		sv.Upstream.Crash()
 	}
-	pr.publish(4)
+	pr.publish(6)
 	pr.answered(100)
 	pr.publish(9)
 	pr.healed()
@@ -130,7 +130,7 @@
 		sv.Upstream.SetFaults(emul.UpstreamFaults{SlowShare: 0.3, SlowTimes: 100})
 	}
 	pr.answered(20)
-	for _, shards := range []int{6, 4, 9} {
+	for _, shards := range []int{6, 6, 9} {
 		pr.publish(shards)
 		pr.answered(20)
 	}
