internal/vtime: one agenda and one network for the simulators

Cause: a queue of events by virtual time stood five times in the tree (core/spread, admit, member, pick and core/search/internal/qsim), each with its heap, its clock and its numbering; two of them had the same lossy network.

Change: vtime.Agenda is the clock and the events, on core/due; vtime.Link draws losses and delays.

--- a/core/admit/fault_test.go
+++ b/core/admit/fault_test.go
@@ -95,7 +95,7 @@
 		name: "cold start of every server", load: 0.7,
 		on: func(wo *world) {
 			each(func(sv *simServer) { sv.sheds = true; sv.slow = 3 })(wo)
-			wo.after(2*time.Second, func() { each(func(sv *simServer) { sv.sheds = false })(wo) })
+			wo.After(2*time.Second, func() { each(func(sv *simServer) { sv.sheds = false })(wo) })
 		},
 		off:    each(func(sv *simServer) { sv.slow = 0 }),
 		during: 0.1, after: 0.95,
@@ -157,7 +157,7 @@
 // deadline.
 func (wo *world) answered(from, to time.Duration) float64 {
 	const bin = 100 * time.Millisecond
-	to = min(to, wo.now-2*time.Second)
+	to = min(to, wo.Now()-2*time.Second)
 	offered, good := 0, 0
 	for at := from; at < to; at += bin {
 		offered += wo.count.offeredBy[int(at/bin)]
@@ -254,7 +254,7 @@
 			offered++
 			if se.good {
 				good++
-				lats = append(lats, wo.now-se.arrived)
+				lats = append(lats, wo.Now()-se.arrived)
 			}
 		}
 		wo.run(8 * time.Second)
--- a/core/admit/overload_test.go
+++ b/core/admit/overload_test.go
@@ -1,7 +1,6 @@
 package admit_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,6 +9,7 @@
 	"laburnumvane/core/budget"
 	"laburnumvane/core/limit"
 	"laburnumvane/core/view"
+	"laburnumvane/internal/vtime"
 )
 
 // The harness: VMs that cannot see each other, before servers with slots and a
@@ -57,33 +57,10 @@
 var classMix = [admit.Classes]float64{0.1, 0.5, 0.4}
 var classDeadline = [admit.Classes]time.Duration{200 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second}
 
-type happening struct {
-	at   time.Duration
-	seq  uint64
-	what func()
-}
-
-type agenda []happening
-
-func (ag agenda) Len() int { return len(ag) }
-func (ag agenda) Less(i, j int) bool {
-	return ag[i].at < ag[j].at || ag[i].at == ag[j].at && ag[i].seq < ag[j].seq
-}
-func (ag agenda) Swap(i, j int) { ag[i], ag[j] = ag[j], ag[i] }
-func (ag *agenda) Push(x any)   { *ag = append(*ag, x.(happening)) }
-func (ag *agenda) Pop() any {
-	old := *ag
-	last := old[len(old)-1]
-	*ag = old[:len(old)-1]
-	return last
-}
-
 type world struct {
-	de      deployment
-	mode    mode
-	now     time.Duration
-	seq     uint64
-	agenda  agenda
+	de   deployment
+	mode mode
+	vtime.Agenda[func()]
 	rnd     *rand.Rand
 	servers []*simServer
 	vms     []*simVM
@@ -103,18 +80,10 @@
 	ranAfterRefusal           int
 }
 
-func (wo *world) after(d time.Duration, what func()) {
-	wo.seq++
-	heap.Push(&wo.agenda, happening{wo.now + d, wo.seq, what})
-}
-
 func (wo *world) run(until time.Duration) {
-	for len(wo.agenda) > 0 && wo.agenda[0].at <= until {
-		ha := heap.Pop(&wo.agenda).(happening)
-		wo.now = ha.at
-		ha.what()
+	for what := range wo.Until(until) {
+		what()
 	}
-	wo.now = until
 }
 
 type simServer struct {
@@ -166,13 +135,13 @@
 	if sv.slow > 0 {
 		took = time.Duration(float64(took) * sv.slow)
 	}
-	sv.wo.after(took, func() {
+	sv.wo.After(took, func() {
 		sv.running--
 		sv.reply(su, limit.Replied)
 		for len(sv.queue) > 0 && sv.running < sv.slots {
 			next := sv.queue[0]
 			sv.queue = sv.queue[1:]
-			if next.se.deadline > sv.wo.now && !next.se.over {
+			if next.se.deadline > sv.wo.Now() && !next.se.over {
 				sv.serve(next)
 			}
 		}
@@ -184,7 +153,7 @@
 	if sv.lies {
 		running, queued = 0, 0
 	}
-	sv.wo.after(sv.wo.de.oneWay, func() { su.se.vm.replied(su, kind, running, queued) })
+	sv.wo.After(sv.wo.de.oneWay, func() { su.se.vm.replied(su, kind, running, queued) })
 }
 
 type simVM struct {
@@ -255,7 +224,7 @@
 
 func (vm *simVM) arrivals(rate float64, arrive func()) {
 	gap := time.Duration(vm.rnd.ExpFloat64() / rate * float64(time.Second))
-	vm.wo.after(gap, func() {
+	vm.wo.After(gap, func() {
 		arrive()
 		vm.arrivals(rate, arrive)
 	})
@@ -278,8 +247,8 @@
 
 func (vm *simVM) offer(cl admit.Class, tm admit.TeamID) {
 	wo := vm.wo
-	se := &simSearch{vm: vm, mc: vm.mc, class: cl, team: tm, arrived: wo.now, deadline: wo.now + classDeadline[cl], counted: wo.now >= wo.from}
-	wo.count.offeredBy[int(wo.now/(100*time.Millisecond))]++
+	se := &simSearch{vm: vm, mc: vm.mc, class: cl, team: tm, arrived: wo.Now(), deadline: wo.Now() + classDeadline[cl], counted: wo.Now() >= wo.from}
+	wo.count.offeredBy[int(wo.Now()/(100*time.Millisecond))]++
 	if se.counted {
 		wo.count.offered[cl]++
 	}
@@ -288,14 +257,14 @@
 		return
 	}
 	rq := admit.Request{Class: cl, Team: tm, Cost: int32(wo.de.services), Deadline: se.deadline}
-	de := vm.mc.Offer(wo.now, rq, se)
+	de := vm.mc.Offer(wo.Now(), rq, se)
 	switch de.Kind {
 	case admit.Admitted:
 		se.start()
 	case admit.Queued:
 		mc := vm.mc // a restart replaces it
-		wo.after(de.Until-wo.now, func() {
-			if mc.Withdraw(wo.now, de.Handle) {
+		wo.After(de.Until-wo.Now(), func() {
+			if mc.Withdraw(wo.Now(), de.Handle) {
 				se.why = admit.ReasonWaited
 				se.refuse()
 			}
@@ -319,12 +288,12 @@
 
 // poll steps for as long as something waits: room may come by time alone.
 func (vm *simVM) poll() {
-	at, ok := vm.mc.Next(vm.wo.now)
+	at, ok := vm.mc.Next(vm.wo.Now())
 	if !ok || vm.polling {
 		return
 	}
 	vm.polling = true
-	vm.wo.after(at-vm.wo.now, func() {
+	vm.wo.After(at-vm.wo.Now(), func() {
 		vm.polling = false
 		vm.step()
 		vm.poll()
@@ -336,7 +305,7 @@
 		return
 	}
 	for {
-		grants := vm.mc.Step(vm.wo.now)
+		grants := vm.mc.Step(vm.wo.Now())
 		if len(grants) == 0 {
 			return
 		}
@@ -356,7 +325,7 @@
 		wo.count.ranAfterRefusal++
 	}
 	se.running = true
-	se.started = wo.now
+	se.started = wo.Now()
 	se.missing = wo.de.services
 	se.vm.spare.Earn(wo.de.services)
 	for sh := range wo.de.services {
@@ -366,7 +335,7 @@
 	if wo.mode != unlimited {
 		se.mc.Begun()
 	}
-	wo.after(se.deadline-wo.now, func() { se.finish(false) })
+	wo.After(se.deadline-wo.Now(), func() { se.finish(false) })
 }
 
 func (se *simSearch) send(su *simSub) bool {
@@ -377,15 +346,15 @@
 	}
 	su.server = id
 	su.tried = append(su.tried, id)
-	su.sentAt = vm.wo.now
-	vm.tb.Begin(vm.wo.now, id)
-	sub := &simSub{se: se, shard: su.shard, server: id, tried: su.tried, sentAt: vm.wo.now}
-	vm.wo.after(vm.wo.de.oneWay, func() { vm.wo.servers[id].arrive(sub) })
+	su.sentAt = vm.wo.Now()
+	vm.tb.Begin(vm.wo.Now(), id)
+	sub := &simSub{se: se, shard: su.shard, server: id, tried: su.tried, sentAt: vm.wo.Now()}
+	vm.wo.After(vm.wo.de.oneWay, func() { vm.wo.servers[id].arrive(sub) })
 	// Silence ends at the deadline.
-	vm.wo.after(se.deadline-vm.wo.now, func() {
+	vm.wo.After(se.deadline-vm.wo.Now(), func() {
 		if !sub.over {
 			sub.over = true
-			vm.tb.End(vm.wo.now, id, limit.Sample{Kind: limit.Failed, Latency: vm.wo.now - sub.sentAt})
+			vm.tb.End(vm.wo.Now(), id, limit.Sample{Kind: limit.Failed, Latency: vm.wo.Now() - sub.sentAt})
 			vm.step()
 		}
 	})
@@ -401,7 +370,7 @@
 			continue
 		}
 		all = append(all, id)
-		if vm.wo.mode == unlimited || vm.tb.Room(vm.wo.now, id) {
+		if vm.wo.mode == unlimited || vm.tb.Room(vm.wo.Now(), id) {
 			ids = append(ids, id)
 		}
 	}
@@ -420,7 +389,7 @@
 		return
 	}
 	su.over = true
-	now := vm.wo.now
+	now := vm.wo.Now()
 	vm.tb.End(now, su.server, limit.Sample{Kind: kind, Latency: now - su.sentAt, Running: running, Queued: queued})
 	se := su.se
 	switch {
@@ -447,14 +416,14 @@
 	se.over = true
 	wo := se.vm.wo
 	if wo.mode != unlimited {
-		se.mc.Done(wo.now, se.class, wo.now-se.started, false)
+		se.mc.Done(wo.Now(), se.class, wo.Now()-se.started, false)
 	}
 	se.good = good
 	if wo.watch != nil {
 		wo.watch(se)
 	}
 	if good {
-		wo.count.goodAt[int(wo.now/(100*time.Millisecond))]++
+		wo.count.goodAt[int(wo.Now()/(100*time.Millisecond))]++
 		wo.count.goodBy[int(se.arrived/(100*time.Millisecond))]++
 	}
 	if !se.counted {
@@ -465,7 +434,7 @@
 		return
 	}
 	wo.count.good[se.class]++
-	wo.count.latency[se.class] = append(wo.count.latency[se.class], wo.now-se.arrived)
+	wo.count.latency[se.class] = append(wo.count.latency[se.class], wo.Now()-se.arrived)
 }
 
 func p99(lats []time.Duration) time.Duration {
--- a/core/member/measure_test.go
+++ b/core/member/measure_test.go
@@ -76,7 +76,7 @@
 	wo.run(5*time.Second+time.Duration(wo.rnd.Int64N(int64(time.Second))), nil)
 	victim := prs[wo.rnd.IntN(n)]
 	victim.dead = true
-	at := wo.now
+	at := wo.Now()
 	left := map[*proc]bool{}
 	for _, pr := range prs {
 		// At extreme settings it may have been given up before it died.
@@ -93,7 +93,7 @@
 	if !wo.run(time.Minute, func() bool { return len(left) == 0 }) {
 		t.Errorf("seed %d, %d VMs, loss %v: not known everywhere after a minute", seed, n, loss)
 	}
-	return wo.now - at
+	return wo.Now() - at
 }
 
 // TestMeasureNews lets one VM announce its stop and measures until all of its
@@ -137,7 +137,7 @@
 			nearLeft++
 		}
 	}
-	at := wo.now
+	at := wo.Now()
 	wo.onAct = func(pr *proc, ac member.Action) {
 		ch, ok := ac.(member.Changed)
 		if !ok || ch.Member.Addr != teller.self.Addr || !left[pr] {
@@ -148,14 +148,14 @@
 			nearLeft--
 		}
 		if nearLeft == 0 && near == 0 {
-			near = wo.now - at
+			near = wo.Now() - at
 		}
 	}
 	wo.step(teller, member.Leave{})
 	if !wo.run(time.Minute, func() bool { return len(left) == 0 }) {
 		t.Errorf("seed %d, %d VMs: %d never heard", seed, n, len(left))
 	}
-	return near, wo.now - at
+	return near, wo.Now() - at
 }
 
 // TestMeasureFalseAlarms lets healthy fleets run and counts what is said of
@@ -246,17 +246,17 @@
 	wo.list(wo.vms()...)
 	wo.run(time.Minute, nil)
 	wo.cut = func(_, _ *proc) bool { return false }
-	at := wo.now
+	at := wo.Now()
 	next := at
 	for !wo.agree() {
 		next += 250 * time.Millisecond
-		wo.run(next-wo.now, nil)
-		if wo.now-at > 5*time.Minute {
+		wo.run(next-wo.Now(), nil)
+		if wo.Now()-at > 5*time.Minute {
 			t.Errorf("seed %d, %d VMs: not agreed after 5 minutes", seed, n)
 			break
 		}
 	}
-	return wo.now - at
+	return wo.Now() - at
 }
 
 // TestMeasureCost lets fleets of several sizes run, at rest and with VMs being
@@ -292,11 +292,11 @@
 	}
 	replaced := 0
 	begun := time.Now()
-	end := wo.now + d
-	for wo.now < end {
+	end := wo.Now() + d
+	for wo.Now() < end {
 		if churn {
 			pr := prs[wo.rnd.IntN(n)]
-			wo.boot(t, pr.self.Addr, pr.self.DataCentre, uint64(2000+replaced)).ma.Step(wo.now, member.Listed{VMs: wo.vms()})
+			wo.boot(t, pr.self.Addr, pr.self.DataCentre, uint64(2000+replaced)).ma.Step(wo.Now(), member.Listed{VMs: wo.vms()})
 			wo.step(wo.procs[pr.self.Addr], member.Tick{})
 			replaced++
 		}
--- a/core/member/session_test.go
+++ b/core/member/session_test.go
@@ -45,7 +45,7 @@
 			var out strings.Builder
 			wo.onAct = func(pr *proc, ac member.Action) {
 				if pr == prs[0] {
-					fmt.Fprintf(&out, "%8.3fs %s\n", wo.now.Seconds(), line(ac))
+					fmt.Fprintf(&out, "%8.3fs %s\n", wo.Now().Seconds(), line(ac))
 				}
 			}
 			tt.do(wo, prs)
--- a/core/member/world_test.go
+++ b/core/member/world_test.go
@@ -1,7 +1,6 @@
 package member_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -10,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"laburnumvane/core/member"
+	"laburnumvane/internal/vtime"
 )
 
 // Sizes of messages on the wire, as measured with io/node (see
@@ -23,14 +23,12 @@
 
 // world steps machines over one queue of messages, in virtual time.
 type world struct {
-	now   time.Duration
+	vtime.Agenda[delivery]
+	link  vtime.Link
 	rnd   *rand.Rand
-	loss  float64
 	delay time.Duration
 	// cut tells which way nothing passes.
 	cut   func(from, to *proc) bool
-	queue deliveries
-	seq   uint64
 	procs map[string]*proc
 	order []*proc
 	tags  map[uint64]call
@@ -60,35 +58,16 @@
 }
 
 type delivery struct {
-	at   time.Duration
-	seq  uint64
 	to   *proc
 	ev   member.Event
 	wake bool
 }
 
-type deliveries []delivery
-
-func (ds deliveries) Len() int { return len(ds) }
-func (ds deliveries) Less(i, j int) bool {
-	if ds[i].at != ds[j].at {
-		return ds[i].at < ds[j].at
-	}
-	return ds[i].seq < ds[j].seq
-}
-func (ds deliveries) Swap(i, j int) { ds[i], ds[j] = ds[j], ds[i] }
-func (ds *deliveries) Push(x any)   { *ds = append(*ds, x.(delivery)) }
-func (ds *deliveries) Pop() any {
-	old := *ds
-	last := old[len(old)-1]
-	*ds = old[:len(old)-1]
-	return last
-}
-
 func newWorld(seed uint64, loss float64) *world {
+	rnd := rand.New(rand.NewPCG(seed, 1))
 	return &world{
-		rnd:   rand.New(rand.NewPCG(seed, 1)),
-		loss:  loss,
+		rnd:   rnd,
+		link:  vtime.Link{Rand: rnd, Loss: loss},
 		delay: time.Millisecond,
 		cut:   func(_, _ *proc) bool { return false },
 		procs: make(map[string]*proc),
@@ -158,24 +137,18 @@
 		if from.Addr == pr.self.Addr {
 			from = all[len(all)-1]
 		}
-		pr.ma.Step(wo.now, member.Received{Message: member.Message{From: from, Members: all}})
+		pr.ma.Step(wo.Now(), member.Received{Message: member.Message{From: from, Members: all}})
 	}
 }
 
-func (wo *world) push(de delivery) {
-	wo.seq++
-	de.seq = wo.seq
-	heap.Push(&wo.queue, de)
-}
-
 // send carries an event from one process to another, unless it is lost.
 func (wo *world) send(from, to *proc, ev member.Event, size int) {
 	from.sent += size
-	if to == nil || to.dead || wo.cut(from, to) || wo.rnd.Float64() < wo.loss {
+	if to == nil || to.dead || wo.cut(from, to) || wo.link.Lost() {
 		return
 	}
 	to.got += size
-	wo.push(delivery{at: wo.now + wo.delay, to: to, ev: ev})
+	wo.After(wo.delay, delivery{to: to, ev: ev})
 }
 
 func sizeOf(mg member.Message, head int) int { return head + memberBytes*len(mg.Members) }
@@ -189,12 +162,12 @@
 		return
 	}
 	pr.steps++
-	for _, ac := range pr.ma.Step(wo.now, ev) {
+	for _, ac := range pr.ma.Step(wo.Now(), ev) {
 		wo.perform(pr, ac)
 	}
-	if at := pr.ma.Wake(); pr.wake < wo.now || at < pr.wake {
-		pr.wake = max(at, wo.now)
-		wo.push(delivery{at: pr.wake, to: pr, ev: member.Tick{}, wake: true})
+	if at := pr.ma.Wake(); pr.wake < wo.Now() || at < pr.wake {
+		pr.wake = max(at, wo.Now())
+		wo.After(pr.wake-wo.Now(), delivery{to: pr, ev: member.Tick{}, wake: true})
 	}
 }
 
@@ -236,11 +209,8 @@
 
 // run lets d pass, or less if done holds before.
 func (wo *world) run(d time.Duration, done func() bool) bool {
-	end := wo.now + d
-	for len(wo.queue) > 0 && wo.queue[0].at <= end {
-		de := heap.Pop(&wo.queue).(delivery)
-		wo.now = de.at
-		if de.wake && (de.to.wake != de.at || de.to.paused) {
+	for de := range wo.Until(wo.Now() + d) {
+		if de.wake && (de.to.wake != wo.Now() || de.to.paused) {
 			continue
 		}
 		if de.wake {
@@ -251,7 +221,6 @@
 			return true
 		}
 	}
-	wo.now = end
 	return false
 }
 
--- a/core/pick/measure_test.go
+++ b/core/pick/measure_test.go
@@ -1,7 +1,6 @@
 package pick_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"sort"
 	"testing"
@@ -9,6 +8,7 @@
 
 	"laburnumvane/core/pick"
 	"laburnumvane/core/view"
+	"laburnumvane/internal/vtime"
 )
 
 // server is a stand-in with a few slots and a queue, in virtual time.
@@ -41,23 +41,10 @@
 
 // ending is a reply on its way back to a VM.
 type ending struct {
-	at, began time.Duration
-	vm        int
-	id        view.ServerID
-	ok        bool
-}
-
-type endings []ending
-
-func (en endings) Len() int           { return len(en) }
-func (en endings) Less(i, j int) bool { return en[i].at < en[j].at }
-func (en endings) Swap(i, j int)      { en[i], en[j] = en[j], en[i] }
-func (en *endings) Push(x any)        { *en = append(*en, x.(ending)) }
-func (en *endings) Pop() any {
-	last := len(*en) - 1
-	one := (*en)[last]
-	*en = (*en)[:last]
-	return one
+	began time.Duration
+	vm    int
+	id    view.ServerID
+	ok    bool
 }
 
 // policy chooses for a VM.
@@ -78,25 +65,24 @@
 // simulate lets nine VMs, which share nothing, send to one shard's replicas.
 func simulate(servers []*server, rate float64, tables []*pick.Table, choose policy) result {
 	rnd := rand.New(rand.NewPCG(3, 4))
-	var back endings
+	var back vtime.Agenda[ending]
 	var rs result
 	now := time.Duration(0)
 	total := 0
 	for now < simTime {
 		now += time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))
-		for len(back) > 0 && back[0].at <= now {
-			en := heap.Pop(&back).(ending)
+		for en := range back.Until(now) {
 			end := pick.Replied
 			if !en.ok {
 				end = pick.Failed
 			}
-			tables[en.vm].End(en.at, en.id, end, en.at-en.began)
+			tables[en.vm].End(back.Now(), en.id, end, back.Now()-en.began)
 		}
 		vm := rnd.IntN(simVMs)
 		id := choose(vm, now)
 		tables[vm].Begin(id)
 		at, ok := servers[id].serve(now, rnd)
-		heap.Push(&back, ending{at: at, began: now, vm: vm, id: id, ok: ok})
+		back.After(at-now, ending{began: now, vm: vm, id: id, ok: ok})
 		total++
 		if ok {
 			rs.took = append(rs.took, at-now)
--- a/core/search/internal/qsim/plan.go
+++ b/core/search/internal/qsim/plan.go
@@ -36,13 +36,13 @@
 func (sm *sim) plan() {
 	ft := sm.cfg.Fault
 	if ft.LoseAt > 0 {
-		sm.at(ft.LoseAt, event{kind: evCall, call: sm.loseOneOfEach})
+		sm.After(ft.LoseAt, event{kind: evCall, call: sm.loseOneOfEach})
 	}
 	if ft.Drain {
-		sm.at(drainEvery, event{kind: evCall, call: func() { sm.drain(0) }})
+		sm.After(drainEvery, event{kind: evCall, call: func() { sm.drain(0) }})
 	}
 	if ft.Change {
-		sm.at(changeEvery, event{kind: evCall, call: sm.change})
+		sm.After(changeEvery, event{kind: evCall, call: sm.change})
 	}
 }
 
@@ -59,14 +59,14 @@
 	for i := 0; i < len(sm.servers); i += sm.cfg.Plant.Servers {
 		sv := sm.servers[i]
 		sv.die(sm, working[sv])
-		sm.at(viewLag, event{kind: evCall, call: func() { sv.out = true }})
+		sm.After(viewLag, event{kind: evCall, call: func() { sv.out = true }})
 	}
 }
 
 // working lists the sub-requests in slots and queues, in the order of events.
 func (sm *sim) working() []*flight {
 	var out []*flight
-	for _, ev := range sm.events.items {
+	for ev := range sm.All() {
 		if ev.kind == evWorked {
 			out = append(out, ev.fl)
 		}
@@ -84,14 +84,14 @@
 	}
 	sv := sm.servers[service*sm.cfg.Plant.Servers]
 	sv.draining = true
-	sm.at(drainFor, event{kind: evCall, call: func() { sv.draining, sv.out = false, false }})
+	sm.After(drainFor, event{kind: evCall, call: func() { sv.draining, sv.out = false, false }})
 	next := (service + 1) % sm.cfg.Plant.Services
-	sm.at(drainEvery, event{kind: evCall, call: func() { sm.drain(next) }})
+	sm.After(drainEvery, event{kind: evCall, call: func() { sm.drain(next) }})
 }
 
 // sign takes a server that said it is leaving out of the view.
 func (sm *sim) sign(sv *server) {
-	sm.at(signLag, event{kind: evCall, call: func() { sv.out = sv.draining || sv.dead }})
+	sm.After(signLag, event{kind: evCall, call: func() { sv.out = sv.draining || sv.dead }})
 }
 
 // change brings a new snapshot, which servers take up one by one.
@@ -103,10 +103,10 @@
 	version := sm.version
 	for _, sv := range sm.servers {
 		after := time.Duration(sm.rnd.Int64N(int64(rollout)))
-		sm.at(after, event{kind: evCall, call: func() { sv.hold(version) }})
-		sm.at(after+holdLag, event{kind: evCall, call: sm.look})
+		sm.After(after, event{kind: evCall, call: func() { sv.hold(version) }})
+		sm.After(after+holdLag, event{kind: evCall, call: sm.look})
 	}
-	sm.at(changeEvery, event{kind: evCall, call: sm.change})
+	sm.After(changeEvery, event{kind: evCall, call: sm.change})
 }
 
 func (sv *server) hold(version uint64) {
--- a/core/search/internal/qsim/server.go
+++ b/core/search/internal/qsim/server.go
@@ -52,7 +52,7 @@
 func (sv *server) refuse(sm *sim, fl *flight, ev search.Event) {
 	fl.ended = true
 	ev.Kind = search.EvRefused
-	sm.at(sm.hop(), event{kind: evTold, fl: fl, what: ev})
+	sm.After(sm.hop(), event{kind: evTold, fl: fl, what: ev})
 }
 
 // lose ends a sub-request whose server is gone.
@@ -62,7 +62,7 @@
 	if sm.cfg.Fault.Silent {
 		after = silentFor
 	}
-	sm.at(after, event{kind: evTold, fl: fl, what: search.Event{Kind: search.EvFailed, Reason: "reset", Sent: true}})
+	sm.After(after, event{kind: evTold, fl: fl, what: search.Event{Kind: search.EvFailed, Reason: "reset", Sent: true}})
 }
 
 func (sv *server) work(sm *sim, fl *flight) {
@@ -76,7 +76,7 @@
 	if sv.slow > 0 {
 		took = time.Duration(float64(took) * sv.slow)
 	}
-	sm.at(took, event{kind: evWorked, fl: fl})
+	sm.After(took, event{kind: evWorked, fl: fl})
 }
 
 func (sv *server) worked(sm *sim, fl *flight) {
@@ -88,7 +88,7 @@
 	if sm.cfg.Fault.ReportOnly {
 		version = sv.held[0]
 	}
-	sm.at(sm.hop(), event{kind: evTold, fl: fl, what: search.Event{
+	sm.After(sm.hop(), event{kind: evTold, fl: fl, what: search.Event{
 		Kind:     search.EvReply,
 		Shard:    fl.ac.Shard,
 		Snapshot: version,
@@ -106,7 +106,7 @@
 		if fl.ended {
 			continue
 		}
-		if sm.now >= fl.ac.Deadline {
+		if sm.Now() >= fl.ac.Deadline {
 			sv.refuse(sm, fl, search.Event{Reason: "expired"})
 			continue
 		}
--- a/core/search/internal/qsim/sim.go
+++ b/core/search/internal/qsim/sim.go
@@ -1,6 +1,7 @@
 package qsim
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -10,6 +11,7 @@
 	"laburnumvane/core/hedge"
 	"laburnumvane/core/search"
 	"laburnumvane/core/view"
+	"laburnumvane/internal/vtime"
 )
 
 const (
@@ -30,10 +32,9 @@
 
 // sim is one run.
 type sim struct {
+	vtime.Agenda[event]
 	cfg      Config
 	rnd      *rand.Rand
-	now      time.Duration
-	events   heap
 	servers  []*server
 	runs     int
 	inFlight int
@@ -86,10 +87,8 @@
 	}
 	sm.build()
 	sm.plan()
-	sm.at(0, event{kind: evArrive})
-	for sm.events.size() > 0 {
-		ev := sm.events.pop()
-		sm.now = ev.at
+	sm.After(0, event{kind: evArrive})
+	for ev := range sm.Until(math.MaxInt64) {
 		sm.handle(ev)
 	}
 	return sm.res
@@ -108,19 +107,14 @@
 	case evTold:
 		sm.told(ev.fl, ev.what)
 	case evWake:
-		if !ev.rn.done && ev.rn.wake == ev.at {
-			sm.perform(ev.rn, ev.rn.mc.Step(sm.now, search.Event{Kind: search.EvWake}))
+		if !ev.rn.done && ev.rn.wake == sm.Now() {
+			sm.perform(ev.rn, ev.rn.mc.Step(sm.Now(), search.Event{Kind: search.EvWake}))
 		}
 	case evCall:
 		ev.call()
 	}
 }
 
-func (sm *sim) at(after time.Duration, ev event) {
-	ev.at = sm.now + after
-	sm.events.push(ev)
-}
-
 func (sm *sim) hop() time.Duration {
 	hop := sm.cfg.Plant.Hop
 	return hop + time.Duration(sm.rnd.ExpFloat64()*float64(hop)/4)
@@ -131,19 +125,19 @@
 	sm.arrived++
 	if sm.arrived < sm.cfg.Searches {
 		mean := float64(time.Second) / (sm.cfg.Plant.rate() * sm.cfg.Load)
-		sm.at(time.Duration(sm.rnd.ExpFloat64()*mean), event{kind: evArrive})
+		sm.After(time.Duration(sm.rnd.ExpFloat64()*mean), event{kind: evArrive})
 	}
 	sm.res.Offered++
-	sm.res.Span = sm.now
+	sm.res.Span = sm.Now()
 	if sm.cfg.MaxInFlight > 0 && sm.inFlight >= sm.cfg.MaxInFlight {
 		return
 	}
 	sm.res.Admitted++
 	sm.inFlight++
 	sm.runs++
-	rn := &run{begun: sm.now}
+	rn := &run{begun: sm.Now()}
 	rn.mc = search.New(sm.planOf())
-	sm.perform(rn, rn.mc.Start(sm.now))
+	sm.perform(rn, rn.mc.Start(sm.Now()))
 }
 
 // planOf is the configuration of one search, as the driver makes it.
@@ -158,8 +152,8 @@
 		Number:        uint64(sm.runs),
 		Snapshot:      sn,
 		Newer:         func(version uint64) (view.Snapshot, bool) { return sm.register.Newer(version, sm.live) },
-		Soft:          sm.now + sm.cfg.Soft,
-		Hard:          sm.now + sm.cfg.Hard,
+		Soft:          sm.Now() + sm.cfg.Soft,
+		Hard:          sm.Now() + sm.cfg.Hard,
 		MinCoverage:   sm.cfg.MinCoverage,
 		HitLimit:      hitLimit,
 		Chooser:       sm,
@@ -181,11 +175,11 @@
 			sm.cancel(rn.flights[ac.Sub.Attempt])
 		case search.ActWake:
 			rn.wake = ac.At
-			sm.at(max(0, ac.At-sm.now), event{kind: evWake, rn: rn})
+			sm.After(max(0, ac.At-sm.Now()), event{kind: evWake, rn: rn})
 		case search.ActAnswer:
 			rn.done = true
 			sm.inFlight--
-			sm.res.add(sm.now-rn.begun, ac.Answer, sm.cfg.MinCoverage)
+			sm.res.add(sm.Now()-rn.begun, ac.Answer, sm.cfg.MinCoverage)
 		}
 	}
 }
@@ -193,24 +187,24 @@
 func (sm *sim) send(rn *run, ac search.Action) {
 	sv := sm.servers[ac.Server]
 	fl := &flight{rn: rn, ac: ac, server: sv}
-	fl.ac.Started = sm.now
+	fl.ac.Started = sm.Now()
 	rn.flights = append(rn.flights, fl)
 	sv.flying++
 	if sv.dead && !sm.cfg.Fault.Silent {
-		sm.at(dialHops*sm.cfg.Plant.Hop, event{kind: evTold, fl: fl, what: search.Event{Kind: search.EvFailed, Reason: "dial"}})
+		sm.After(dialHops*sm.cfg.Plant.Hop, event{kind: evTold, fl: fl, what: search.Event{Kind: search.EvFailed, Reason: "dial"}})
 		return
 	}
 	sm.res.sent(ac.Attempt)
-	sm.at(sm.hop(), event{kind: evReach, fl: fl})
+	sm.After(sm.hop(), event{kind: evReach, fl: fl})
 }
 
 func (sm *sim) cancel(fl *flight) {
-	took := sm.now - fl.ac.Started
+	took := sm.Now() - fl.ac.Started
 	fl.server.flying--
 	fl.server.observe(took, false)
 	sm.tracker.GaveUp(took)
 	fl.rn.flights[fl.ac.Sub.Attempt] = nil
-	sm.at(sm.hop(), event{kind: evCancel, fl: fl})
+	sm.After(sm.hop(), event{kind: evCancel, fl: fl})
 }
 
 // told hands the end of a sub-request to its search.
@@ -223,12 +217,12 @@
 	fl.server.flying--
 	what.Sub = fl.ac.Sub
 	if what.Kind == search.EvReply {
-		took := sm.now - fl.ac.Started
+		took := sm.Now() - fl.ac.Started
 		fl.server.observe(took, true)
 		sm.tracker.Observe(took)
 	}
 	if what.Elsewhere {
 		sm.sign(fl.server)
 	}
-	sm.perform(rn, rn.mc.Step(sm.now, what))
+	sm.perform(rn, rn.mc.Step(sm.Now(), what))
 }
--- a/core/spread/measure_test.go
+++ b/core/spread/measure_test.go
@@ -54,15 +54,15 @@
 	for _, v := range fl.vms {
 		v.bytes = 0
 	}
-	begun := fl.now
+	begun := fl.Now()
 	for i := range measureChanges {
 		fl.run(time.Duration(fl.rnd.ExpFloat64() / changesPerSecond * float64(time.Second)))
-		at := fl.now
+		at := fl.Now()
 		up := fl.change(fl.vms[fl.rnd.IntN(len(fl.vms))], fmt.Sprint("team", i%measureTeams), fmt.Sprint("c", i), measureDocument)
-		fl.later(20*time.Second, func() { me.count(up, at) })
+		fl.After(20*time.Second, func() { me.count(up, at) })
 	}
 	fl.run(25 * time.Second)
-	me.length = fl.now - begun
+	me.length = fl.Now() - begun
 	me.calls, me.steps, me.busy = fl.sv.calls, fl.steps, fl.busy
 	for _, n := range fl.sv.perSec {
 		me.peak = max(me.peak, n)
@@ -125,7 +125,7 @@
 func benchmarkInForce(b *testing.B, sz size, seed uint64, baseline bool) {
 	for b.Loop() {
 		fl := newFleet(seed, sz.centres, sz.each)
-		fl.loss, fl.baseline, fl.past = 0.01, baseline, measurePast
+		fl.link.Loss, fl.baseline, fl.past = 0.01, baseline, measurePast
 		me := measure(fl)
 		me.report(b)
 	}
@@ -138,7 +138,7 @@
 		b.Run(fmt.Sprintf("vms=%d", sz.centres*sz.each), func(b *testing.B) {
 			for b.Loop() {
 				fl := newFleet(4, sz.centres, sz.each)
-				fl.loss = 0.01
+				fl.link.Loss = 0.01
 				fl.start()
 				fl.run(20 * time.Second)
 				fl.cut = func(a, b string) bool { return (a == "dc1") != (b == "dc1") }
@@ -148,12 +148,12 @@
 					fl.run(30 * time.Second)
 				}
 				fl.cut = uncut
-				healed := fl.now
-				for !fl.haveAll(ups) && fl.now < healed+time.Minute {
+				healed := fl.Now()
+				for !fl.haveAll(ups) && fl.Now() < healed+time.Minute {
 					fl.run(50 * time.Millisecond)
 				}
 				b.ReportMetric(0, "ns/op")
-				b.ReportMetric((fl.now-healed).Seconds()*1000, "ms-converged")
+				b.ReportMetric((fl.Now()-healed).Seconds()*1000, "ms-converged")
 			}
 		})
 	}
@@ -197,21 +197,21 @@
 func BenchmarkReplacement(b *testing.B) {
 	for b.Loop() {
 		fl := newFleet(2, 4, 50)
-		fl.loss = 0.01
+		fl.link.Loss = 0.01
 		fl.start()
 		fl.run(10 * time.Second)
 		up := fl.change(fl.vms[0], "wash", "c1", measureDocument)
 		fl.run(10 * time.Second)
 		fl.sv.calls = 0
 		const boots = 700
-		begun := fl.now
+		begun := fl.Now()
 		for i := range boots {
 			fl.run(12 * time.Second)
 			fl.vms[i%len(fl.vms)].boot()
 		}
 		fl.run(10 * time.Second)
 		b.ReportMetric(0, "ns/op")
-		b.ReportMetric(float64(fl.sv.calls)/(fl.now-begun).Seconds(), "calls/s")
+		b.ReportMetric(float64(fl.sv.calls)/(fl.Now()-begun).Seconds(), "calls/s")
 		b.ReportMetric(float64(len(fl.vms)-fl.holding(up)), "without")
 	}
 }
--- a/core/spread/property_test.go
+++ b/core/spread/property_test.go
@@ -46,7 +46,7 @@
 		{"pause", func(ch *chaos) { ch.vm().paused = true }},
 		{"resume", func(ch *chaos) { ch.vm().resume() }},
 		{"boot", func(ch *chaos) { ch.vm().boot() }},
-		{"loss", func(ch *chaos) { ch.fl.loss = rapid.Float64Range(0, 0.5).Draw(ch.t, "share") }},
+		{"loss", func(ch *chaos) { ch.fl.link.Loss = rapid.Float64Range(0, 0.5).Draw(ch.t, "share") }},
 	}
 }
 
@@ -94,7 +94,7 @@
 func (ch *chaos) heal() {
 	fl := ch.fl
 	fl.cut = uncut
-	fl.loss, fl.jitter = 0, time.Millisecond
+	fl.link.Loss, fl.link.Jitter = 0, time.Millisecond
 	fl.sv.down, fl.sv.past, fl.sv.silent, fl.sv.slow = false, nil, false, 0
 	for _, v := range fl.vms {
 		v.resume()
@@ -109,7 +109,7 @@
 	// and so has the service.
 	rapid.Check(t, func(t *rapid.T) {
 		fl := newFleet(rapid.Uint64().Draw(t, "seed"), 2, rapid.IntRange(1, 3).Draw(t, "each"))
-		fl.jitter = time.Duration(rapid.IntRange(1, 3000).Draw(t, "jitterMs")) * time.Millisecond
+		fl.link.Jitter = time.Duration(rapid.IntRange(1, 3000).Draw(t, "jitterMs")) * time.Millisecond
 		ch := &chaos{t: t, fl: fl}
 		fl.start()
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
--- a/core/spread/sim_test.go
+++ b/core/spread/sim_test.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -10,46 +9,21 @@
 	"github.com/go-faster/errors"
 
 	"laburnumvane/core/rank"
+	"laburnumvane/internal/vtime"
 )
 
 // The tests step machines over a queue of messages with virtual time.
 
-type moment struct {
-	at  time.Duration
-	no  int
-	run func()
-}
-
-type moments []moment
-
-func (ms moments) Len() int { return len(ms) }
-func (ms moments) Less(i, j int) bool {
-	return ms[i].at < ms[j].at || ms[i].at == ms[j].at && ms[i].no < ms[j].no
-}
-func (ms moments) Swap(i, j int) { ms[i], ms[j] = ms[j], ms[i] }
-func (ms *moments) Push(x any)   { *ms = append(*ms, x.(moment)) }
-func (ms *moments) Pop() any {
-	old := *ms
-	last := old[len(old)-1]
-	*ms = old[:len(old)-1]
-	return last
-}
-
 // fleet is some VMs, the service and the network between them.
 type fleet struct {
-	now   time.Duration
-	queue moments
-	no    int
+	vtime.Agenda[func()]
+	link  vtime.Link
 	rnd   *rand.Rand
 	vms   []*vm
 	index map[string]*vm
 	sv    *fakeService
 	pace  Pace
-	// loss is the share of messages that never arrive, each way counted.
-	loss float64
-	// jitter is the largest delay of a message beyond the distance.
-	jitter time.Duration
-	cut    func(a, b string) bool
+	cut   func(a, b string) bool
 	// baseline lets every VM watch by itself.
 	baseline bool
 	// past is how many bytes a value in the service has beyond the document.
@@ -86,7 +60,9 @@
 func uncut(_, _ string) bool { return false }
 
 func newFleet(seed uint64, centres, each int) *fleet {
-	fl := &fleet{index: map[string]*vm{}, rnd: rand.New(rand.NewPCG(seed, 7)), jitter: time.Millisecond, cut: uncut}
+	rnd := rand.New(rand.NewPCG(seed, 7))
+	fl := &fleet{index: map[string]*vm{}, rnd: rnd, cut: uncut}
+	fl.link = vtime.Link{Rand: rnd, Jitter: time.Millisecond}
 	fl.sv = &fakeService{fl: fl, held: map[string]Update{}}
 	for c := range centres {
 		for i := range each {
@@ -116,32 +92,19 @@
 	}
 }
 
-func (fl *fleet) later(d time.Duration, run func()) {
-	fl.no++
-	heap.Push(&fl.queue, moment{at: fl.now + d, no: fl.no, run: run})
-}
-
 func (fl *fleet) run(d time.Duration) {
-	end := fl.now + d
-	for len(fl.queue) > 0 && fl.queue[0].at <= end {
-		mo := heap.Pop(&fl.queue).(moment)
-		fl.now = mo.at
-		mo.run()
+	for run := range fl.Until(fl.Now() + d) {
+		run()
 	}
-	fl.now = end
 }
 
 func (fl *fleet) find(addr string) *vm { return fl.index[addr] }
 
-func (fl *fleet) delay(d time.Duration) time.Duration {
-	return d + time.Duration(fl.rnd.Int64N(int64(fl.jitter)+1))
-}
-
 // send carries a message of so many bytes of payload.
 func (fl *fleet) send(from, to *vm, size int, run func()) {
 	from.count(size)
 	to.count(size)
-	if fl.rnd.Float64() < fl.loss || fl.cut(from.self.DataCentre, to.self.DataCentre) {
+	if fl.link.Lost() || fl.cut(from.self.DataCentre, to.self.DataCentre) {
 		return
 	}
 	dist := near
@@ -149,7 +112,7 @@
 		dist = far
 	}
 	life := to.life
-	fl.later(fl.delay(dist), func() {
+	fl.After(fl.link.Delay(dist), func() {
 		if to.life == life {
 			run()
 		}
@@ -182,7 +145,7 @@
 		return
 	}
 	begun := time.Now()
-	acts := v.ma.Step(v.fl.now, ev)
+	acts := v.ma.Step(v.fl.Now(), ev)
 	v.fl.busy += time.Since(begun)
 	v.fl.steps++
 	for _, ac := range acts {
@@ -193,12 +156,12 @@
 
 func (v *vm) schedule() {
 	next := v.ma.Next()
-	if next == never || v.wake > v.fl.now && v.wake <= next {
+	if next == never || v.wake > v.fl.Now() && v.wake <= next {
 		return
 	}
 	v.wake = next
 	life := v.life
-	v.fl.later(max(0, next-v.fl.now), func() {
+	v.fl.After(max(0, next-v.fl.Now()), func() {
 		if v.life == life && v.wake == next {
 			v.wake = 0
 			v.step(Tick{})
@@ -237,7 +200,7 @@
 			v.alarms[ac.Kind]++
 		}
 		if v.fl.log != nil {
-			fmt.Fprintf(v.fl.log, "%10s %s alarm %s team=%s raised=%t %s\n", v.fl.now.Round(time.Millisecond), v.self.Addr, ac.Kind, ac.Team, ac.Raised, ac.Text)
+			fmt.Fprintf(v.fl.log, "%10s %s alarm %s team=%s raised=%t %s\n", v.fl.Now().Round(time.Millisecond), v.self.Addr, ac.Kind, ac.Team, ac.Raised, ac.Text)
 		}
 	}
 }
@@ -247,9 +210,9 @@
 		v.fell = fmt.Sprintf("%s: team %s went from %d to %d", v.self.Addr, up.Team, old.Revision, up.Revision)
 	}
 	v.force[up.Team] = up.Name()
-	v.at[up.ChangeID] = v.fl.now
+	v.at[up.ChangeID] = v.fl.Now()
 	if v.fl.log != nil {
-		fmt.Fprintf(v.fl.log, "%10s %s in force %s/%d\n", v.fl.now.Round(time.Millisecond), v.self.Addr, up.Team, up.Revision)
+		fmt.Fprintf(v.fl.log, "%10s %s in force %s/%d\n", v.fl.Now().Round(time.Millisecond), v.self.Addr, up.Team, up.Revision)
 	}
 }
 
--- a/core/spread/simservice_test.go
+++ b/core/spread/simservice_test.go
@@ -35,9 +35,9 @@
 	if sv.perSec == nil {
 		sv.perSec = map[int]int{}
 	}
-	sv.perSec[int(sv.fl.now/time.Second)]++
+	sv.perSec[int(sv.fl.Now()/time.Second)]++
 	life := v.life
-	sv.fl.later(sv.fl.delay(near)+sv.slow, func() {
+	sv.fl.After(sv.fl.link.Delay(near)+sv.slow, func() {
 		if v.life == life && !sv.down && !sv.fl.cut(v.self.DataCentre, "service") {
 			run()
 		}
@@ -50,7 +50,7 @@
 		return
 	}
 	v.count(size)
-	sv.fl.later(sv.fl.delay(near), func() {
+	sv.fl.After(sv.fl.link.Delay(near), func() {
 		if v.life == life {
 			v.step(ev)
 		}
@@ -79,7 +79,7 @@
 		return
 	}
 	sv.waiters = append(sv.waiters, wt)
-	sv.fl.later(ac.Wait, func() {
+	sv.fl.After(ac.Wait, func() {
 		sv.waiters = slices.DeleteFunc(sv.waiters, func(other waiter) bool {
 			if other != wt {
 				return false
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -50,12 +50,12 @@
 	}{
 		{"none", func(*fleet) {}, false, time.Second, 0},
 		{"quiet", func(*fleet) {}, true, time.Second, 0},
-		{"fifth of messages lost", func(fl *fleet) { fl.loss = 0.2 }, false, 6 * time.Second, 0},
-		{"messages overtake each other", func(fl *fleet) { fl.jitter = 2 * time.Second }, false, 8 * time.Second, 0},
+		{"fifth of messages lost", func(fl *fleet) { fl.link.Loss = 0.2 }, false, 6 * time.Second, 0},
+		{"messages overtake each other", func(fl *fleet) { fl.link.Jitter = 2 * time.Second }, false, 8 * time.Second, 0},
 		{"watches silent for good", func(fl *fleet) { fl.sv.silent = true }, false, 2 * time.Second, 0},
-		{"watches silent, change quiet", func(fl *fleet) { fl.sv.silent = true; fl.later(time.Minute, func() { fl.sv.silent = false }) }, true, 2 * time.Minute, 0},
+		{"watches silent, change quiet", func(fl *fleet) { fl.sv.silent = true; fl.After(time.Minute, func() { fl.sv.silent = false }) }, true, 2 * time.Minute, 0},
 		{"watches silent for ever, change quiet", func(fl *fleet) { fl.sv.silent = true }, true, 8 * time.Minute, 0},
-		{"events compacted", func(fl *fleet) { fl.later(time.Second, fl.sv.compact) }, true, 15 * time.Second, 0},
+		{"events compacted", func(fl *fleet) { fl.After(time.Second, fl.sv.compact) }, true, 15 * time.Second, 0},
 		{"service slow by 10 s", func(fl *fleet) { fl.sv.slow = 10 * time.Second }, false, 2 * time.Second, 0},
 		{"service slow by 10 s, change quiet", func(fl *fleet) { fl.sv.slow = 10 * time.Second }, true, time.Minute, 0},
 		{"service answers from the past", func(fl *fleet) { fl.sv.past = fl.sv.copy() }, false, 2 * time.Second, 0},
@@ -70,7 +70,7 @@
 		{"data centre cut off", cutOff, false, 5 * time.Second, 8},
 		{"data centre cut off for a while", func(fl *fleet) {
 			cutOff(fl)
-			fl.later(time.Minute, func() { fl.cut = uncut })
+			fl.After(time.Minute, func() { fl.cut = uncut })
 		}, false, 70 * time.Second, 0},
 	}
 	for i, tc := range cases {
@@ -311,7 +311,7 @@
 	// build, and what each VM did when.
 	fl := newFleet(9, 2, 2)
 	fl.log = &strings.Builder{}
-	note := func(text string) { fmt.Fprintf(fl.log, "%10s -- %s\n", fl.now.Round(time.Millisecond), text) }
+	note := func(text string) { fmt.Fprintf(fl.log, "%10s -- %s\n", fl.Now().Round(time.Millisecond), text) }
 	note("four VMs boot; the service holds nothing")
 	fl.start()
 	fl.run(3 * time.Second)
