internal/golden: front and oper compare with it too

Change: io/front and io/oper use internal/golden, which takes over contr's better message: the first line that differs. A session that is only shorter fails by its number of lines, which golden's own test now covers.

--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -20,6 +20,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -32,10 +33,18 @@
 // Path is where the golden file of that name is, seen from the test's folder.
 func Path(name string) string { return filepath.Join("testdata", name+".golden") }
 
-// Check fails the test unless got is what the golden file holds.
+// Check fails the test unless got is what the golden file holds, and names the
+// first line that differs: a whole session beside another shows nothing.
 func Check(t testing.TB, name, got string) {
 	t.Helper()
-	is.New(t).Equal(got, Want(t, name, got)) // run with -update to write it anew
+	is := is.New(t)
+	gls, wls := strings.Split(got, "\n"), strings.Split(Want(t, name, got), "\n")
+	for i := range min(len(gls), len(wls)) {
+		if gls[i] != wls[i] {
+			t.Fatalf("%s:%d: run with -update to write it anew\ngot  %s\nwant %s", Path(name), i+1, gls[i], wls[i])
+		}
+	}
+	is.Equal(len(gls), len(wls)) // lines of the session
 }
 
 // Want is what the golden file holds, for tests that compare in their own way.
--- a/internal/golden/golden_test.go
+++ b/internal/golden/golden_test.go
@@ -16,12 +16,13 @@
 	failed bool
 }
 
-func (sp *spy) Helper()             {}
-func (sp *spy) FailNow()            { sp.failed = true }
-func (sp *spy) Fail()               { sp.failed = true }
-func (sp *spy) Name() string        { return "spy" }
-func (sp *spy) Log(...any)          {}
-func (sp *spy) Logf(string, ...any) {}
+func (sp *spy) Helper()               {}
+func (sp *spy) FailNow()              { sp.failed = true }
+func (sp *spy) Fatalf(string, ...any) { sp.failed = true }
+func (sp *spy) Fail()                 { sp.failed = true }
+func (sp *spy) Name() string          { return "spy" }
+func (sp *spy) Log(...any)            {}
+func (sp *spy) Logf(string, ...any)   {}
 
 func TestCheck(t *testing.T) {
 	for _, tt := range []struct {
@@ -33,6 +34,7 @@
 	}{
 		{"same", "a\n", "false", false, "a\n"},
 		{"other", "b\n", "false", true, "b\n"},
+		{"shorter", "a\nb\n", "false", true, "a\nb\n"},
 		{"otherWithUpdate", "b\n", "true", false, "a\n"},
 		{"noFile", "", "false", true, ""},
 		{"noFileWithUpdate", "", "true", false, "a\n"},
--- a/io/contr/talk.go
+++ b/io/contr/talk.go
@@ -1,10 +1,8 @@
 package contr
 
 import (
-	"flag"
 	"io"
 	"net"
-	"os"
 	"regexp"
 	"strings"
 	"testing"
@@ -103,30 +101,6 @@
 	}
 }
 
-// Golden compares a transcript with a file of testdata, or writes the file where
-// update is set.
-func Golden(tb testing.TB, update *bool, path, got string) {
-	tb.Helper()
-	is := is.New(tb)
-	if *update {
-		is.NoErr(os.WriteFile(path, []byte(got), 0o644))
-	}
-	want, err := os.ReadFile(path)
-	is.NoErr(err)
-	gls, wls := strings.Split(got, "\n"), strings.Split(string(want), "\n")
-	for i := range min(len(gls), len(wls)) {
-		if gls[i] != wls[i] {
-			tb.Fatalf("%s:%d:\ngot  %s\nwant %s", path, i+1, gls[i], wls[i])
-		}
-	}
-	is.Equal(len(gls), len(wls)) // lines of the transcript
-}
-
-// UpdateFlag is -update of a test binary.
-func UpdateFlag() *bool {
-	return flag.Bool("update", false, "write the golden files anew")
-}
-
 // LibraryGoroutines are those that libraries start once for a process and never
 // end; a check for leaks must not count them.
 func LibraryGoroutines() []goleak.Option {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -14,14 +14,13 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"laburnumvane/internal/golden"
 	"laburnumvane/io/contr"
 	"laburnumvane/io/drive"
 	"laburnumvane/io/front"
 	"laburnumvane/io/wire"
 )
 
-var update = contr.UpdateFlag()
-
 // patience ends a test that hangs; no verdict depends on it.
 const patience = 30 * time.Second
 
@@ -238,7 +237,7 @@
 	for _, tc := range cases {
 		all.WriteString(contr.Transcript(tc.name, tc.steps, contr.Talk(t, be.addr, tc.steps...)))
 	}
-	contr.Golden(t, update, "testdata/sessions.golden", all.String())
+	golden.Check(t, "sessions", all.String())
 }
 
 // The caller's id must find the request again, wherever it is looked for.
--- a/io/oper/oper_test.go
+++ b/io/oper/oper_test.go
@@ -15,13 +15,12 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"laburnumvane/internal/golden"
 	"laburnumvane/io/contr"
 	"laburnumvane/io/oper"
 	"laburnumvane/io/wire"
 )
 
-var update = contr.UpdateFlag()
-
 // patience ends a test that hangs; no verdict depends on it.
 const patience = 30 * time.Second
 
@@ -180,7 +179,7 @@
 		}
 		all.WriteString(contr.Transcript(tc.name, tc.steps, contr.Talk(t, addr, tc.steps...)))
 	}
-	contr.Golden(t, update, "testdata/sessions.golden", all.String())
+	golden.Check(t, "sessions", all.String())
 	is := is.New(t)
 	is.Equal(fk.made[1].Actor, "Ada")
 	is.Equal(fk.level, "debug")
