internal/quiet: one place silences the HTTP library in tests

Cause: the library logs every connection that a failure test breaks. Five test packages each set its level; io/site and io/node did not, and the one line that named the failed test stood among 513 others.

--- a/io/emul/help_test.go
+++ b/io/emul/help_test.go
@@ -9,9 +9,10 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
+
+	_ "laburnumvane/internal/quiet"
 )
 
 const (
@@ -20,7 +21,6 @@
 )
 
 func TestMain(m *testing.M) {
-	hlog.SetLevel(hlog.LevelFatal)
 	// Every Close must end what its Start began. The pool library starts its
 	// default pool with the process. The HTTP library keeps one goroutine that
 	// tells the date, and its client two that look for idle connections every
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
 	"laburnumvane/internal/golden"
+	_ "laburnumvane/internal/quiet"
 	"laburnumvane/io/contr"
 	"laburnumvane/io/drive"
 	"laburnumvane/io/front"
@@ -25,7 +25,6 @@
 const patience = 30 * time.Second
 
 func TestMain(m *testing.M) {
-	hlog.SetLevel(hlog.LevelFatal)
 	goleak.VerifyTestMain(m, contr.LibraryGoroutines()...)
 }
 
--- /dev/null
+++ b/io/node/quiet_test.go
@@ -0,0 +1,4 @@
+package node_test
+
+// Servers die on purpose here.
+import _ "laburnumvane/internal/quiet"
--- a/io/oper/oper_test.go
+++ b/io/oper/oper_test.go
@@ -10,12 +10,12 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
 	"laburnumvane/internal/golden"
+	_ "laburnumvane/internal/quiet"
 	"laburnumvane/io/contr"
 	"laburnumvane/io/oper"
 	"laburnumvane/io/wire"
@@ -25,7 +25,6 @@
 const patience = 30 * time.Second
 
 func TestMain(m *testing.M) {
-	hlog.SetLevel(hlog.LevelFatal)
 	goleak.VerifyTestMain(m, contr.LibraryGoroutines()...)
 }
 
--- a/io/plat/client_test.go
+++ b/io/plat/client_test.go
@@ -11,11 +11,11 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	_ "laburnumvane/internal/quiet"
 	"laburnumvane/io/contr"
 	"laburnumvane/io/emul"
 	"laburnumvane/io/plat"
@@ -29,7 +29,6 @@
 )
 
 func TestMain(m *testing.M) {
-	hlog.SetLevel(hlog.LevelFatal)
 	goleak.VerifyTestMain(m, contr.LibraryGoroutines()...)
 }
 
--- /dev/null
+++ b/io/site/quiet_test.go
@@ -0,0 +1,4 @@
+package site_test
+
+// Servers die on purpose here.
+import _ "laburnumvane/internal/quiet"
