site: overload on real sockets, with limits and without

Cause: what the limits are worth under overload was measured in virtual time only. A load's report has the latency of whole answers, since quick refusals would hide it.

--- a/io/drive/admit.go
+++ b/io/drive/admit.go
@@ -108,6 +108,8 @@
 	// waited is the time in the queue; it is part of the caller's deadline.
 	waited time.Duration
 	begun  bool
+	// free is set where limits are off.
+	free bool
 }
 
 // enter lets a search in, after a wait where need be, or refuses it. Nothing
@@ -122,6 +124,10 @@
 		class:  admit.ClassOf(conf.Class),
 		at:     now,
 	}
+	if ad.dr.cfg.Unlimited {
+		ps.free = true
+		return ps, nil
+	}
 	if ps.bucket != nil {
 		if re, after := ps.bucket.Take(now); re != "" {
 			return nil, ad.refuse(string(re), after)
@@ -155,12 +161,18 @@
 
 // start tells that the first sub-requests are counted in the limits.
 func (ps *pass) start() {
+	if ps.free {
+		return
+	}
 	ps.begun = true
 	ps.do.with(ps.ad.dr, func(mc *machine) { mc.Begun() })
 }
 
 // leave ends the search.
 func (ps *pass) leave(behind bool) {
+	if ps.free {
+		return
+	}
 	now := ps.ad.dr.now()
 	ps.do.with(ps.ad.dr, func(mc *machine) {
 		if !ps.begun {
--- a/io/drive/door.go
+++ b/io/drive/door.go
@@ -104,6 +104,8 @@
 type roomy struct {
 	inner pick.Chooser
 	ad    *admission
+	// blind is set where limits are off.
+	blind bool
 }
 
 const (
@@ -167,5 +169,5 @@
 }
 
 func (ch roomy) room(now time.Duration, id view.ServerID) bool {
-	return int(id) >= ch.ad.limits.Len() || ch.ad.limits.Room(now, id)
+	return ch.blind || int(id) >= ch.ad.limits.Len() || ch.ad.limits.Room(now, id)
 }
--- a/io/drive/driver.go
+++ b/io/drive/driver.go
@@ -60,6 +60,9 @@
 	// Bucket returns the bucket that holds a team to its limits; nil, or one
 	// that returns nil, means no limit.
 	Bucket func(team string) *share.Bucket
+	// Unlimited lets every search in at once, by no limit but the deadline. It
+	// is the other side of a measurement, and for no VM that serves.
+	Unlimited bool
 	// Seed seeds the choice of replicas.
 	Seed uint64
 }
@@ -153,5 +156,5 @@
 	if once {
 		ch = ch.WithoutProbes()
 	}
-	return roomy{inner: ch, ad: dr.admission}
+	return roomy{inner: ch, ad: dr.admission, blind: dr.cfg.Unlimited}
 }
--- a/io/emul/tally.go
+++ b/io/emul/tally.go
@@ -29,6 +29,9 @@
 	Reasons   map[string]uint64
 	// Latency is of the answered, in microseconds from the scheduled arrival.
 	Latency *hdrhistogram.Histogram
+	// Whole is Latency of those answered completely: a refusal is quick, and
+	// many of them would hide how slow the answers are.
+	Whole *hdrhistogram.Histogram
 	// Coverage is the mean share over the answers that are complete or partial.
 	Coverage float64
 	Work     wire.Work
@@ -64,6 +67,7 @@
 		Outcomes: map[wire.Outcome]uint64{},
 		Reasons:  map[string]uint64{},
 		Latency:  hdrhistogram.New(latencyLowest, latencyHighest, latencyDigits),
+		Whole:    hdrhistogram.New(latencyLowest, latencyHighest, latencyDigits),
 	}}
 }
 
@@ -105,6 +109,9 @@
 	}
 	us := min(max(latency.Microseconds(), latencyLowest), latencyHighest)
 	_ = tl.rep.Latency.RecordValue(us) // cannot fail within the range
+	if ans.Outcome == wire.OutcomeComplete {
+		_ = tl.rep.Whole.RecordValue(us)
+	}
 }
 
 func (tl *tally) report(elapsed time.Duration) LoadReport {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -44,6 +44,8 @@
 	Log      *log.Logger
 	// Version is shown in the status.
 	Version string
+	// Unlimited turns the limits on searches off, for measurements.
+	Unlimited bool
 }
 
 // Node is a running VM.
@@ -190,6 +192,7 @@
 		},
 		Incarnation: nd.set.Incarnation,
 		MaxDeadline: nd.set.MaxDeadline,
+		Unlimited:   nd.cfg.Unlimited,
 		Seed:        nd.set.Incarnation,
 	})
 	nd.desk = &desk{nd: nd, driver: nd.driver}
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -36,8 +36,10 @@
 	Region      string
 	Register    *emul.Register
 	// Services hold the shards; each has three servers.
-	Services    int
-	Slots       int
+	Services int
+	Slots    int
+	// Queue is how many sub-requests wait at a server; 0 takes the default.
+	Queue       int
 	Connections int
 	// ConnectTime is what a new connection to an upstream costs.
 	ConnectTime time.Duration
@@ -52,6 +54,8 @@
 	TicketTTL time.Duration
 	// StopGrace bounds a planned stop; 0 takes the default.
 	StopGrace time.Duration
+	// Unlimited turns the VMs' limits off, to measure what they are worth.
+	Unlimited bool
 	// CallerAddr is the first VM's callers' listener; empty for any port.
 	CallerAddr string
 }
@@ -94,6 +98,7 @@
 		Services:    st.cfg.Services,
 		DataCentres: st.cfg.DataCentres,
 		Slots:       st.cfg.Slots,
+		Queue:       st.cfg.Queue,
 		Connections: st.cfg.Connections,
 		Setup:       st.cfg.ConnectTime,
 		Service:     st.cfg.ServiceTime,
@@ -181,7 +186,7 @@
 	}
 	st.boots++
 	set = set.WithIncarnation(time.Now().Add(time.Duration(st.boots) * time.Microsecond))
-	nd, err := node.Start(node.Config{Settings: set, Log: cfg.Log, Version: "site"})
+	nd, err := node.Start(node.Config{Settings: set, Log: cfg.Log, Version: "site", Unlimited: cfg.Unlimited})
 	if err != nil {
 		return nil, err
 	}
