share: demands within groups and sums between them

Change: with Config.Group a VM tells its demand within its group; a summer announces the sum there, and tells it to the other groups once all must have heard; a part is the VM's part of its group times the group's. Without Group nothing changes.

--- a/core/share/doc.go
+++ b/core/share/doc.go
@@ -34,6 +34,30 @@
 // The bound needs a demand to reach the others within Way, a part of the Window,
 // of being told; a VM counts as missed when nothing new of it came for the rest.
 //
+// # Groups
+//
+// With Config.Group set, a VM tells its demand within its group alone. One VM of
+// each group, the summer, adds up the group's demands and tells the sum to the
+// other groups. A VM's part is then its part of the group, by the rule above,
+// times the group's part of the limit, by the same rule over the sums:
+//
+//	L * low / (low + sum of the other groups' sums as last heard)
+//
+// Teller and user are not the same VM here, so a summer announces each sum inside
+// the group first, with the least that it announced in three FarWindows. What it
+// tells outside is the greatest of a Window of announcements, and nothing before
+// it has summed for a Window. So any sum in use elsewhere is at least the low of
+// every VM of the group that hears its summers; one that does not says so, and a
+// summer passes that on, and then no group raises its part. It does not matter
+// who sums, two at a time or nobody for a while.
+//
+// The groups' parts sum to L at most, and so do all VMs', while cuts are shorter
+// than Forget. Groups of k VMs together that are cut off for longer, or have no
+// summer for longer, keep an even part: L * (1 + k/N), less than 1.5 L. A VM that
+// is new has at most L/N for five FarWindows, since sums may be in use that it
+// never heard of. A VM cut off within its group adds to the group's part what the
+// rule above says.
+//
 // # Usage
 //
 // The control goroutine owns a Machine; traffic takes from a Bucket:
--- a/core/share/lows.go
+++ b/core/share/lows.go
@@ -45,3 +45,16 @@
 	}
 	return least
 }
+
+// high is the greatest rate in force since then. Where rates were put together
+// for want of room, it may be too low; keep is well above what a window holds.
+func (lw *lows) high(since time.Duration) float64 {
+	most := 0.0
+	for i, to := range lw.told {
+		if i+1 < len(lw.told) && lw.told[i+1].at <= since {
+			continue
+		}
+		most = max(most, to.rate)
+	}
+	return most
+}
--- a/core/share/machine.go
+++ b/core/share/machine.go
@@ -23,6 +23,13 @@
 	Held     bool
 	VM       VM
 	Sequence uint64
+	// Cut is set while the VM misses another of its group, or another group.
+	Cut bool
+	// Sums is set if the VM sums for its group, or did lately, and Low is then
+	// the least sum that it announced; Leads is set while it does.
+	Sums  bool
+	Leads bool
+	Low   float64
 }
 
 // Limit is a team's limit over all VMs together; 0 means none.
@@ -44,6 +51,13 @@
 	// Floor is the least demand of a VM, as a share of the limit over N: what
 	// an idle VM may let start at once.
 	Floor float64
+	// Group is set where VMs tell their demands within their group alone, and
+	// summers tell the other groups the sums: the data centre, or a part of it.
+	Group string
+	// FarWindow is the Window between groups, at least twice it, and FarWay the
+	// part of it for a sum's way.
+	FarWindow time.Duration
+	FarWay    time.Duration
 }
 
 // Machine divides the limits of all teams; the control goroutine owns it.
@@ -59,6 +73,9 @@
 	teams    map[string]*split
 	heard    map[VM]*peer
 	told     []Demand
+	tier     tier
+	// startedAt is when the machine first ran.
+	startedAt time.Duration
 }
 
 // peer is another VM: when it was heard and which was its last message.
@@ -72,6 +89,7 @@
 type want struct {
 	rate float64
 	held bool
+	cut  bool
 }
 
 // split is one team's limit and who wants how much of it.
@@ -82,6 +100,8 @@
 	told   lows
 	wants  map[VM]want
 	share  float64
+	// upper is the part of the VM's group; it is the whole where there is none.
+	upper upperSplit
 }
 
 // New makes a machine that knows of no team and no other VM.
@@ -98,7 +118,18 @@
 	if cfg.Floor == 0 {
 		cfg.Floor = 0.1
 	}
-	return &Machine{cfg: cfg, teams: make(map[string]*split), heard: make(map[VM]*peer)}
+	if cfg.FarWindow == 0 {
+		cfg.FarWindow = 3 * cfg.Window
+	}
+	if cfg.FarWay == 0 {
+		cfg.FarWay = cfg.FarWindow / 3
+	}
+	return &Machine{
+		cfg:   cfg,
+		teams: make(map[string]*split),
+		heard: make(map[VM]*peer),
+		tier:  tier{far: make(map[string]*farGroup)},
+	}
 }
 
 // Limit sets a team's limit and returns its bucket, which stays the same.
@@ -108,6 +139,7 @@
 	if !ok {
 		sp = &split{name: team, bucket: newBucket(), wants: make(map[VM]want)}
 		sp.share = mc.even()
+		sp.upper = upperSplit{announced: make(map[VM]announced), share: mc.groupEven()}
 		mc.teams[team] = sp
 	}
 	sp.limit = limit
@@ -136,11 +168,17 @@
 	for _, sp := range mc.teams {
 		if mc.young(sp) {
 			sp.share = mc.even()
+			sp.upper.share = mc.groupEven()
 			mc.apply(sp)
 		}
 	}
 }
 
+// groupEven is the group's part by the number of its VMs.
+func (mc *Machine) groupEven() float64 {
+	return float64(mc.count()) / float64(mc.all())
+}
+
 func (mc *Machine) drop(vm VM) {
 	delete(mc.heard, vm)
 	for _, sp := range mc.teams {
@@ -173,7 +211,8 @@
 		pe.at, pe.sequence, pe.ever = mc.now, de.Sequence, true
 	}
 	if sp, ok := mc.teams[de.Team]; ok {
-		sp.wants[de.VM] = want{rate: de.Rate, held: de.Held}
+		sp.wants[de.VM] = want{rate: de.Rate, held: de.Held, cut: de.Cut}
+		mc.hearLow(sp, de)
 	}
 }
 
@@ -183,10 +222,11 @@
 	mc.advance(now)
 	mc.sequence++
 	mc.told = mc.told[:0]
-	lo := mc.look()
+	lo, cut := mc.look(), mc.cut()
 	for _, sp := range mc.teams {
 		rate := mc.bounded(sp, sp.bucket.measure(mc.now))
 		sp.told.add(mc.now, rate)
+		low, sums := mc.announce(sp, rate)
 		mc.told = append(mc.told, Demand{
 			Team:     sp.name,
 			Rate:     rate,
@@ -194,6 +234,10 @@
 			Held:     !lo.hears || mc.young(sp),
 			VM:       mc.cfg.Self,
 			Sequence: mc.sequence,
+			Cut:      cut,
+			Sums:     sums,
+			Leads:    mc.tier.leads,
+			Low:      low,
 		})
 	}
 	return mc.told
@@ -207,7 +251,7 @@
 	if limit <= 0 {
 		limit = max(1, float64(sp.limit.Concurrent))
 	}
-	return min(max(rate, mc.cfg.Floor*limit/float64(mc.count())), limit)
+	return min(max(rate, mc.cfg.Floor*limit/float64(mc.all())), limit)
 }
 
 // even is the part of a new VM. Before it knows who else there is, it takes a
@@ -233,95 +277,21 @@
 	lo := mc.look()
 	for _, sp := range mc.teams {
 		sp.share = mc.shareOf(sp, lo)
+		sp.upper.share = mc.groupShare(sp)
 		mc.apply(sp)
 	}
 }
 
-// look is what the VM sees of the others.
-type look struct {
-	// hears: all were heard lately, and have been for a Window, so that they
-	// have heard this VM again too before it raises its part.
-	hears bool
-	// lost is the number silent for longer than Forget, fewer is set where no
-	// more than half are left.
-	lost  int
-	fewer bool
-}
-
-func (mc *Machine) look() look {
-	var lo look
-	missed := false
-	for _, pe := range mc.heard {
-		silent := mc.now - pe.at
-		if silent > mc.cfg.Forget {
-			lo.lost++
-			continue
-		}
-		if silent > mc.cfg.Window-mc.cfg.Way || !pe.ever {
-			missed = true
-		}
-	}
-	if missed {
-		mc.missedAt = mc.now
-	}
-	lo.hears = !missed && mc.now >= mc.missedAt+mc.cfg.Window
-	lo.fewer = 2*(mc.count()-lo.lost) <= mc.count()
-	return lo
-}
-
-func (mc *Machine) shareOf(sp *split, lo look) float64 {
-	even := mc.even()
-	if mc.young(sp) {
-		return even
-	}
-	low := sp.told.low(mc.now - 2*mc.cfg.Window)
-	sum, held := mc.others(sp)
-	part := low / (low + sum)
-	switch {
-	case lo.lost > 0 && lo.fewer:
-		// The others divide the limit among themselves by now.
-		return min(sp.share, even)
-	case !lo.hears || held:
-		return min(sp.share, part)
-	default:
-		return part
-	}
-}
-
-// young tells whether this VM has not told its demand for two Windows yet: the
-// others may not have heard of all that it would claim.
-func (mc *Machine) young(sp *split) bool {
-	return !sp.told.covers(mc.now - 2*mc.cfg.Window)
-}
-
-// others sums the demands of those not given up and tells whether one of them
-// holds its part. One not heard of this team yet does, at the floor.
-func (mc *Machine) others(sp *split) (sum float64, held bool) {
-	floor := mc.bounded(sp, 0)
-	for vm, pe := range mc.heard {
-		if mc.now-pe.at > mc.cfg.Forget {
-			continue
-		}
-		wa, ok := sp.wants[vm]
-		if !ok {
-			wa = want{rate: floor, held: true}
-		}
-		sum += wa.rate
-		held = held || wa.held
-	}
-	return sum, held
-}
-
 // apply puts a team's part in force.
 func (mc *Machine) apply(sp *split) {
 	rate, most := math.Inf(1), math.MaxInt
 	if sp.limit.Rate > 0 {
-		rate = sp.share * sp.limit.Rate
+		rate = mc.shareOfAll(sp) * sp.limit.Rate
 	}
 	if sp.limit.Concurrent > 0 {
 		// A VM with less than a whole place keeps one: otherwise a small
 		// limit would admit nothing anywhere.
-		most = max(1, int(sp.share*float64(sp.limit.Concurrent)))
+		most = max(1, int(mc.shareOfAll(sp)*float64(sp.limit.Concurrent)))
 	}
 	sp.bucket.set(mc.now, rate, most)
 }
@@ -340,15 +310,29 @@
 // Share is this VM's part of a team's limits, 0 to 1.
 func (mc *Machine) Share(team string) float64 {
 	if sp, ok := mc.teams[team]; ok {
-		return sp.share
+		return mc.shareOfAll(sp)
 	}
 	return 0
 }
 
+// shareOfAll is this VM's part of its group's part. One that is new among the
+// groups has an even part of the whole at most, however hot it is.
+func (mc *Machine) shareOfAll(sp *split) float64 {
+	if !mc.grouped() {
+		return sp.share
+	}
+	part := sp.share * sp.upper.share
+	if mc.farYoung() {
+		return min(part, 1/float64(mc.all()))
+	}
+	return part
+}
+
 func (mc *Machine) advance(now time.Duration) {
 	if !mc.started {
 		mc.started = true
 		mc.now = now
+		mc.startedAt = now
 	}
 	mc.now = max(mc.now, now)
 }
