--- a/io/emul/kv.go
+++ b/io/emul/kv.go
@@ -23,6 +23,8 @@
 	MaxEvents int
 	// Sweep is the real time between looks for lapsed leases.
 	Sweep time.Duration
+	// Addr is listened on; empty means a free loopback port.
+	Addr string
 }
 
 // KVFaults are the ways in which the service can fail. The zero value works.
@@ -96,9 +98,9 @@
 	}
 }
 
-// Start serves on a free loopback port.
+// Start serves on the configured address.
 func (kv *KV) Start() error {
-	ho, err := startHost(anyLoopbackPort, func(*gate) {}, kv.routes())
+	ho, err := startHost(orLoopback(kv.cfg.Addr), func(*gate) {}, kv.routes())
 	if err != nil {
 		return newError("KV.Start", KindListen, err)
 	}
@@ -139,6 +141,18 @@
 	kv.past = kv.now.clone()
 }
 
+// Restore goes back to the state that Remember took, for writes too, as when a
+// backup is put in place. All events and leases are forgotten.
+func (kv *KV) Restore() {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.now = kv.past.clone()
+	kv.now.compacted = kv.now.revision
+	kv.log = nil
+	kv.leases = map[uint64]*lease{}
+	kv.wake()
+}
+
 // Compact forgets all events, so that a watch from any earlier revision is told
 // to read the range anew.
 func (kv *KV) Compact() {
