--- a/cmd/laburnumvane/emulate.go
+++ b/cmd/laburnumvane/emulate.go
@@ -69,6 +69,7 @@
 			&cli.IntFlag{Name: "services", Value: emulateServices, Local: true, Usage: "`NUMBER` of services, each with a shard and three servers"},
 			&cli.IntFlag{Name: "slots", Value: demoSlots, Local: true, Usage: "sub-requests that a server runs at once"},
 			&cli.DurationFlag{Name: "service-time", Value: time.Millisecond, Local: true, Usage: "what a sub-request takes"},
+			&cli.BoolFlag{Name: "reports-only", Local: true, Usage: "servers give the newest snapshot, whichever is asked for"},
 			&cli.DurationFlag{Name: "lag", Local: true, Usage: "how far the VM list is behind"},
 			&cli.BoolFlag{Name: "json", Local: true, Usage: "print JSON, for scripts"},
 		},
@@ -153,6 +154,7 @@
 			DataCentres: emulateDataCentres(),
 			Slots:       cmd.Int("slots"),
 			Connections: demoConns,
+			ReportsOnly: cmd.Bool("reports-only"),
 			Service:     func(*rand.Rand) time.Duration { return took },
 		},
 	}
--- a/cmd/laburnumvane/procs_freeze_test.go
+++ b/cmd/laburnumvane/procs_freeze_test.go
@@ -19,7 +19,7 @@
 // the tickets expire and the register is split anew, twice, so that the snapshot
 // of the first run is gone. Others are told unknown. When the VM wakes it reads
 // what waited in its sockets: it must not run the expired ticket, and what it
-// answers must be of the snapshot that it says.
+// answers must count the shards of the snapshot that it names.
 func TestProcsFrozenWithTickets(t *testing.T) {
 	is := is.New(t)
 	wd := startWorld(t, worldConfig{
@@ -93,6 +93,65 @@
 	}
 }
 
+// A VM is frozen, and a search waits in its socket. Meanwhile the register is
+// split from six shards into nine, and the servers give the newest snapshot,
+// whichever is asked for. On waking the VM still believes in six: it must not
+// pass six shards of nine off as the whole register. The member looked for is in
+// none of the first six of nine, so that such an answer would lack it.
+func TestProcsFrozenOverNewSnapshot(t *testing.T) {
+	is := is.New(t)
+	const before, after = 6, 9
+	wd := startWorld(t, worldConfig{
+		vms: 2, serviceTime: time.Millisecond, hardDeadline: 10 * time.Second, emulate: []string{"--reports-only"},
+	})
+	is.Equal(wd.stage.Shards, before)
+	frozen, other := wd.vms[0], wd.vms[1]
+	rq := wire.SearchRequest{Team: demoTeam, Search: "history", Query: fmt.Appendf(nil, `{"member":%q}`, memberBeyond(before, after))}
+	an, err := frozen.caller.Search(t.Context(), rq)
+	is.NoErr(err)
+	is.Equal(len(an.Hits), 1)
+
+	frozen.signal(syscall.SIGSTOP)
+	waiting := frozen.searchAside(rq)
+	sn, err := wd.admin.Snapshot(t.Context(), emul.SnapshotRequest{Shards: after})
+	is.NoErr(err)
+	eventually(t, "the other VM searches the new snapshot", func() bool {
+		an, err := other.caller.Search(t.Context(), rq)
+		return err == nil && an.Outcome == wire.OutcomeComplete && an.Snapshot == sn.Snapshot
+	})
+	frozen.signal(syscall.SIGCONT)
+	shards := map[uint64]int{1: before, sn.Snapshot: after}
+	got := <-waiting
+	is.NoErr(got.err)
+	t.Logf("the search that waited: %s %s, snapshot %d, %d of %d", got.an.Outcome, got.an.Reason, got.an.Snapshot, got.an.Coverage.Answered, got.an.Coverage.Shards)
+	wholeOrLess(t, got.an, shards)
+	eventually(t, "the woken VM searches the new snapshot", func() bool {
+		an, err := frozen.caller.Search(t.Context(), rq)
+		is.NoErr(err)
+		wholeOrLess(t, an, shards)
+		return an.Outcome == wire.OutcomeComplete && an.Snapshot == sn.Snapshot
+	})
+}
+
+// memberBeyond is a member of the sample in none of the first shards of all.
+func memberBeyond(first, all int) string {
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("m%06d", i)
+		if emul.ShardOf(id, all) >= first {
+			return id
+		}
+	}
+}
+
+// wholeOrLess checks that an answer which claims to be whole has its one hit.
+func wholeOrLess(t *testing.T, an wire.SearchAnswer, shards map[uint64]int) {
+	t.Helper()
+	truthful(t, an, shards)
+	if an.Outcome == wire.OutcomeComplete {
+		is.New(t).Equal(len(an.Hits), 1)
+	}
+}
+
 // stateOf is how one VM sees another.
 func stateOf(on, of *vmProc) string {
 	for _, vm := range on.status().VMs {
--- a/cmd/laburnumvane/procs_world_test.go
+++ b/cmd/laburnumvane/procs_world_test.go
@@ -26,6 +26,8 @@
 	serviceTime time.Duration
 	// dataCentres place the VMs otherwise than in turn.
 	dataCentres []string
+	// emulate are flags of the stand-ins beyond the ports.
+	emulate []string
 	// serve are settings of all VMs beyond the addresses.
 	serve []string
 	// hardDeadline is that of every search.
@@ -81,8 +83,11 @@
 	t.Helper()
 	is := is.New(t)
 	var out lockedBuffer
-	pr := launch(t, "emulate", &out, "emulate", "--json", "--port", strconv.Itoa(freePorts(t, wd.cfg.vms)),
-		"--vms", strconv.Itoa(wd.cfg.vms), "--service-time", wd.cfg.serviceTime.String())
+	args := append([]string{
+		"emulate", "--json", "--port", strconv.Itoa(freePorts(t, wd.cfg.vms)),
+		"--vms", strconv.Itoa(wd.cfg.vms), "--service-time", wd.cfg.serviceTime.String(),
+	}, wd.cfg.emulate...)
+	pr := launch(t, "emulate", &out, args...)
 	eventually(t, "the stand-ins' addresses", func() bool {
 		select {
 		case <-pr.exited:
