--- a/core/due/queue_test.go
+++ b/core/sched/queue_test.go
@@ -1,4 +1,4 @@
-package due_test
+package sched_test
 
 import (
 	"cmp"
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"laburnumvane/core/due"
+	"laburnumvane/core/sched"
 )
 
 // entry is an item with its number among all that were pushed.
@@ -27,7 +27,7 @@
 func TestQueueOrder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		is := is.New(t)
-		var qu due.Queue[entry]
+		var qu sched.Queue[entry]
 		var waiting []entry
 		for no := range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			if at := time.Duration(rapid.IntRange(0, 50).Draw(rt, "at")); rapid.Bool().Draw(rt, "push") {
--- a/internal/vtime/agenda.go
+++ b/internal/vtime/agenda.go
@@ -4,14 +4,14 @@
 	"iter"
 	"time"
 
-	"laburnumvane/core/due"
+	"laburnumvane/core/sched"
 )
 
 // Agenda is a virtual clock and the events to come. The zero value stands at 0
 // and has no events. Not safe for concurrent use.
 type Agenda[T any] struct {
 	now   time.Duration
-	queue due.Queue[T]
+	queue sched.Queue[T]
 }
 
 // Now is the virtual time since the beginning.
--- a/io/drive/admit.go
+++ b/io/drive/admit.go
@@ -31,6 +31,16 @@
 	spareBurst = 100
 )
 
+// The VM's budget of moves: sub-requests that go to a further server for a shard,
+// whatever became of the one before. Of those after a refusal that cost nothing
+// no search's own budget is asked, and where every server refuses, each search
+// would turn into as many messages as there are replicas. One for each primary
+// is enough to find the last replica of three that has not left.
+const (
+	moveShare = 1
+	moveBurst = 1000
+)
+
 // placeEvery bounds how often a view that brings no new server is looked
 // through for servers that leave.
 const placeEvery = 50 * time.Millisecond
@@ -41,6 +51,7 @@
 	dr     *Driver
 	limits *limit.Table
 	spare  *budget.Budget
+	moves  *budget.Budget
 	// placed is the view whose servers limits knows, placeAt the earliest time
 	// for the next.
 	placed  atomic.Pointer[view.View]
@@ -59,6 +70,7 @@
 		dr:     dr,
 		limits: limit.New(limit.Config{}),
 		spare:  budget.New(budget.Config{Share: spareShare, Burst: spareBurst}),
+		moves:  budget.New(budget.Config{Share: moveShare, Burst: moveBurst}),
 		waited: dr.cfg.Meter.Histogram(queueWait),
 	}
 	for _, tc := range team.Classes() {
@@ -96,6 +108,8 @@
 	// waited is the time in the queue; it is part of the caller's deadline.
 	waited time.Duration
 	begun  bool
+	// free is set where limits are off.
+	free bool
 }
 
 // enter lets a search in, after a wait where need be, or refuses it. Nothing
@@ -110,6 +124,10 @@
 		class:  admit.ClassOf(conf.Class),
 		at:     now,
 	}
+	if ad.dr.cfg.Unlimited {
+		ps.free = true
+		return ps, nil
+	}
 	if ps.bucket != nil {
 		if re, after := ps.bucket.Take(now); re != "" {
 			return nil, ad.refuse(string(re), after)
@@ -143,12 +161,18 @@
 
 // start tells that the first sub-requests are counted in the limits.
 func (ps *pass) start() {
+	if ps.free {
+		return
+	}
 	ps.begun = true
 	ps.do.with(ps.ad.dr, func(mc *machine) { mc.Begun() })
 }
 
 // leave ends the search.
 func (ps *pass) leave(behind bool) {
+	if ps.free {
+		return
+	}
 	now := ps.ad.dr.now()
 	ps.do.with(ps.ad.dr, func(mc *machine) {
 		if !ps.begun {
--- a/io/drive/door.go
+++ b/io/drive/door.go
@@ -9,6 +9,7 @@
 	"laburnumvane/core/admit"
 	"laburnumvane/core/pick"
 	"laburnumvane/core/view"
+	"laburnumvane/io/meter"
 )
 
 type machine = admit.Machine[*waiter]
@@ -103,6 +104,8 @@
 type roomy struct {
 	inner pick.Chooser
 	ad    *admission
+	// blind is set where limits are off.
+	blind bool
 }
 
 const (
@@ -112,8 +115,28 @@
 	roomyTries = 3
 )
 
-// Pick returns a server of the list, none of tried.
+// Pick returns a server of the list, none of tried. A further server for a shard
+// needs a token, so that no pattern of refusals makes a storm of messages.
 func (ch roomy) Pick(replicas, tried []view.ServerID) (view.ServerID, bool) {
+	if len(tried) == 0 {
+		ch.ad.moves.Earn(1)
+		return ch.pick(replicas, tried)
+	}
+	if !ch.ad.moves.Spend() {
+		ch.ad.dr.cfg.Meter.Count(meter.Upstream, reasonMoves)
+		return 0, false
+	}
+	id, ok := ch.pick(replicas, tried)
+	if !ok {
+		ch.ad.moves.Refund()
+	}
+	return id, ok
+}
+
+// reasonMoves counts the shards that were not asked of a further server.
+const reasonMoves = "moveBudget"
+
+func (ch roomy) pick(replicas, tried []view.ServerID) (view.ServerID, bool) {
 	now := ch.ad.dr.now()
 	if len(replicas) > mostRoomy {
 		return ch.sample(now, replicas, tried)
@@ -146,5 +169,5 @@
 }
 
 func (ch roomy) room(now time.Duration, id view.ServerID) bool {
-	return int(id) >= ch.ad.limits.Len() || ch.ad.limits.Room(now, id)
+	return ch.blind || int(id) >= ch.ad.limits.Len() || ch.ad.limits.Room(now, id)
 }
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -72,7 +72,7 @@
 	}
 	tickets := []string{
 		"ticketNeeded", "ticketForged", "ticketOfOtherTeam", "ticketOfOtherRequest", "ticketTableFull",
-		"ticketExpired", "ticketVoid", "ticketRunning", "ticketAnswerForgotten", "ticketIssuerUnreachable",
+		"ticketExpired", "ticketVoid", "ticketUnverified", "ticketRunning", "ticketAnswerForgotten", "ticketIssuerUnreachable",
 		"ticketIssuerSilent",
 	}
 	machine := []string{"deadline", "softDeadline", "cancelled", "noReplica", "retryBudget"}
@@ -94,7 +94,7 @@
 		Outcome:    {"complete", "partial", "notRun", "unknown"},
 		Incomplete: join(own, limits, tickets, machine, replies, refusals, failures, []string{"badRequest"}),
 		Retry:      join(replies, refusals, failures),
-		Upstream:   join(refusals, failures),
+		Upstream:   join(refusals, failures, []string{"moveBudget"}),
 		Dropped:    {"foreign", "afterAnswer"},
 		Sent:       {"primary", "hedge", "retry"},
 		Connection: {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -44,6 +44,8 @@
 	Log      *log.Logger
 	// Version is shown in the status.
 	Version string
+	// Unlimited turns the limits on searches off, for measurements.
+	Unlimited bool
 }
 
 // Node is a running VM.
@@ -164,8 +166,8 @@
 	if err != nil {
 		return errors.Wrap(err, "node.Start")
 	}
-	secret := make([]byte, secretLen)
-	if _, err := rand.Read(secret); err != nil {
+	secret, err := ticketSecret(nd.set.TicketKey)
+	if err != nil {
 		return errors.Wrap(err, "node.Start")
 	}
 	nd.workers = workers
@@ -185,11 +187,13 @@
 			Addr:        nd.addr,
 			Incarnation: nd.set.Incarnation,
 			Secret:      secret,
+			Shared:      nd.set.TicketKey != "",
 			TTL:         nd.set.TicketTTL,
 			Cap:         nd.set.TicketCap,
 		},
 		Incarnation: nd.set.Incarnation,
 		MaxDeadline: nd.set.MaxDeadline,
+		Unlimited:   nd.cfg.Unlimited,
 		Seed:        nd.set.Incarnation,
 	})
 	nd.desk = &desk{nd: nd, driver: nd.driver}
@@ -268,3 +272,15 @@
 func (nd *Node) Leaving() bool {
 	return nd.leaving.Load()
 }
+
+// ticketSecret is the key shared by all VMs, or one that dies with the process.
+func ticketSecret(key string) ([]byte, error) {
+	if key != "" {
+		return []byte(key), nil
+	}
+	secret := make([]byte, secretLen)
+	if _, err := rand.Read(secret); err != nil {
+		return nil, err
+	}
+	return secret, nil
+}
