--- a/io/oper/oper_test.go
+++ b/io/oper/oper_test.go
@@ -10,23 +10,21 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"laburnumvane/internal/golden"
+	_ "laburnumvane/internal/quiet"
 	"laburnumvane/io/contr"
 	"laburnumvane/io/oper"
 	"laburnumvane/io/wire"
 )
 
-var update = contr.UpdateFlag()
-
 // patience ends a test that hangs; no verdict depends on it.
 const patience = 30 * time.Second
 
 func TestMain(m *testing.M) {
-	hlog.SetLevel(hlog.LevelFatal)
 	goleak.VerifyTestMain(m, contr.LibraryGoroutines()...)
 }
 
@@ -180,7 +178,7 @@
 		}
 		all.WriteString(contr.Transcript(tc.name, tc.steps, contr.Talk(t, addr, tc.steps...)))
 	}
-	contr.Golden(t, update, "testdata/sessions.golden", all.String())
+	golden.Check(t, "sessions", all.String())
 	is := is.New(t)
 	is.Equal(fk.made[1].Actor, "Ada")
 	is.Equal(fk.level, "debug")
