--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -10,23 +10,21 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"laburnumvane/internal/golden"
+	_ "laburnumvane/internal/quiet"
 	"laburnumvane/io/contr"
 	"laburnumvane/io/drive"
 	"laburnumvane/io/front"
 	"laburnumvane/io/wire"
 )
 
-var update = contr.UpdateFlag()
-
 // patience ends a test that hangs; no verdict depends on it.
 const patience = 30 * time.Second
 
 func TestMain(m *testing.M) {
-	hlog.SetLevel(hlog.LevelFatal)
 	goleak.VerifyTestMain(m, contr.LibraryGoroutines()...)
 }
 
@@ -238,7 +236,7 @@
 	for _, tc := range cases {
 		all.WriteString(contr.Transcript(tc.name, tc.steps, contr.Talk(t, be.addr, tc.steps...)))
 	}
-	contr.Golden(t, update, "testdata/sessions.golden", all.String())
+	golden.Check(t, "sessions", all.String())
 }
 
 // The caller's id must find the request again, wherever it is looked for.
