accept: the stop of a listener's server stands once

Cause: the listeners of callers and operators had the same shutdown, with the same odd case of a stop that overtakes the boot. Change: accept.Listener.Shutdown, used by both. Conclusion: the odd case is told in one place.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -97,14 +97,7 @@
 // Shutdown closes idle connections, stops listening and waits for requests
 // under way.
 func (fr *Front) Shutdown(ctx context.Context) error {
-	fr.ln.Drain()
-	if !fr.srv.IsRunning() {
-		// The stop overtook the boot, and the library refuses it: without
-		// a listener Serve ends as soon as it begins.
-		_ = fr.ln.Close()
-		return nil
-	}
-	return fault.Wrap(fr.srv.Shutdown(ctx), "front.Shutdown")
+	return fault.Wrap(fr.ln.Shutdown(ctx, fr.srv), "front.Shutdown")
 }
 
 // Accepted tells whether anybody ever connected.
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -126,14 +126,7 @@
 // Shutdown closes idle connections, stops listening and waits for requests
 // under way.
 func (op *Oper) Shutdown(ctx context.Context) error {
-	op.ln.Drain()
-	if !op.srv.IsRunning() {
-		// The stop overtook the boot, and the library refuses it: without
-		// a listener Serve ends as soon as it begins.
-		_ = op.ln.Close()
-		return nil
-	}
-	return fault.Wrap(op.srv.Shutdown(ctx), "oper.Shutdown")
+	return fault.Wrap(op.ln.Shutdown(ctx, op.srv), "oper.Shutdown")
 }
 
 // Abort cuts off everything, as when the VM dies.
