node: a sign rides until its beats are answered, not until they are sent

TestDrainSignReachesAll was red in 1 of 20 runs beside busy loops: three of eight VMs never heard that a server leaves. Cause: a sign rode on at most 12 messages of each VM, counted when sent; where beats time out all 12 were spent on messages that nobody read, and nothing tells a sign again.

Now signs are counted when the beat they rode on was answered. Answers to beats carry them uncounted, since nothing confirms those. The bytes of a message stay bounded by riderBytes.

Ruled out: a larger number of messages only moves the share of lost beats at which it fails. Telling all known signs again when a VM comes back would also cover a cut between data centres; there the polls and the servers' own replies tell of a drain, so it was left.

--- a/core/member/queue.go
+++ b/core/member/queue.go
@@ -59,15 +59,31 @@
 // order of the queue, each at most limit times over the queue's life. Take is
 // given each value once and says whether it fits.
 func (qu *Queue[K, V]) Take(limit int, take func(V) bool) {
-	took := false
+	qu.Sent(limit, take)
+}
+
+// Peek offers each value to take, in the order of the queue, without counting a
+// message. It is for messages that may get lost: counted when they are sent,
+// an item would be spent on those that nobody received. Call Sent once the
+// message is known to have arrived.
+func (qu *Queue[K, V]) Peek(take func(V)) {
+	for _, it := range qu.items {
+		take(it.value)
+	}
+}
+
+// Sent counts one more message for each item that rode on it, and forgets those
+// that have been on limit messages.
+func (qu *Queue[K, V]) Sent(limit int, rode func(V) bool) {
+	counted := false
 	for i := range qu.items {
-		if !take(qu.items[i].value) {
+		if !rode(qu.items[i].value) {
 			continue
 		}
 		qu.items[i].sent++
-		took = true
+		counted = true
 	}
-	if !took {
+	if !counted {
 		return
 	}
 	qu.items = slices.DeleteFunc(qu.items, func(it queued[K, V]) bool { return it.sent >= limit })
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -124,18 +124,20 @@
 			nd.post(memberEvent{ev: member.Failed{Exchange: ac.Exchange}})
 			return nil
 		}
-		nd.post(beatAnswered{exchange: ac.Exchange, reply: rp})
+		nd.post(beatAnswered{exchange: ac.Exchange, request: rq, reply: rp})
 		return nil
 	})
 }
 
-// beatAnswered brings the answer to a beat with what rode on it.
+// beatAnswered brings the answer to a beat with what rode on both.
 type beatAnswered struct {
 	exchange uint64
+	request  *inner.BeatRequest
 	reply    *inner.BeatReply
 }
 
 func (ev beatAnswered) apply(ct *control) {
+	ct.signs.delivered(ev.request.GetSigns())
 	ct.members.unload(ev.reply.GetFrom(), cargoOf(ev.reply))
 	ct.members.step(member.Answered{Exchange: ev.exchange, Message: beatMessage(ev.reply)})
 }
--- a/io/node/members_riders.go
+++ b/io/node/members_riders.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"laburnumvane/core/member"
@@ -171,20 +173,28 @@
 	return sn.GetKind() < old.GetKind()
 }
 
-func (sg *signs) outgoing(to recipient, room int, cg *cargo) int {
+func (sg *signs) outgoing(_ recipient, room int, cg *cargo) int {
 	used := 0
-	sg.queue.Take(member.Retransmits(to.vms), func(sn *inner.Sign) bool {
+	sg.queue.Peek(func(sn *inner.Sign) {
 		size := proto.Size(sn) + fieldBytes
 		if used+size > room {
-			return false
+			return
 		}
 		used += size
 		cg.signs = append(cg.signs, sn)
-		return true
 	})
 	return used
 }
 
+// delivered counts the signs on a beat that was answered. Only those count: where
+// beats time out, as on VMs short of processor time, signs counted when sent were
+// spent on messages that nobody read, and some VMs never heard them. Answers to
+// beats carry signs too but nothing confirms those, so they are not counted.
+func (sg *signs) delivered(sent []*inner.Sign) {
+	vms := len(sg.ms.holders())
+	sg.queue.Sent(member.Retransmits(vms), func(sn *inner.Sign) bool { return slices.Contains(sent, sn) })
+}
+
 // fieldBytes is what the tag and length of a short embedded message take.
 const fieldBytes = 2
 
