--- a/io/edge/enlist.go
+++ b/io/edge/enlist.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 )
 
@@ -24,10 +25,21 @@
 	// listed is set while the entry is thought to be there.
 	listed bool
 	lost   chan struct{}
+	// halt closes stop, which ends run, and run closes ended.
+	halt  func()
+	stop  chan struct{}
+	ended chan struct{}
 }
 
 func newEnlist(eg *Edge) *enlist {
-	return &enlist{eg: eg, lost: make(chan struct{}, 1)}
+	stop := make(chan struct{})
+	return &enlist{
+		eg:    eg,
+		lost:  make(chan struct{}, 1),
+		halt:  sync.OnceFunc(func() { close(stop) }),
+		stop:  stop,
+		ended: make(chan struct{}),
+	}
 }
 
 // again tells that the entry was seen to go.
@@ -38,8 +50,18 @@
 	}
 }
 
-// run writes the entry and keeps it until the context ends.
+// run writes the entry and keeps it until end is called or the context ends.
 func (el *enlist) run(ctx context.Context) {
+	defer close(el.ended)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-el.stop:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	for ctx.Err() == nil {
 		wait := el.eg.set.LeaseTime / keepShare
 		if err := el.round(ctx); err != nil {
@@ -99,8 +121,17 @@
 	return nil
 }
 
-// end takes the entry away.
+// end takes the entry away, and only when nothing writes it any more: a
+// round that found its lease ended would take out another, and the VM would stay
+// listed after it is gone.
 func (el *enlist) end(ctx context.Context) {
+	el.halt()
+	select {
+	case <-el.ended:
+	case <-ctx.Done():
+		el.eg.cfg.Log.Warn().Err(ctx.Err()).Msg("this VM's entry is left to lapse: a call to the store goes on")
+		return
+	}
 	if el.lease == 0 {
 		return
 	}
@@ -108,4 +139,5 @@
 		// It lapses by itself.
 		el.eg.cfg.Log.Warn().Err(err).Msg("this VM's entry could not be taken away")
 	}
+	el.lease = 0
 }
