guard: a door, in place of three listeners wired alike

The callers', the operators' and the clients' listener each wired guard and accept together and had Serve, Shutdown and Abort of their own, line for line. guard.Door has them once; the three embed it. Ruled out: merging guard and accept, since io/peer uses accept alone.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,7 +13,6 @@
 	"github.com/phuslu/log"
 
 	"laburnumvane/core/fanout"
-	"laburnumvane/core/fault"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
 	"laburnumvane/core/route"
@@ -35,9 +34,6 @@
 	requestTime = 5 * time.Second
 	idleTime    = 30 * time.Second
 	bodyTime    = 5 * time.Second
-	// stopBound keeps the library's own bound from cutting off a request; what
-	// bounds a stop is Shutdown's context.
-	stopBound = time.Hour
 )
 
 // Relay sends requests to servers.
@@ -75,9 +71,8 @@
 
 // Entry is the clients' listener.
 type Entry struct {
+	*guard.Door
 	cfg      Config
-	ln       *accept.Listener
-	srv      *server.Hertz
 	pace     pace
 	budgets  *budgets
 	valves   valves
@@ -107,16 +102,13 @@
 			cfg.Log.Error().Any("value", value).Bytes("stack", stack).Msg("a request's handler panicked")
 		},
 	}
-	en.ln = accept.New(guard.Listen(cfg.Listener, gc))
-	en.srv = guard.New(en.ln, gc,
-		server.WithOnAccept(accept.Context),
-		server.WithExitWaitTime(stopBound),
+	en.Door = guard.Open("entry", cfg.Listener, gc,
 		server.WithDisableHeaderNamesNormalizing(true),
 		server.WithDisableDefaultDate(true),
 		server.WithDisableDefaultContentType(true),
 	)
-	en.srv.NoRoute(en.serve)
-	en.srv.NoMethod(en.serve)
+	en.Routes.NoRoute(en.serve)
+	en.Routes.NoMethod(en.serve)
 	return en
 }
 
@@ -168,18 +160,6 @@
 	}
 }
 
-// Serve serves until Shutdown.
-func (en *Entry) Serve() error { return fault.Wrap(en.srv.Run(), "entry.Serve") }
-
-// Shutdown closes idle connections, stops listening and waits for requests under
-// way.
-func (en *Entry) Shutdown(ctx context.Context) error {
-	return fault.Wrap(en.ln.Shutdown(ctx, en.srv), "entry.Shutdown")
-}
-
-// Abort cuts off everything, as when the VM dies.
-func (en *Entry) Abort() { en.ln.Abort() }
-
 func (en *Entry) serve(ctx context.Context, rc *app.RequestContext) {
 	defer accept.Begin(ctx)()
 	en.inFlight.Add(1)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -16,10 +16,8 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
-	"laburnumvane/core/fault"
 	"laburnumvane/io/accept"
 	"laburnumvane/io/guard"
 	"laburnumvane/io/wire"
@@ -65,51 +63,21 @@
 
 // Front is the callers' listener.
 type Front struct {
+	*guard.Door
 	cfg Config
-	ln  *accept.Listener
-	srv *server.Hertz
 }
 
-// stopBound only keeps the library's own bound, 5 s, from cutting off a search
-// with a longer deadline; what bounds a stop is Shutdown's context.
-const stopBound = time.Hour
-
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Front {
 	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout, Refused: cfg.Refused, Panicked: cfg.Panicked}
-	fr := &Front{cfg: cfg, ln: accept.New(guard.Listen(cfg.Listener, gc))}
-	fr.srv = guard.New(fr.ln, gc,
-		server.WithOnAccept(accept.Context),
-		server.WithExitWaitTime(stopBound),
-	)
-	fr.srv.Use(busy)
-	fr.srv.POST(wire.RouteSearch, fr.search)
-	fr.srv.POST(wire.RouteTickets, fr.tickets)
-	fr.srv.GET(wire.RouteHealth, fr.health)
+	fr := &Front{Door: guard.Open("front", cfg.Listener, gc), cfg: cfg}
+	fr.Routes.Use(busy)
+	fr.Routes.POST(wire.RouteSearch, fr.search)
+	fr.Routes.POST(wire.RouteTickets, fr.tickets)
+	fr.Routes.GET(wire.RouteHealth, fr.health)
 	return fr
 }
 
-// Serve serves until Shutdown.
-func (fr *Front) Serve() error {
-	return fault.Wrap(fr.srv.Run(), "front.Serve")
-}
-
-// Shutdown closes idle connections, stops listening and waits for requests
-// under way.
-func (fr *Front) Shutdown(ctx context.Context) error {
-	return fault.Wrap(fr.ln.Shutdown(ctx, fr.srv), "front.Shutdown")
-}
-
-// Accepted tells whether anybody ever connected.
-func (fr *Front) Accepted() bool {
-	return fr.ln.Accepted()
-}
-
-// Abort cuts off everything, as when the VM dies.
-func (fr *Front) Abort() {
-	fr.ln.Abort()
-}
-
 // busy keeps a connection from being taken for idle while its request runs.
 func busy(ctx context.Context, rc *app.RequestContext) {
 	defer accept.Begin(ctx)()
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -22,10 +22,8 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
-	"laburnumvane/core/fault"
 	"laburnumvane/io/accept"
 	"laburnumvane/io/guard"
 	"laburnumvane/io/wire"
@@ -88,52 +86,27 @@
 
 // Oper is the operators' listener.
 type Oper struct {
+	*guard.Door
 	cfg Config
-	ln  *accept.Listener
-	srv *server.Hertz
 }
 
-// stopBound only replaces the library's own bound, 5 s; what bounds a stop is
-// Shutdown's context.
-const stopBound = time.Hour
-
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Oper {
 	gc := guard.Config{MaxBody: cfg.MaxBody, RequestTime: cfg.ReadTimeout, Refused: cfg.Refused, Panicked: cfg.Panicked}
-	op := &Oper{cfg: cfg, ln: accept.New(guard.Listen(cfg.Listener, gc))}
-	op.srv = guard.New(op.ln, gc,
-		server.WithOnAccept(accept.Context),
-		server.WithExitWaitTime(stopBound),
-	)
-	op.srv.Use(op.busy)
-	op.srv.GET(wire.RouteHealth, op.health)
-	op.srv.Use(op.authorize)
-	op.srv.GET(wire.RouteConfig, op.getConfig)
-	op.srv.PUT(wire.RouteConfig, op.putConfig)
-	op.srv.GET(wire.RouteHistory, op.history)
-	op.srv.GET(wire.RouteChange, op.change)
-	op.srv.GET(wire.RouteStatus, op.status)
-	op.srv.GET(wire.RouteMetrics, op.metrics)
-	op.srv.PUT(wire.RouteLog, op.logLevel)
+	op := &Oper{Door: guard.Open("oper", cfg.Listener, gc), cfg: cfg}
+	op.Routes.Use(op.busy)
+	op.Routes.GET(wire.RouteHealth, op.health)
+	op.Routes.Use(op.authorize)
+	op.Routes.GET(wire.RouteConfig, op.getConfig)
+	op.Routes.PUT(wire.RouteConfig, op.putConfig)
+	op.Routes.GET(wire.RouteHistory, op.history)
+	op.Routes.GET(wire.RouteChange, op.change)
+	op.Routes.GET(wire.RouteStatus, op.status)
+	op.Routes.GET(wire.RouteMetrics, op.metrics)
+	op.Routes.PUT(wire.RouteLog, op.logLevel)
 	return op
 }
 
-// Serve serves until Shutdown.
-func (op *Oper) Serve() error {
-	return fault.Wrap(op.srv.Run(), "oper.Serve")
-}
-
-// Shutdown closes idle connections, stops listening and waits for requests
-// under way.
-func (op *Oper) Shutdown(ctx context.Context) error {
-	return fault.Wrap(op.ln.Shutdown(ctx, op.srv), "oper.Shutdown")
-}
-
-// Abort cuts off everything, as when the VM dies.
-func (op *Oper) Abort() {
-	op.ln.Abort()
-}
-
 // busy keeps a connection from being taken for idle while its request runs, and
 // closes it with the answer once the VM is leaving.
 func (op *Oper) busy(ctx context.Context, rc *app.RequestContext) {
