--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -218,19 +218,3 @@
 	}
 	return fl.machine.StepAll(fl.en.cfg.Clock(), evs)
 }
-
-func verdictOf(ve inner.Verdict) fanout.Verdict {
-	switch ve {
-	case inner.Verdict_SERVED:
-		return fanout.Served
-	case inner.Verdict_FAILED:
-		return fanout.Failed
-	case inner.Verdict_REFUSED:
-		return fanout.Refused
-	case inner.Verdict_ELSEWHERE:
-		return fanout.Elsewhere
-	case inner.Verdict_UNSENT:
-		return fanout.Unsent
-	}
-	return fanout.Lost
-}
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -235,19 +235,3 @@
 		}
 	}
 }
-
-func verdictTo(ve fanout.Verdict) inner.Verdict {
-	switch ve {
-	case fanout.Served:
-		return inner.Verdict_SERVED
-	case fanout.Failed:
-		return inner.Verdict_FAILED
-	case fanout.Refused:
-		return inner.Verdict_REFUSED
-	case fanout.Elsewhere:
-		return inner.Verdict_ELSEWHERE
-	case fanout.Unsent:
-		return inner.Verdict_UNSENT
-	}
-	return inner.Verdict_LOST
-}
