feed: a VM that boots is asked again after 0.3 s, as one that lives

Cause, from the log of a start of 62 VMs: whoever had its first copy asked the VMs that rank before it; these answered that they had none yet and were taken for dead, that is, not asked again for 3 s. A dozen VMs followed the store meanwhile, with up to five calls a second each while the servers' entries came in: 12 to 22 calls a VM before the first request.

Now a VM without a copy answers as much, and is asked again after 0.3 to 0.45 s. Ruled out: entries and leases of the VMs (two calls each), and the watch of the one VM that follows (one call a second).

--- a/core/feed/guide.go
+++ b/core/feed/guide.go
@@ -13,6 +13,9 @@
 	passOver = 3 * time.Second
 	// passOld is how long one with old news is not asked again.
 	passOld = time.Second
+	// passEmpty is the same for one that has no copy yet: it lives, and a boot
+	// takes some tenths of a second.
+	passEmpty = 300 * time.Millisecond
 	// StaleAfter is the age of news above which another source is sought. The
 	// one that watches hears the store once in a watch's wait, 1 s, and the
 	// rest is for a slow answer.
@@ -74,8 +77,8 @@
 
 // Report is what came of a step.
 type Report struct {
-	// Failed is set if there was no answer.
-	Failed bool
+	// Failed is set if there was no answer, Empty if the peer has no copy yet.
+	Failed, Empty bool
 	// Age is how old a peer's news is.
 	Age time.Duration
 }
@@ -248,6 +251,8 @@
 		gu.retryAt = 0
 	case st.From == FromPeer && rp.Failed:
 		gu.pass[st.Addr] = now + gu.spread(passOver)
+	case st.From == FromPeer && rp.Empty:
+		gu.pass[st.Addr] = now + gu.spread(passEmpty)
 	case st.From == FromPeer && rp.Age > StaleAfter:
 		gu.pass[st.Addr] = now + gu.spread(passOld)
 	}
--- a/core/feed/guide_test.go
+++ b/core/feed/guide_test.go
@@ -21,6 +21,8 @@
 	turnedAway map[string]bool
 	dead       map[string]bool
 	dark       map[string]bool
+	// boots is until when a VM has no copy yet, by address.
+	boots      map[string]time.Duration
 	storeCalls int
 }
 
@@ -73,7 +75,7 @@
 func (fl *fleet) run(span time.Duration) {
 	for end := fl.now + span; fl.now < end; fl.now += shortTime {
 		for _, me := range fl.vms {
-			if me.next <= fl.now && !fl.dead[me.vm.Addr] && !fl.dark[me.vm.Addr] {
+			if me.next <= fl.now && fl.boots[me.vm.Addr] <= fl.now && !fl.dead[me.vm.Addr] && !fl.dark[me.vm.Addr] {
 				fl.step(me)
 			}
 		}
@@ -107,6 +109,10 @@
 			}
 			break
 		}
+		if fl.boots[st.Addr] > fl.now {
+			rp.Empty = true
+			break
+		}
 		rp.Age = fl.now - peer.heard
 		if rp.Age <= feed.StaleAfter {
 			took = pollTime
@@ -151,6 +157,23 @@
 	}
 }
 
+// The fleet boots, and the VMs come by their first copy one after the other
+// within half a second. Whoever has one asks the others, which have none yet. Taken
+// for dead, they were not asked again for 3 s, and a dozen VMs watched the store
+// meanwhile, each with five calls a second while entries came in.
+func TestBootingPeersAreAskedAgain(t *testing.T) {
+	is := is.New(t)
+	fl := newFleet(8)
+	fl.boots = make(map[string]time.Duration)
+	for i, me := range fl.vms {
+		fl.boots[me.vm.Addr] = fl.now + time.Duration(i*7%len(fl.vms))*20*time.Millisecond
+		me.heard = fl.boots[me.vm.Addr]
+	}
+	fl.run(4 * time.Second)
+	is.True(fl.storeCalls <= 12)
+	is.True(fl.oldest() <= 2*time.Second)
+}
+
 // The VM that watches dies, again and again. A change made meanwhile must be in
 // force everywhere within seconds, so somebody else has to watch by then.
 func TestWatcherDies(t *testing.T) {
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -292,7 +292,8 @@
 		fo.touch()
 	}
 	if err == nil && an.update.AsOf == 0 {
-		err = errNoCopy
+		fo.cfg.Count("peerEmpty")
+		return feed.Report{Empty: true, Age: never}, errors.Wrap(errNoCopy, addr)
 	}
 	if err != nil {
 		fo.cfg.Count("peerFailed")
