edge: who asks for a connection never waits for a turn to open it

Its control goroutine stood still: openings ran on a pool of 64 workers whose Submit waits when all are taken, and in a cut each opening takes its time-out of 1 s. Submit was called by the control goroutine, and by requests with a server's lock in hand, so that requests which sound servers could answer waited too, and no change came into force.

Ruled out: the judgement itself (core/reach had silence and a lack of shards from 35.1 s on, but was not asked), and the balancer.

Now a task beyond the bound waits in a queue and nobody with it; 256 may be under way at once.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/panjf2000/ants/v2"
 
 	"laburnumvane/core/feed"
 	"laburnumvane/core/plan"
@@ -36,8 +35,10 @@
 	warmTime    = time.Second
 	mostlyTime  = 250 * time.Millisecond
 	mostlyShare = 3
-	// dialWorkers bounds the connections being opened at once.
-	dialWorkers = 64
+	// dialWorkers bounds the connections being opened at once. An opening to a
+	// server out of reach takes a second; of 160 such servers none may keep the
+	// sound ones waiting.
+	dialWorkers = 256
 	// innerHeaderTime bounds how long another VM takes to send its headers.
 	innerHeaderTime = 2 * time.Second
 )
@@ -51,7 +52,7 @@
 	meter   *meter.Meter
 	steer   *steer.Table
 	pool    *relay.Pool
-	workers *ants.Pool
+	workers *crew
 	entry   *entry.Entry
 	follow  *follow.Follower
 	enlist  *enlist
@@ -96,7 +97,7 @@
 	}
 	eg.key, _ = cfg.Decoder.VMEntry(eg.set.Name, eg.set.Self, eg.set.Capacity)
 	eg.extra.Store(&eg.set.Extra)
-	workers, err := ants.NewPool(dialWorkers)
+	workers, err := newCrew(dialWorkers)
 	if err != nil {
 		return nil, &Error{Op: "edge.Start", Kind: KindListen, Err: err}
 	}
@@ -105,7 +106,7 @@
 		Clock:    eg.clock,
 		HeaderID: cfg.Names.RequestID,
 		Dial:     cfg.Dial,
-		Go:       eg.background,
+		Go:       eg.workers.run,
 		Count:    func(event string) { eg.meter.Count(meter.Connection, event) },
 		Reached:  func(id string, ok bool) { eg.steer.Reached(eg.clock(), id, ok) },
 		Opened:   func() { eg.conns.Add(1) },
@@ -150,14 +151,6 @@
 	}()
 }
 
-// background runs a short task on the pool, and on a goroutine of its own where
-// the pool is closed.
-func (eg *Edge) background(task func()) {
-	if err := eg.workers.Submit(task); err != nil {
-		go task()
-	}
-}
-
 // switched logs from whom this VM hears of changes.
 func (eg *Edge) switched(to feed.Step, age time.Duration, err error) {
 	en := eg.cfg.Log.Info()
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -72,5 +72,5 @@
 		_ = eg.metrics.Close()
 	}
 	eg.pool.Close()
-	eg.workers.Release()
+	eg.workers.release()
 }
--- a/io/relay/pool.go
+++ b/io/relay/pool.go
@@ -29,7 +29,8 @@
 	HeaderID string
 	// Dial opens a connection; nil takes Dial of this package.
 	Dial func(addr string, timeout time.Duration) (net.Conn, error)
-	// Go runs a task in the background; nil starts a goroutine for each.
+	// Go runs a task in the background and never waits for others: it is called
+	// with locks held. Nil starts a goroutine for each.
 	Go func(task func())
 	// Count is told of events of connections; it may be nil.
 	Count func(event string)
