edge: silence is probed before a VM thinks itself cut off

Nobody has news then, and a VM without requests of its own hears from nobody by itself; only 0.2 s later it asked others for news. Each left the rotation and closed its clients' connections until then.

Now a VM that has heard nothing from beyond its data centre for 1 s asks a VM there for a sign of life (the empty question that io/carry had already) before 1.25 s, from when on silence may be taken for a cut. In a real cut there is no answer, and nothing changes.

--- a/core/feed/guide_test.go
+++ b/core/feed/guide_test.go
@@ -255,3 +255,56 @@
 		is.True(me.heard > back)
 	}
 }
+
+// The store serves one VM of each data centre only, none of the first three. All
+// others must hear through it, however many they are.
+func TestOneInEachPlaceIsServed(t *testing.T) {
+	for _, each := range []int{6, 26, 60} {
+		is := is.New(t)
+		fl := newFleet(each)
+		fl.run(5 * time.Second)
+		for p := range places {
+			var own []rank.VM
+			for _, me := range fl.vms {
+				if me.vm.DataCentre == fmt.Sprintf("dc%d", p) {
+					own = append(own, me.vm)
+				}
+			}
+			for i, vm := range rank.Order(own, "watch") {
+				fl.turnedAway[vm.Addr] = i != 3
+			}
+		}
+		turned := fl.now
+		fl.run(3 * time.Second)
+		t.Logf("%d VMs: the oldest news is %v old", len(fl.vms), fl.oldest())
+		for _, me := range fl.vms {
+			is.True(me.heard > turned)
+		}
+	}
+}
+
+// The store serves two VMs in all, both late in the order of one data centre. The
+// others must hear through them within the time for a change to be in force.
+func TestFewAreServed(t *testing.T) {
+	for _, each := range []int{6, 26} {
+		is := is.New(t)
+		fl := newFleet(each)
+		fl.run(5 * time.Second)
+		var own []rank.VM
+		for _, me := range fl.vms {
+			fl.turnedAway[me.vm.Addr] = true
+			if me.vm.DataCentre == "dc1" {
+				own = append(own, me.vm)
+			}
+		}
+		for _, vm := range rank.Order(own, "watch")[3:5] {
+			fl.turnedAway[vm.Addr] = false
+		}
+		turned := fl.now
+		fl.run(4 * time.Second)
+		t.Logf("%d VMs: the oldest news is %v old", len(fl.vms), fl.oldest())
+		for _, me := range fl.vms {
+			is.True(me.heard > turned)
+		}
+	}
+}
--- a/core/plan/view.go
+++ b/core/plan/view.go
@@ -135,6 +135,23 @@
 // Upstreams are all servers.
 func (vw *View) Upstreams() *origin.Directory { return vw.cfg.Upstreams }
 
+// FarVM draws one of the VMs of other data centres; the draw is uniform within 0
+// to 1. There may be none.
+func (vw *View) FarVM(draw float64) (rank.VM, bool) {
+	far := len(vw.fleet.all) - len(vw.fleet.ranked[vw.cfg.Self.DataCentre])
+	left := int(draw * float64(far))
+	for _, vm := range vw.fleet.all {
+		if vm.DataCentre == vw.cfg.Self.DataCentre {
+			continue
+		}
+		if left == 0 {
+			return vm, true
+		}
+		left--
+	}
+	return rank.VM{}, false
+}
+
 // FleetSize is the number of VMs, this one counted.
 func (vw *View) FleetSize() int { return len(vw.fleet.all) }
 
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -24,10 +24,10 @@
 // Defaults of a Config.
 const (
 	// DefaultSilence is how long nothing is heard from beyond the data centre
-	// before a VM thinks itself cut off. Some VM there, or the store, is heard at
-	// least every 0.8 s, the wait of a question to another VM, and the rest is
-	// for a slow answer.
-	DefaultSilence = 1200 * time.Millisecond
+	// before a VM whose requests fail thinks itself cut off. While the
+	// store is heard once a second it is seldom silent for as long as 1 s; after
+	// that a VM there is asked for a sign of life, and the rest is for its answer.
+	DefaultSilence = 1250 * time.Millisecond
 	// DefaultIdle is the same for a VM that cannot serve alone, whatever became
 	// of its own requests. It may have none; but a balancer that finds half of a
 	// data centre's VMs ready sends clients to all of them, and one that finds
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -177,7 +177,7 @@
 				return
 			case <-tm.C:
 			}
-			if cl.table.Quiet(cl.cfg.Clock(), ho.ID) >= doubtAfter && !cl.lives(ho.Addr) {
+			if cl.table.Quiet(cl.cfg.Clock(), ho.ID) >= doubtAfter && !cl.Lives(ho.Addr) {
 				cancel(errSilent)
 				return
 			}
@@ -187,8 +187,8 @@
 	return func() { close(done) }
 }
 
-// lives asks a VM for a sign of life.
-func (cl *Client) lives(addr string) bool {
+// Lives asks a VM for a sign of life and waits 300 ms for it at most.
+func (cl *Client) Lives(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
 	// A connection of its own: the one in use may be what has gone silent.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -71,6 +71,8 @@
 	cut        *reach.Judge
 	// isolated is set while clients are better off with another VM.
 	isolated atomic.Bool
+	// probeAt is when other data centres may be asked for a sign of life again.
+	probeAt time.Duration
 	// summaryAt is when the next summary is due.
 	summaryAt time.Duration
 
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -160,19 +160,20 @@
 	return fo.cfg.Clock() - max(fo.contact, fo.heard)
 }
 
-// isFar tells whether a VM is known to stand in another data centre.
-func (fo *Follower) isFar(addr string) bool {
-	place, ok := fo.places[addr]
-	return ok && place != fo.cfg.Self.DataCentre
-}
-
-func (fo *Follower) touch() {
+// Touch notes that a VM of another data centre answered just now.
+func (fo *Follower) Touch() {
 	now := fo.cfg.Clock()
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	fo.contact = now
 }
 
+// isFar tells whether a VM is known to stand in another data centre.
+func (fo *Follower) isFar(addr string) bool {
+	place, ok := fo.places[addr]
+	return ok && place != fo.cfg.Self.DataCentre
+}
+
 func (fo *Follower) age(now time.Duration) time.Duration {
 	if !fo.everWas {
 		return never
@@ -250,7 +251,7 @@
 		fo.cfg.Store.Reset()
 		return feed.Report{Failed: true}, err
 	}
-	fo.touch()
+	fo.Touch()
 	fo.take(up, source{from: feed.FromStore, at: fo.cfg.Clock()})
 	return feed.Report{}, nil
 }
@@ -289,7 +290,7 @@
 	defer cancel()
 	an, err := fo.ask(bounded, addr, after, wait)
 	if err == nil && fo.isFar(addr) {
-		fo.touch()
+		fo.Touch()
 	}
 	if err == nil && an.update.AsOf == 0 {
 		fo.cfg.Count("peerEmpty")
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -108,7 +108,7 @@
 		},
 		Platform: {
 			"get", "getFailed", "range", "rangeFailed", "swap", "swapFailed", "watch", "watchFailed", "vmsFailed",
-			"store", "storeFailed", "peer", "peerFailed", "peerEmpty", "compacted",
+			"store", "storeFailed", "peer", "peerFailed", "peerEmpty", "probe", "probeFailed", "compacted",
 		},
 		Change: {"accepted", "conflict", "unknown", "dryRun", "refused"},
 		Config: {
