edge: room for all openings that may hang in a cut

Cause: TestOpeningsHang was red in 2 of 12 runs under the race detector beside eight busy loops: "504 != 200", a request to a sound server. The log: its one opening waited ("unsent dropped", 1,494 ms) in the queue behind 256 that hung, for the test's gathers wanted some 600. Ruled out: the server, which answered all requests that reached it.

Now 1,024 may be under way.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -36,9 +36,10 @@
 	mostlyTime  = 250 * time.Millisecond
 	mostlyShare = 3
 	// dialWorkers bounds the connections being opened at once. An opening to a
-	// server out of reach takes a second; of 160 such servers none may keep the
-	// sound ones waiting.
-	dialWorkers = 256
+	// server out of reach takes a second, and those of sound servers wait for a
+	// turn with it: with 256 a test with 600 such openings saw requests to sound
+	// servers wait until their deadline. 1,024 take some 10 MB, for that second.
+	dialWorkers = 1024
 	// innerHeaderTime bounds how long another VM takes to send its headers.
 	innerHeaderTime = 2 * time.Second
 )
