--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -24,9 +24,9 @@
 // Defaults of a Config.
 const (
 	// DefaultSilence is how long nothing is heard from beyond the data centre
-	// before a VM whose requests fail thinks itself cut off. While the
-	// store is heard once a second it is seldom silent for as long as 1 s; after
-	// that a VM there is asked for a sign of life, and the rest is for its answer.
+	// before a VM whose requests fail thinks itself cut off. While the store is
+	// heard once a second, silence seldom lasts 1 s; after that a VM there is
+	// asked for a sign of life, and the rest is for its answer.
 	DefaultSilence = 1250 * time.Millisecond
 	// DefaultIdle is the same for a VM that cannot serve alone, whatever became
 	// of its own requests. It may have none; but a balancer that finds half of a
