--- a/core/route/route.go
+++ b/core/route/route.go
@@ -1,6 +1,11 @@
 package route
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Route is where requests below one prefix of one host go.
 type Route struct {
@@ -23,6 +28,25 @@
 	Split []Share
 	// Gather is set where each request goes to all of several services.
 	Gather *Gather
+
+	digest uint64
+}
+
+// Digest is the same for routes that handle requests in the same way, on all VMs
+// and in all versions. It is 0 for a route that is in no Table.
+func (rt *Route) Digest() uint64 { return rt.digest }
+
+// digestOf goes over all that decides how a request is handled; a route's name and
+// place in the configuration do not.
+func digestOf(rt *Route) uint64 {
+	plain := *rt
+	plain.Name = ""
+	plain.Gather = nil
+	text := fmt.Appendf(nil, "%+v", plain)
+	if rt.Gather != nil {
+		text = fmt.Appendf(text, "%+v", *rt.Gather)
+	}
+	return xxhash.Sum64(text)
 }
 
 // Share is a service's part of a route's requests.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -72,6 +72,46 @@
 	}
 }
 
+// What decides how a request is handled must show in the digest, or a VM would take
+// a request by another version than the one that asked; a change elsewhere in the
+// configuration must not, or each new version would part all VMs for a moment.
+func TestDigest(t *testing.T) {
+	gather := func(shards ...string) route.Route {
+		return route.Route{Name: "r", Host: "h", Prefix: "/", Gather: &route.Gather{Shards: shards, Limit: 5, MinCoverage: 0.9}}
+	}
+	digest := func(version uint64, rt route.Route) uint64 {
+		return route.New(route.Config{Version: version, Routes: []route.Route{rt}}).Routes()[0].Digest()
+	}
+	plain := func(change func(rt *route.Route)) route.Route {
+		rt := route.Route{Name: "r", Host: "h", Prefix: "/", Split: []route.Share{{Service: "a", Weight: 1}}}
+		change(&rt)
+		return rt
+	}
+	nothing := func(*route.Route) {}
+	cases := []struct {
+		name string
+		a, b route.Route
+		same bool
+	}{
+		{"the same shards", gather("s1", "s2"), gather("s1", "s2"), true},
+		{"other shards", gather("s1", "s2"), gather("t1", "t2"), false},
+		{"one shard more", gather("s1"), gather("s1", "s2"), false},
+		{"the same service", plain(nothing), plain(nothing), true},
+		{"another name", plain(nothing), plain(func(rt *route.Route) { rt.Name = "q" }), true},
+		{"another service", plain(nothing), plain(func(rt *route.Route) { rt.Split = []route.Share{{Service: "b", Weight: 1}} }), false},
+		{"another weight", plain(nothing), plain(func(rt *route.Route) { rt.Split = []route.Share{{Service: "a", Weight: 2}} }), false},
+		{"another timeout", plain(nothing), plain(func(rt *route.Route) { rt.Timeout = 5 }), false},
+		{"runs once", plain(nothing), plain(func(rt *route.Route) { rt.Idempotent = true }), false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(digest(3, tc.a) == digest(7, tc.b), tc.same)
+			is.True(digest(3, tc.a) != 0)
+		})
+	}
+}
+
 func TestDraw(t *testing.T) {
 	is := is.New(t)
 	rt := route.Route{Split: []route.Share{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}}}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -73,6 +73,7 @@
 	if _, taken := prefixes[rt.Prefix]; taken {
 		return
 	}
+	rt.digest = digestOf(rt)
 	prefixes[rt.Prefix] = rt
 	if len(tb.routes) == 0 || rt.Priority < tb.best {
 		tb.best = rt.Priority
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -83,6 +83,10 @@
 	return errors.As(err, &ce) && ce.Kind == KindLost
 }
 
+// ReasonOtherRoute is why a VM declines a request whose route is not the same in
+// the version of the configuration that it knows. It has room all the same.
+const ReasonOtherRoute = "otherRoute"
+
 var (
 	errNobody = errors.New("no VM takes it")
 	errSilent = errors.New("it says nothing any more")
@@ -150,7 +154,7 @@
 	now := cl.cfg.Clock()
 	switch {
 	case err == nil && rp.GetDeclined():
-		cl.table.End(now, ho.ID, steer.Attempt{Verdict: fanout.Refused})
+		cl.declined(now, ho.ID, rp.GetReason())
 	case err == nil:
 		cl.table.End(now, ho.ID, steer.Attempt{Verdict: fanout.Served, Took: now - began, Usual: usual})
 	case ctx.Err() != nil:
@@ -164,6 +168,15 @@
 	return rp, sent, err
 }
 
+// declined settles a request that a VM did not take.
+func (cl *Client) declined(now time.Duration, id, reason string) {
+	if reason == ReasonOtherRoute {
+		cl.table.Withdraw(now, id, 0)
+		return
+	}
+	cl.table.End(now, id, steer.Attempt{Verdict: fanout.Refused})
+}
+
 // watch ends a request whose VM has said nothing for long and does not say that it
 // lives.
 func (cl *Client) watch(ho *origin.Upstream, cancel context.CancelCauseFunc) (stop func()) {
--- a/io/carry/join.go
+++ b/io/carry/join.go
@@ -40,7 +40,7 @@
 		return nil, vm, &Error{Op: "carry.Join", Kind: kind, Addr: vm.Addr, Err: err}
 	}
 	if rp.GetDeclined() {
-		cl.table.End(now, vm.ID, steer.Attempt{Verdict: fanout.Refused})
+		cl.declined(now, vm.ID, rp.GetReason())
 		return nil, vm, &Error{Op: "carry.Join", Kind: KindNone, Addr: vm.Addr, Err: errNobody}
 	}
 	cl.table.End(now, vm.ID, steer.Attempt{Verdict: fanout.Served, Took: now - began, Usual: usual})
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -7,6 +7,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"laburnumvane/core/origin"
+	"laburnumvane/core/plan"
 	"laburnumvane/core/route"
 	"laburnumvane/io/carry"
 	"laburnumvane/io/inner"
@@ -37,7 +38,7 @@
 func (en *Entry) forward(ctx context.Context, homes []*origin.Upstream, rq *request, rt *route.Route) *response {
 	pa := en.pace.of(&route.Route{Name: homeName + rt.Name, Target: rt.Target})
 	began := en.cfg.Clock()
-	rp, addr, err := en.cfg.Homes.Carry(ctx, homes, pa.takes(), en.carryRequest(rq, began))
+	rp, addr, err := en.cfg.Homes.Carry(ctx, homes, pa.takes(), en.carryRequest(rq, rt, began))
 	now := en.cfg.Clock()
 	if err != nil && !carry.MayHaveRun(err) {
 		en.cfg.Meter.Count(meter.Sent, "homeNone")
@@ -64,7 +65,7 @@
 	return rs
 }
 
-func (en *Entry) carryRequest(rq *request, now time.Duration) *inner.CarryRequest {
+func (en *Entry) carryRequest(rq *request, rt *route.Route, now time.Duration) *inner.CarryRequest {
 	spent := now - rq.began
 	cr := &inner.CarryRequest{
 		Version: inner.Version,
@@ -75,6 +76,7 @@
 		Body:    rq.body,
 		Framed:  rq.framed,
 		SpentUs: uint64(spent.Microseconds()),
+		Route:   rt.Digest(),
 	}
 	if rq.patience > 0 {
 		cr.LeftUs = uint64(max(1, (rq.patience - spent).Microseconds()))
@@ -103,17 +105,42 @@
 	defer en.carried.Add(-1)
 	rq := carriedRequest(cr, en.cfg.Clock())
 	vw := en.cfg.View()
-	if vw.Routes() == nil {
-		return declined(reasonNoRoutes), nil
+	rt, reason := en.routeOf(vw, rq, cr)
+	if reason != "" {
+		return en.decline(rq, reason), nil
 	}
-	rt, ok := vw.Routes().Match(rq.host, rq.path)
-	if !ok || !rt.Idempotent {
+	if !rt.Idempotent {
 		return declined(declinedRoute), nil
 	}
 	rs, outcome := en.take(ctx, rq, rt, vw)
 	return rs.carried(outcome)
 }
 
+// routeOf finds the route of another VM's request, or tells why it is declined. The
+// route must be the same there and here: VMs that hear of a new configuration at
+// different times would else show servers and callers the new one and then the old
+// one through the same VM, as if it had gone back.
+func (en *Entry) routeOf(vw *plan.View, rq *request, cr *inner.CarryRequest) (*route.Route, string) {
+	if vw.Routes() == nil {
+		return nil, reasonNoRoutes
+	}
+	rt, ok := vw.Routes().Match(rq.host, rq.path)
+	switch {
+	case !ok:
+		return nil, declinedRoute
+	case cr.GetRoute() != 0 && cr.GetRoute() != rt.Digest():
+		return nil, carry.ReasonOtherRoute
+	}
+	return rt, ""
+}
+
+// decline tells another VM that its request is not taken, and the log why.
+func (en *Entry) decline(rq *request, reason string) *inner.CarryReply {
+	en.cfg.Log.Info().Str("id", rq.id).Str("reason", reason).Uint64("version", version(en.cfg.View())).
+		Msg("declined for another VM")
+	return declined(reason)
+}
+
 func declined(reason string) *inner.CarryReply {
 	return &inner.CarryReply{Declined: true, Reason: reason}
 }
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -79,7 +79,7 @@
 	now, usual := en.cfg.Clock(), fl.pace.takes()
 	late := fl.pace.delay()
 	rq := &inner.JoinRequest{
-		Request:  en.carryRequest(fl.rq, now),
+		Request:  en.carryRequest(fl.rq, fl.rt, now),
 		Limit:    uint32(fl.rt.Gather.Limit),
 		Priority: uint32(fl.rt.Priority),
 		WaitUs:   uint64(joinWait * float64(late.Microseconds())),
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -83,10 +83,14 @@
 	if en.leaving.Load() || jr.GetRequest().GetId() == "" {
 		return &inner.JoinReply{Declined: true}, nil
 	}
-	now := en.cfg.Clock()
+	now, vw := en.cfg.Clock(), en.cfg.View()
+	rq := carriedRequest(jr.GetRequest(), now)
+	if _, reason := en.routeOf(vw, rq, jr.GetRequest()); reason != "" {
+		return &inner.JoinReply{Declined: en.decline(rq, reason).GetDeclined(), Reason: reason}, nil
+	}
 	jo := &joiner{
 		en: en, jr: jr,
-		rq:    carriedRequest(jr.GetRequest(), now),
+		rq:    rq,
 		hard:  now + microseconds(jr.GetRequest().GetLeftUs()),
 		usual: microseconds(jr.GetUsualUs()),
 		begun: now,
@@ -95,7 +99,6 @@
 		got:   make([]arrival, len(jr.GetServers())),
 	}
 	jo.head = en.head(jo.rq)
-	vw := en.cfg.View()
 	for k, id := range jr.GetServers() {
 		up, ok := vw.Upstreams().Find(id)
 		if !ok || !up.Takes() {
