--- a/core/origin/doc.go
+++ b/core/origin/doc.go
@@ -17,12 +17,18 @@
 //
 // # Leaving
 //
-// A server that said that it is leaving stays so: an id names one process, and
-// none of them comes back from leaving. An entry that arrives late, with an
-// older sequence, must not bring it back either, or the server would get
+// A process that said that it is leaving stays so. An entry that arrives late, with
+// an older sequence, must not bring it back either, or the server would get
 // requests until it exits, and those would be lost. One whose entry only lapsed,
 // as behind a partition, is back with its next entry.
 //
+// # Another life
+//
+// A server may start again under its id, and its sequence starts anew. The time of
+// its start parts the lives: an entry of a later one is in force at once, whatever
+// the former one said and wherever it stood, and an entry of a former one changes
+// nothing, however late it comes.
+//
 // # Entries that lapse
 //
 // Entries can lapse while the platform's store is away, though their servers
--- a/core/origin/table.go
+++ b/core/origin/table.go
@@ -17,6 +17,7 @@
 
 // trace is what is remembered of a server that is gone or leaving.
 type trace struct {
+	born     int64
 	leaving  bool
 	sequence uint64
 	// until is when it may be forgotten.
@@ -50,14 +51,21 @@
 // that is older than what is known changes nothing.
 func (tb *Table) Put(now time.Duration, up *Upstream) bool {
 	if tr, seen := tb.past[up.ID]; seen {
-		if tr.leaving {
+		switch {
+		case up.Born < tr.born:
+			return false
+		case up.Born > tr.born:
+			// It started again: that its former life was leaving or gone says
+			// nothing of this one.
+			delete(tb.past, up.ID)
+		case tr.leaving:
 			up = up.WithLeaving()
-		} else if up.Sequence <= tr.sequence {
+		case up.Sequence <= tr.sequence:
 			return false
 		}
 	}
 	was, known := tb.live[up.ID]
-	if known && up.Sequence < was.Sequence && !up.Leaving {
+	if known && up.precedes(was) && (up.Born < was.Born || !up.Leaving) {
 		return false
 	}
 	if up.Leaving {
@@ -85,6 +93,17 @@
 	return true
 }
 
+// Reject takes an entry that names no server any more, for it cannot be read, and
+// tells whether the directory changed. Unlike an entry that lapses while the store
+// is away it was written on purpose. The server is back with its next own entry.
+func (tb *Table) Reject(now time.Duration, id string) bool {
+	up, known := tb.live[id]
+	if known {
+		tb.drop(now, up)
+	}
+	return known
+}
+
 func (tb *Table) drop(now time.Duration, up *Upstream) {
 	delete(tb.live, up.ID)
 	delete(tb.lapsed, up.ID)
@@ -92,7 +111,12 @@
 }
 
 func (tb *Table) remember(now time.Duration, up *Upstream) {
-	tb.past[up.ID] = trace{leaving: up.Leaving, sequence: up.Sequence, until: now + tb.cfg.Forget}
+	tb.past[up.ID] = trace{
+		born:     up.Born,
+		leaving:  up.Leaving,
+		sequence: up.Sequence,
+		until:    now + tb.cfg.Forget,
+	}
 }
 
 // Suspect tells that the store was away until a time, so that the end of an entry
--- a/core/origin/table_test.go
+++ b/core/origin/table_test.go
@@ -1,6 +1,7 @@
 package origin_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -136,3 +137,72 @@
 	is.True(tb.Tick(20*time.Second+linger, false))
 	is.True(!takes(tb, "a"))
 }
+
+// A server starts again under its id, and its sequence starts anew. Callers see
+// shards without a server if its entry is taken for an old one: after a crash
+// (another address, a lower sequence), after it said that it was leaving, and after
+// its entry had ended. What its former life wrote comes late, and must not put the
+// new one out of service or bring the old address back.
+func TestAnotherLife(t *testing.T) {
+	born := func(at int64, sequence uint64) *origin.Upstream {
+		one := up("a", sequence)
+		one.Born = at
+		one.Addr = fmt.Sprintf("a:%d", at)
+		return one
+	}
+	cases := []struct {
+		name   string
+		before func(tb *origin.Table)
+	}{
+		{"crashed", func(*origin.Table) {}},
+		{"left", func(tb *origin.Table) { tb.Put(1, born(1, 41).WithLeaving()) }},
+		{"left and gone", func(tb *origin.Table) {
+			tb.Put(1, born(1, 41).WithLeaving())
+			tb.Remove(2, "a")
+		}},
+		{"lapsed", func(tb *origin.Table) { tb.Remove(1, "a") }},
+		{"lapsed while the store was away", func(tb *origin.Table) {
+			tb.Suspect(time.Second)
+			tb.Remove(1, "a")
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			tb := newTable()
+			tb.Put(0, born(1, 40))
+			tc.before(tb)
+			is.True(tb.Put(3, born(2, 1)))
+			for _, late := range []*origin.Upstream{born(1, 50), born(1, 51).WithLeaving(), up("a", 60)} {
+				is.True(!tb.Put(4, late))
+				found, ok := tb.Directory().Find("a")
+				is.True(ok && found.Takes())
+				is.Equal(found.Addr, "a:2")
+			}
+			is.True(tb.Directory().Has(born(2, 9).Process()))
+			is.True(!tb.Directory().Has(born(1, 9).Process()))
+			is.True(!tb.Tick(10*time.Second, false)) // it does not end with the former life
+			is.True(takes(tb, "a"))
+			is.True(tb.Put(5, born(2, 2).WithLeaving()))
+			is.True(!takes(tb, "a"))
+		})
+	}
+}
+
+// Somebody else writes what no server writes under a server's key. Nothing is sent
+// there until the server has written again; also while the store was away, for this
+// entry did not lapse by itself. Other servers are not touched.
+func TestRejected(t *testing.T) {
+	is := is.New(t)
+	tb := newTable()
+	tb.Put(0, up("a", 4))
+	tb.Put(0, up("b", 4))
+	tb.Suspect(time.Second)
+	is.True(tb.Reject(1, "a"))
+	is.True(!takes(tb, "a"))
+	is.True(takes(tb, "b"))
+	is.True(!tb.Reject(2, "a"))
+	is.True(!tb.Reject(2, "unknown"))
+	is.True(tb.Put(3, up("a", 5)))
+	is.True(takes(tb, "a"))
+}
--- a/core/origin/upstream.go
+++ b/core/origin/upstream.go
@@ -2,10 +2,24 @@
 
 import "time"
 
+// Process names one life of a server. A server may start again under its id, also
+// at another address; it then knows nothing of its former life, and what was seen
+// of that one says nothing of it.
+type Process struct {
+	ID string
+	// Born is the time of its start, in milliseconds since 1970; 0 if it did not
+	// say.
+	Born int64
+	Addr string
+}
+
 // Upstream is one process of a server. It is immutable.
 type Upstream struct {
-	// ID names the process; a restart has another.
-	ID      string
+	// ID names the server.
+	ID string
+	// Born is the time of the process's start, in milliseconds since 1970; 0 if it
+	// did not say.
+	Born    int64
 	Service string
 	// Addr is host and port. It may have belonged to another server before.
 	Addr       string
@@ -17,10 +31,22 @@
 	// WarmFor is how much longer it is slow after its start, counted from the
 	// entry's writing.
 	WarmFor time.Duration
-	// Sequence rises with every entry that the server writes.
+	// Sequence rises with every entry that the process writes.
 	Sequence uint64
 }
 
+// Process names the process.
+func (up *Upstream) Process() Process { return Process{ID: up.ID, Born: up.Born, Addr: up.Addr} }
+
+// precedes tells whether what was written of a server is older than another entry
+// of it: of a former life, or of the same one and before.
+func (up *Upstream) precedes(other *Upstream) bool {
+	if up.Born != other.Born {
+		return up.Born < other.Born
+	}
+	return up.Sequence < other.Sequence
+}
+
 // WithLeaving is the same server on its way out.
 func (up *Upstream) WithLeaving() *Upstream {
 	changed := *up
@@ -54,12 +80,18 @@
 // must not change the list.
 func (dir *Directory) Of(service string) []*Upstream { return dir.byService[service] }
 
-// Find looks a process up.
+// Find looks a server up.
 func (dir *Directory) Find(id string) (*Upstream, bool) {
 	up, ok := dir.byID[id]
 	return up, ok
 }
 
+// Has tells whether a process is there, and not only another life of its server.
+func (dir *Directory) Has(pr Process) bool {
+	up, ok := dir.byID[pr.ID]
+	return ok && up.Process() == pr
+}
+
 // All visits every server.
 func (dir *Directory) All(visit func(up *Upstream)) {
 	for _, up := range dir.byID {
--- a/core/steer/doc.go
+++ b/core/steer/doc.go
@@ -6,8 +6,8 @@
 //
 //	tb := steer.New(steer.Config{DataCentre: "east"})
 //	up, ok := tb.Pick(now, steer.Kind{Usual: usual, Slack: slack}, candidates, tried, rnd.Float64)
-//	tb.Begin(now, usual, up.ID)
-//	tb.End(now, up.ID, steer.Attempt{Verdict: fanout.Served, Took: took, Usual: usual})
+//	tb.Begin(now, usual, up.Process())
+//	tb.End(now, up.Process(), steer.Attempt{Verdict: fanout.Served, Took: took, Usual: usual})
 //
 // A Table may be used from many goroutines.
 //
--- a/core/steer/overload_test.go
+++ b/core/steer/overload_test.go
@@ -131,7 +131,7 @@
 	}
 	rq.tried = append(rq.tried, up)
 	rq.server = up.ID
-	rq.vm.tb.Begin(lo.now, usual, up.ID)
+	rq.vm.tb.Begin(lo.now, usual, up.Process())
 	if lo.bounded && rq.vm.busy[up.ID] >= rq.vm.window[up.ID] {
 		rq.waits = true
 		rq.vm.line[up.ID].Push(0, rq)
@@ -147,7 +147,7 @@
 		return
 	}
 	rq.waits = false
-	rq.vm.tb.Withdraw(lo.now, rq.server, moveAfter)
+	rq.vm.tb.Withdraw(lo.now, process(rq.server), moveAfter)
 	lo.place(rq)
 }
 
@@ -183,7 +183,7 @@
 func (lo *load) done(rq *simRequest, ve fanout.Verdict) {
 	vm := rq.vm
 	vm.busy[rq.server]--
-	window := vm.tb.End(lo.now, rq.server, steer.Attempt{Verdict: ve, Took: lo.now - rq.sent, Usual: usual})
+	window := vm.tb.End(lo.now, process(rq.server), steer.Attempt{Verdict: ve, Took: lo.now - rq.sent, Usual: usual})
 	vm.window[rq.server] = window
 	if ve == fanout.Served && lo.now-rq.began <= target {
 		lo.inTime++
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -81,15 +81,14 @@
 
 // Table holds what this VM has seen of each server.
 type Table struct {
-	cfg Config
-	mu  sync.Mutex
-	// seen is by the id of the process.
-	seen map[string]*memory
+	cfg  Config
+	mu   sync.Mutex
+	seen map[origin.Process]*memory
 }
 
 // New makes an empty table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, seen: make(map[string]*memory)}
+	return &Table{cfg: cfg, seen: make(map[origin.Process]*memory)}
 }
 
 // Kind is what is known of a kind of request.
@@ -140,7 +139,7 @@
 	if up.DataCentre != tb.cfg.DataCentre {
 		cost += max(farShare*float64(usual), float64(farLeast))
 	}
-	me, seen := tb.seen[up.ID]
+	me, seen := tb.seen[up.Process()]
 	if !seen {
 		return cost, true
 	}
@@ -156,10 +155,10 @@
 }
 
 // Begin counts an attempt as in flight.
-func (tb *Table) Begin(now, usual time.Duration, id string) {
+func (tb *Table) Begin(now, usual time.Duration, pr origin.Process) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	me := tb.of(id)
+	me := tb.of(pr)
 	if me.inFlight == 0 {
 		me.quietSince = now
 	}
@@ -169,11 +168,11 @@
 	me.inFlight++
 }
 
-func (tb *Table) of(id string) *memory {
-	me, ok := tb.seen[id]
+func (tb *Table) of(pr origin.Process) *memory {
+	me, ok := tb.seen[pr]
 	if !ok {
 		me = &memory{window: windowMost}
-		tb.seen[id] = me
+		tb.seen[pr] = me
 	}
 	return me
 }
@@ -188,10 +187,10 @@
 
 // End settles an attempt and returns how many requests of this VM the server may
 // have at once from now on.
-func (tb *Table) End(now time.Duration, id string, at Attempt) (window int) {
+func (tb *Table) End(now time.Duration, pr origin.Process, at Attempt) (window int) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	me, ok := tb.seen[id]
+	me, ok := tb.seen[pr]
 	if !ok {
 		return windowMost
 	}
@@ -224,10 +223,10 @@
 
 // Withdraw settles an attempt that was given up by this VM. One that had waited
 // for long shows that the server is dark.
-func (tb *Table) Withdraw(now time.Duration, id string, waited time.Duration) {
+func (tb *Table) Withdraw(now time.Duration, pr origin.Process, waited time.Duration) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	me, ok := tb.seen[id]
+	me, ok := tb.seen[pr]
 	if !ok {
 		return
 	}
@@ -238,10 +237,10 @@
 }
 
 // Reached tells whether a connection to a server could be opened.
-func (tb *Table) Reached(now time.Duration, id string, ok bool) {
+func (tb *Table) Reached(now time.Duration, pr origin.Process, ok bool) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	me := tb.of(id)
+	me := tb.of(pr)
 	if ok {
 		me.avoidUntil = min(me.avoidUntil, now)
 		return
@@ -251,10 +250,10 @@
 
 // Sound tells whether nothing speaks against a server: it is not slow, does not
 // refuse or fail, and is not silent.
-func (tb *Table) Sound(now time.Duration, id string) bool {
+func (tb *Table) Sound(now time.Duration, pr origin.Process) bool {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	me, ok := tb.seen[id]
+	me, ok := tb.seen[pr]
 	if !ok {
 		return true
 	}
@@ -264,10 +263,10 @@
 }
 
 // Quiet is how long a server with requests of this VM has said nothing.
-func (tb *Table) Quiet(now time.Duration, id string) time.Duration {
+func (tb *Table) Quiet(now time.Duration, pr origin.Process) time.Duration {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	me, ok := tb.seen[id]
+	me, ok := tb.seen[pr]
 	if !ok || me.inFlight == 0 {
 		return 0
 	}
@@ -278,9 +277,9 @@
 func (tb *Table) Keep(dir *origin.Directory) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	for id, me := range tb.seen {
-		if _, ok := dir.Find(id); !ok && me.inFlight == 0 {
-			delete(tb.seen, id)
+	for pr, me := range tb.seen {
+		if !dir.Has(pr) && me.inFlight == 0 {
+			delete(tb.seen, pr)
 		}
 	}
 }
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -16,6 +16,8 @@
 	usual = 20 * ms
 )
 
+func process(id string) origin.Process { return origin.Process{ID: id} }
+
 func half() float64 { return 0.5 }
 
 func servers() []*origin.Upstream {
@@ -51,9 +53,9 @@
 
 // end ends one request to the near server.
 func (wo *world) end(took time.Duration, ve fanout.Verdict) int {
-	wo.tb.Begin(wo.now, usual, "near")
+	wo.tb.Begin(wo.now, usual, process("near"))
 	wo.now += took
-	return wo.tb.End(wo.now, "near", steer.Attempt{Verdict: ve, Took: took, Usual: usual})
+	return wo.tb.End(wo.now, process("near"), steer.Attempt{Verdict: ve, Took: took, Usual: usual})
 }
 
 func TestNearFirst(t *testing.T) {
@@ -71,12 +73,12 @@
 	is := is.New(t)
 	wo := newWorld(t)
 	wo.serve(usual)
-	wo.tb.Begin(wo.now, usual, "near")
+	wo.tb.Begin(wo.now, usual, process("near"))
 	is.Equal(wo.pick(), "near")
 	wo.now += 60 * ms
 	is.Equal(wo.pick(), "far")
 	wo.now += 140 * ms
-	wo.tb.End(wo.now, "near", steer.Attempt{Verdict: fanout.Served, Took: 200 * ms, Usual: usual})
+	wo.tb.End(wo.now, process("near"), steer.Attempt{Verdict: fanout.Served, Took: 200 * ms, Usual: usual})
 	is.Equal(wo.pick(), "near")
 }
 
@@ -86,7 +88,7 @@
 	is := is.New(t)
 	wo := newWorld(t)
 	wo.serve(usual)
-	wo.tb.Begin(wo.now, usual, "near")
+	wo.tb.Begin(wo.now, usual, process("near"))
 	wo.now += 70 * ms
 	patient := steer.Kind{Usual: usual, Slack: 80 * ms}
 	up, _ := wo.tb.Pick(wo.now, patient, servers(), nil, half)
@@ -135,9 +137,9 @@
 	const short = 6 * ms
 	wo.serve(usual)
 	for range 3 {
-		wo.tb.Begin(wo.now, short, "near")
+		wo.tb.Begin(wo.now, short, process("near"))
 		wo.now += 5 * short
-		wo.tb.End(wo.now, "near", steer.Attempt{Verdict: fanout.Served, Took: 5 * short, Usual: short})
+		wo.tb.End(wo.now, process("near"), steer.Attempt{Verdict: fanout.Served, Took: 5 * short, Usual: short})
 	}
 	is.Equal(wo.pick(), "near")
 }
@@ -149,23 +151,23 @@
 func TestDarkServerIsNoChoice(t *testing.T) {
 	is := is.New(t)
 	wo := newWorld(t)
-	wo.tb.Begin(wo.now, usual, "near")
-	wo.tb.Begin(wo.now, usual, "far")
+	wo.tb.Begin(wo.now, usual, process("near"))
+	wo.tb.Begin(wo.now, usual, process("far"))
 	wo.now += 800 * ms
 	is.Equal(wo.pick(), "")
-	wo.tb.Withdraw(wo.now, "near", 800*ms)
-	wo.tb.Withdraw(wo.now, "far", 800*ms)
+	wo.tb.Withdraw(wo.now, process("near"), 800*ms)
+	wo.tb.Withdraw(wo.now, process("far"), 800*ms)
 	is.Equal(wo.pick(), "")
-	wo.tb.Reached(wo.now, "near", true)
+	wo.tb.Reached(wo.now, process("near"), true)
 	is.Equal(wo.pick(), "near")
 }
 
 func TestUnreachedAndStranger(t *testing.T) {
 	is := is.New(t)
 	wo := newWorld(t)
-	wo.tb.Reached(wo.now, "near", false)
+	wo.tb.Reached(wo.now, process("near"), false)
 	is.Equal(wo.pick(), "far")
-	wo.tb.Reached(wo.now, "near", true)
+	wo.tb.Reached(wo.now, process("near"), true)
 	is.Equal(wo.pick(), "near")
 	wo.end(ms, fanout.Elsewhere)
 	wo.now += 30 * time.Second
@@ -212,11 +214,33 @@
 func TestKeepForgets(t *testing.T) {
 	is := is.New(t)
 	wo := newWorld(t)
-	wo.tb.Reached(wo.now, "near", false)
+	wo.tb.Reached(wo.now, process("near"), false)
 	wo.tb.Keep(origin.New(nil))
 	is.Equal(wo.pick(), "near")
 }
 
+// A server starts again under its id. That its former life was slow, out of reach or
+// gone from its address says nothing of the new one, which must be asked at once;
+// what still comes of the former one must not be held against it either.
+func TestAnotherLife(t *testing.T) {
+	is := is.New(t)
+	tb := steer.New(steer.Config{DataCentre: "east"})
+	before := &origin.Upstream{ID: "a", Born: 1, Addr: "a:1", DataCentre: "east"}
+	after := &origin.Upstream{ID: "a", Born: 2, Addr: "a:1", DataCentre: "east"}
+	far := &origin.Upstream{ID: "b", Born: 1, Addr: "b:1", DataCentre: "west"}
+	pick := func(up *origin.Upstream) string {
+		found, ok := tb.Pick(time.Second, steer.Kind{Usual: usual}, []*origin.Upstream{up, far}, nil, half)
+		is.True(ok)
+		return found.ID
+	}
+	tb.Begin(0, usual, before.Process())
+	tb.Reached(time.Second, before.Process(), false)
+	is.Equal(pick(before), "b")
+	is.Equal(pick(after), "a")
+	tb.End(time.Second, before.Process(), steer.Attempt{Verdict: fanout.Elsewhere})
+	is.Equal(pick(after), "a")
+}
+
 // A joined answer waits for the slowest server in it, so that only servers against
 // which nothing speaks are asked together.
 func TestSound(t *testing.T) {
@@ -235,10 +259,10 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			tb := steer.New(steer.Config{})
-			is.True(tb.Sound(0, "a"))
-			tb.Begin(0, 10*time.Millisecond, "a")
-			tb.End(100*time.Millisecond, "a", tc.at)
-			is.Equal(tb.Sound(101*time.Millisecond, "a"), tc.sound)
+			is.True(tb.Sound(0, process("a")))
+			tb.Begin(0, 10*time.Millisecond, process("a"))
+			tb.End(100*time.Millisecond, process("a"), tc.at)
+			is.Equal(tb.Sound(101*time.Millisecond, process("a")), tc.sound)
 		})
 	}
 }
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -141,7 +141,7 @@
 // ask sends a request to one VM and tells whether any of it may have left.
 func (cl *Client) ask(ctx context.Context, ho *origin.Upstream, usual time.Duration, rq *inner.CarryRequest) (*inner.CarryReply, bool, error) {
 	began := cl.cfg.Clock()
-	cl.table.Begin(began, usual, ho.ID)
+	cl.table.Begin(began, usual, ho.Process())
 	bounded, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := cl.watch(ho, cancel)
@@ -154,27 +154,27 @@
 	now := cl.cfg.Clock()
 	switch {
 	case err == nil && rp.GetDeclined():
-		cl.declined(now, ho.ID, rp.GetReason())
+		cl.declined(now, ho.Process(), rp.GetReason())
 	case err == nil:
-		cl.table.End(now, ho.ID, steer.Attempt{Verdict: fanout.Served, Took: now - began, Usual: usual})
+		cl.table.End(now, ho.Process(), steer.Attempt{Verdict: fanout.Served, Took: now - began, Usual: usual})
 	case ctx.Err() != nil:
 		// The client left.
-		cl.table.Withdraw(now, ho.ID, now-began)
+		cl.table.Withdraw(now, ho.Process(), now-began)
 	default:
-		cl.table.Withdraw(now, ho.ID, 0)
-		cl.table.Reached(now, ho.ID, false)
+		cl.table.Withdraw(now, ho.Process(), 0)
+		cl.table.Reached(now, ho.Process(), false)
 		cl.to.Drop(ho.Addr)
 	}
 	return rp, sent, err
 }
 
 // declined settles a request that a VM did not take.
-func (cl *Client) declined(now time.Duration, id, reason string) {
+func (cl *Client) declined(now time.Duration, pr origin.Process, reason string) {
 	if reason == ReasonOtherRoute {
-		cl.table.Withdraw(now, id, 0)
+		cl.table.Withdraw(now, pr, 0)
 		return
 	}
-	cl.table.End(now, id, steer.Attempt{Verdict: fanout.Refused})
+	cl.table.End(now, pr, steer.Attempt{Verdict: fanout.Refused})
 }
 
 // watch ends a request whose VM has said nothing for long and does not say that it
@@ -190,7 +190,7 @@
 				return
 			case <-tm.C:
 			}
-			if cl.table.Quiet(cl.cfg.Clock(), ho.ID) >= doubtAfter && !cl.Lives(ho.Addr) {
+			if cl.table.Quiet(cl.cfg.Clock(), ho.Process()) >= doubtAfter && !cl.Lives(ho.Addr) {
 				cancel(errSilent)
 				return
 			}
--- a/io/carry/join.go
+++ b/io/carry/join.go
@@ -21,16 +21,16 @@
 	if !ok {
 		return nil, nil, &Error{Op: "carry.Join", Kind: KindNone, Err: errNobody}
 	}
-	cl.table.Begin(began, usual, vm.ID)
+	cl.table.Begin(began, usual, vm.Process())
 	sent := false
 	rp, err := cl.to.At(vm.Addr).Join(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaders: func() { sent = true },
 	}), rq)
 	now := cl.cfg.Clock()
 	if err != nil {
-		cl.table.Withdraw(now, vm.ID, now-began)
+		cl.table.Withdraw(now, vm.Process(), now-began)
 		if ctx.Err() == nil {
-			cl.table.Reached(now, vm.ID, false)
+			cl.table.Reached(now, vm.Process(), false)
 			cl.to.Drop(vm.Addr)
 		}
 		kind := KindNone
@@ -40,10 +40,10 @@
 		return nil, vm, &Error{Op: "carry.Join", Kind: kind, Addr: vm.Addr, Err: err}
 	}
 	if rp.GetDeclined() {
-		cl.declined(now, vm.ID, rp.GetReason())
+		cl.declined(now, vm.Process(), rp.GetReason())
 		return nil, vm, &Error{Op: "carry.Join", Kind: KindNone, Addr: vm.Addr, Err: errNobody}
 	}
-	cl.table.End(now, vm.ID, steer.Attempt{Verdict: fanout.Served, Took: now - began, Usual: usual})
+	cl.table.End(now, vm.Process(), steer.Attempt{Verdict: fanout.Served, Took: now - began, Usual: usual})
 	return rp, vm, nil
 }
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 
 	"laburnumvane/core/feed"
+	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
 	"laburnumvane/core/reach"
 	"laburnumvane/core/route"
@@ -111,7 +112,7 @@
 		Dial:     cfg.Dial,
 		Go:       eg.workers.run,
 		Count:    func(event string) { eg.meter.Count(meter.Connection, event) },
-		Reached:  func(id string, ok bool) { eg.steer.Reached(eg.clock(), id, ok) },
+		Reached:  func(pr origin.Process, ok bool) { eg.steer.Reached(eg.clock(), pr, ok) },
 		Opened:   func() { eg.conns.Add(1) },
 		Closed:   func() { eg.conns.Add(-1) },
 	})
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -30,7 +30,9 @@
 	// vms are by key; gone holds when those whose entry lapsed stop counting.
 	vms  map[string]listed
 	gone map[string]time.Duration
-	view *plan.View
+	// unread are the keys whose entries could not be read.
+	unread map[string]bool
+	view   *plan.View
 }
 
 // listed is a VM as its entry says.
@@ -45,6 +47,7 @@
 		servers: origin.NewTable(origin.Config{Linger: lingerTime, Forget: forgetTime}),
 		vms:     make(map[string]listed),
 		gone:    make(map[string]time.Duration),
+		unread:  make(map[string]bool),
 		view:    plan.New(plan.Config{Self: eg.set.Self}),
 	}
 }
@@ -77,16 +80,7 @@
 func (st *state) put(now time.Duration, ev feed.Event) (upstreams, fleet bool) {
 	dec := st.eg.cfg.Decoder
 	if up, ok, err := dec.Upstream(ev.Key, ev.Value); ok {
-		if err != nil {
-			st.unreadable(ev, err)
-			return false, false
-		}
-		changed := st.servers.Put(now, up)
-		if changed {
-			st.eg.cfg.Log.Info().Str("server", up.ID).Str("service", up.Service).Str("addr", up.Addr).
-				Bool("leaving", up.Leaving).Uint64("sequence", up.Sequence).Uint64("revision", ev.Revision).Msg("server entry")
-		}
-		return changed, false
+		return st.putServer(now, ev, up, err), false
 	}
 	if vm, capacity, ok, err := dec.VM(ev.Key, ev.Value); ok {
 		if err != nil {
@@ -108,6 +102,23 @@
 	return false, false
 }
 
+// putServer takes a server's entry. One that cannot be read names no server: what
+// stood under its key before is gone.
+func (st *state) putServer(now time.Duration, ev feed.Event, up *upstream, err error) (changed bool) {
+	if err != nil {
+		st.unreadable(ev, err)
+		id, _ := st.eg.cfg.Decoder.UpstreamID(ev.Key)
+		return st.servers.Reject(now, id)
+	}
+	delete(st.unread, ev.Key)
+	if !st.servers.Put(now, up) {
+		return false
+	}
+	st.eg.cfg.Log.Info().Str("server", up.ID).Str("service", up.Service).Str("addr", up.Addr).Int64("born", up.Born).
+		Bool("leaving", up.Leaving).Uint64("sequence", up.Sequence).Uint64("revision", ev.Revision).Msg("server entry")
+	return true
+}
+
 // setRoutes takes a configuration unless a newer one is in force: a VM never
 // goes back.
 func (st *state) setRoutes(tb *routeTable, revision uint64) {
@@ -123,14 +134,21 @@
 		Int("routes", len(tb.Routes())).Msg("configuration in force")
 }
 
+// unreadable counts an entry that cannot be read, and logs the first of each key:
+// another writer may repeat it for hours.
 func (st *state) unreadable(ev feed.Event, err error) {
 	st.eg.meter.Count(meter.Config, "unreadable")
+	if st.unread[ev.Key] {
+		return
+	}
+	st.unread[ev.Key] = true
 	st.eg.cfg.Log.Error().Str("key", ev.Key).Uint64("revision", ev.Revision).Err(err).Msg("entry cannot be read, passed over")
 }
 
 // remove takes the end of an entry and tells whether servers changed. A VM whose
 // entry ended counts for a while, see vmForget.
 func (st *state) remove(now time.Duration, key string) (upstreams bool) {
+	delete(st.unread, key)
 	if id, ok := st.eg.cfg.Decoder.UpstreamID(key); ok {
 		changed := st.servers.Remove(now, id)
 		st.eg.cfg.Log.Info().Str("server", id).Bool("dropped", changed).Msg("server entry gone")
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -222,7 +222,7 @@
 		en.cfg.Meter.Count(meter.Retry, ac.After.String())
 	}
 	usual := fl.pace.takes()
-	en.cfg.Steer.Begin(now, usual, up.ID)
+	en.cfg.Steer.Begin(now, usual, up.Process())
 	box := fl.mailbox
 	gathered := fl.rt.Gather != nil
 	fl.calls[k] = en.cfg.Relay.Send(up, relay.Request{
@@ -248,12 +248,12 @@
 	if ar.rs.Err != nil {
 		en.cfg.Meter.Count(meter.Upstream, string(ar.rs.Err.Kind))
 		if !ar.rs.Err.Sent || ar.rs.Err.Kind == relay.KindDropped {
-			en.cfg.Steer.Withdraw(now, up.ID, now-sent)
+			en.cfg.Steer.Withdraw(now, up.Process(), now-sent)
 			return
 		}
 	} else if ar.verdict != fanout.Served {
 		en.cfg.Meter.Count(meter.Upstream, ar.verdict.String())
 	}
-	window := en.cfg.Steer.End(now, up.ID, steer.Attempt{Verdict: ar.verdict, Took: ar.rs.Took, Usual: usual})
+	window := en.cfg.Steer.End(now, up.Process(), steer.Attempt{Verdict: ar.verdict, Took: ar.rs.Took, Usual: usual})
 	en.cfg.Relay.Allow(up, window)
 }
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -67,7 +67,7 @@
 // would be asked for elsewhere only after that.
 func (fl *flight) joinPlace(ac fanout.Action) string {
 	up, en := ac.Upstream, fl.en
-	if ac.Cause != fanout.CauseFirst || up.DataCentre == en.cfg.DataCentre || !en.cfg.Steer.Sound(en.cfg.Clock(), up.ID) {
+	if ac.Cause != fanout.CauseFirst || up.DataCentre == en.cfg.DataCentre || !en.cfg.Steer.Sound(en.cfg.Clock(), up.Process()) {
 		return ""
 	}
 	return up.DataCentre
@@ -89,7 +89,7 @@
 	for _, ac := range group {
 		rq.Servers = append(rq.Servers, ac.Upstream.ID)
 		fl.machine.Hold(ac.Attempt, now+late+joinSlack)
-		en.cfg.Steer.Begin(now, usual, ac.Upstream.ID)
+		en.cfg.Steer.Begin(now, usual, ac.Upstream.Process())
 		en.cfg.Meter.Count(meter.Sent, "joined")
 	}
 	fl.joined += len(group)
@@ -103,7 +103,7 @@
 	switch {
 	case err != nil && !carry.MayHaveRun(err):
 		for _, ac := range group {
-			en.cfg.Steer.Withdraw(en.cfg.Clock(), ac.Upstream.ID, 0)
+			en.cfg.Steer.Withdraw(en.cfg.Clock(), ac.Upstream.Process(), 0)
 		}
 		fl.joins <- joinResult{open: group, unsent: true}
 		return
@@ -180,14 +180,14 @@
 	now := en.cfg.Clock()
 	switch ar.verdict {
 	case fanout.Unsent:
-		en.cfg.Steer.Withdraw(now, ac.Upstream.ID, 0)
+		en.cfg.Steer.Withdraw(now, ac.Upstream.Process(), 0)
 		return ar
 	case fanout.Served:
 		en.farHeard.Store(int64(now))
 		ar.rs.Reply = &relay.Reply{Header: http.Header{}, Body: body}
 		ar.rs.Reply.Header.Set(en.cfg.Names.Receipt, pa.GetReceipt())
 	}
-	en.cfg.Steer.End(now, ac.Upstream.ID, steer.Attempt{Verdict: ar.verdict, Took: ar.rs.Took, Usual: fl.pace.takes()})
+	en.cfg.Steer.End(now, ac.Upstream.Process(), steer.Attempt{Verdict: ar.verdict, Took: ar.rs.Took, Usual: fl.pace.takes()})
 	return ar
 }
 
@@ -198,7 +198,7 @@
 	for i, ac := range group {
 		ar := arrival{attempt: ac.Attempt, verdict: fanout.Lost}
 		ar.rs.Err = &relay.Error{Op: "entry.join", Kind: relay.KindJoin, Sent: true, Err: err}
-		fl.en.cfg.Steer.Withdraw(now, ac.Upstream.ID, now-sent)
+		fl.en.cfg.Steer.Withdraw(now, ac.Upstream.Process(), now-sent)
 		arrivals[i] = ar
 	}
 	return arrivals
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -120,7 +120,7 @@
 func (jo *joiner) send(k int, up *origin.Upstream) {
 	en, now := jo.en, jo.en.cfg.Clock()
 	en.cfg.Meter.Count(meter.Sent, "forOthers")
-	en.cfg.Steer.Begin(now, jo.usual, up.ID)
+	en.cfg.Steer.Begin(now, jo.usual, up.Process())
 	jo.calls[k] = en.cfg.Relay.Send(up, relay.Request{
 		ID:       jo.rq.id,
 		Method:   jo.rq.method,
--- a/io/relay/pool.go
+++ b/io/relay/pool.go
@@ -38,7 +38,7 @@
 	Opened, Closed func()
 	// Reached is told whether a connection to a server could be opened; it may
 	// be nil.
-	Reached func(id string, ok bool)
+	Reached func(pr origin.Process, ok bool)
 	// IdleClose and SpareClose have defaults.
 	IdleClose  time.Duration
 	SpareClose time.Duration
@@ -49,7 +49,7 @@
 	cfg Config
 
 	mu      sync.RWMutex
-	servers map[string]*Server
+	servers map[origin.Process]*Server
 }
 
 // New makes an empty pool.
@@ -70,7 +70,7 @@
 		cfg.Closed = func() {}
 	}
 	if cfg.Reached == nil {
-		cfg.Reached = func(string, bool) {}
+		cfg.Reached = func(origin.Process, bool) {}
 	}
 	if cfg.IdleClose <= 0 {
 		cfg.IdleClose = DefaultIdleClose
@@ -78,7 +78,7 @@
 	if cfg.SpareClose <= 0 {
 		cfg.SpareClose = DefaultSpareClose
 	}
-	return &Pool{cfg: cfg, servers: make(map[string]*Server)}
+	return &Pool{cfg: cfg, servers: make(map[origin.Process]*Server)}
 }
 
 // Sync takes a new directory: servers are keyed by process, so that a connection
@@ -86,17 +86,17 @@
 func (po *Pool) Sync(dir *origin.Directory, plan func(up *origin.Upstream) Limits) {
 	po.mu.Lock()
 	var gone []*Server
-	for id, sv := range po.servers {
-		if _, ok := dir.Find(id); !ok {
+	for pr, sv := range po.servers {
+		if !dir.Has(pr) {
 			gone = append(gone, sv)
-			delete(po.servers, id)
+			delete(po.servers, pr)
 		}
 	}
 	dir.All(func(up *origin.Upstream) {
-		sv, ok := po.servers[up.ID]
+		sv, ok := po.servers[up.Process()]
 		if !ok {
-			sv = &Server{cfg: &po.cfg, id: up.ID, addr: up.Addr}
-			po.servers[up.ID] = sv
+			sv = &Server{cfg: &po.cfg, process: up.Process(), addr: up.Addr}
+			po.servers[up.Process()] = sv
 		}
 		sv.setLimits(plan(up))
 	})
@@ -109,10 +109,10 @@
 // Send sends a request to a server; Done is told if it is not known any more.
 func (po *Pool) Send(up *origin.Upstream, rq Request) *Call {
 	po.mu.RLock()
-	sv, ok := po.servers[up.ID]
+	sv, ok := po.servers[up.Process()]
 	po.mu.RUnlock()
 	if !ok {
-		sv = &Server{cfg: &po.cfg, id: up.ID, addr: up.Addr, shut: true}
+		sv = &Server{cfg: &po.cfg, process: up.Process(), addr: up.Addr, shut: true}
 	}
 	return sv.Send(rq)
 }
@@ -121,7 +121,7 @@
 // wait here.
 func (po *Pool) Allow(up *origin.Upstream, window int) {
 	po.mu.RLock()
-	sv, ok := po.servers[up.ID]
+	sv, ok := po.servers[up.Process()]
 	po.mu.RUnlock()
 	if ok {
 		sv.allow(window)
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"laburnumvane/core/origin"
 	"laburnumvane/core/queue"
 )
 
@@ -35,9 +36,9 @@
 
 // Server is one upstream with the connections to it.
 type Server struct {
-	cfg  *Config
-	id   string
-	addr string
+	cfg     *Config
+	process origin.Process
+	addr    string
 
 	mu     sync.Mutex
 	limits Limits
@@ -136,7 +137,7 @@
 	began := sv.cfg.Clock()
 	nc, err := sv.cfg.Dial(sv.addr, dialTime)
 	now := sv.cfg.Clock()
-	sv.cfg.Reached(sv.id, err == nil)
+	sv.cfg.Reached(sv.process, err == nil)
 	if err != nil {
 		sv.cfg.Count("openFailed")
 		sv.dialFailed(now, err)
