--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -94,10 +94,11 @@
 func New(cfg Config) *Entry {
 	en := &Entry{cfg: cfg, budgets: newBudgets()}
 	gc := guard.Config{
-		MaxBody:   mostBody,
-		MaxHeader: mostHeader,
-		Times:     en.times,
-		Refused:   func(reason string) { cfg.Meter.Count(meter.Refusal, reason) },
+		MaxBody:    mostBody,
+		MaxHeader:  mostHeader,
+		Times:      en.times,
+		OwnFraming: true,
+		Refused:    func(reason string) { cfg.Meter.Count(meter.Refusal, reason) },
 		Panicked: func(value any, stack []byte) {
 			cfg.Log.Error().Any("value", value).Bytes("stack", stack).Msg("a request's handler panicked")
 		},
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"strconv"
 	"strings"
 	"time"
@@ -62,44 +61,37 @@
 	return false
 }
 
-// read copies a request and checks what the library lets pass. The library
-// follows the last of two lengths, and chunks where there is a length too; a
-// server that follows the other one would read a second request out of the body.
+// read copies a request and checks what the library lets pass.
 func (en *Entry) read(rc *app.RequestContext, now time.Duration) (*request, *refusal) {
 	rq := &request{
 		method: string(rc.Method()),
 		uri:    string(rc.Request.Header.RequestURI()),
 		began:  now,
 	}
-	var fr framing
+	var fr guard.Framing
 	var named []string
-	for _, line := range bytes.Split(rc.Request.Header.RawHeaders(), []byte("\n")) {
-		line = bytes.TrimSuffix(line, []byte("\r"))
-		if len(line) == 0 {
-			continue
-		}
-		fi, ok := parseField(line)
-		if !ok {
-			return rq, refuse(consts.StatusBadRequest, guard.ReasonBadRequest, "a header line cannot be read")
-		}
-		fr.note(fi)
+	ok := guard.Fields(rc.Request.Header.RawHeaders(), func(name, value string) {
+		fr.Note(name, value)
 		switch {
-		case strings.EqualFold(fi.name, "Connection"):
-			named = append(named, strings.Split(fi.value, ",")...)
-		case strings.EqualFold(fi.name, en.cfg.Names.RequestID):
-			rq.id = fi.value
-		case strings.EqualFold(fi.name, en.cfg.Names.Deadline):
-			rq.patience = patience(fi.value)
-		case strings.EqualFold(fi.name, en.cfg.Names.Target), isHop(fi.name):
+		case strings.EqualFold(name, "Connection"):
+			named = append(named, strings.Split(value, ",")...)
+		case strings.EqualFold(name, en.cfg.Names.RequestID):
+			rq.id = value
+		case strings.EqualFold(name, en.cfg.Names.Deadline):
+			rq.patience = patience(value)
+		case strings.EqualFold(name, en.cfg.Names.Target), isHop(name):
 		default:
-			rq.fields = append(rq.fields, fi)
+			rq.fields = append(rq.fields, field{name: name, value: value})
 		}
+	})
+	if !ok {
+		return rq, refuse(consts.StatusBadRequest, guard.ReasonBadRequest, guard.TextBadField)
 	}
-	if rf := fr.check(rc.Request.Header.IsHTTP11()); rf != nil {
-		return rq, rf
+	if text := fr.Check(rc.Request.Header.IsHTTP11()); text != "" {
+		return rq, refuse(consts.StatusBadRequest, guard.ReasonBadRequest, text)
 	}
 	rq.fields = without(rq.fields, named)
-	rq.host, rq.framed = fr.host, fr.lengths > 0 || fr.codings > 0
+	rq.host, rq.framed = fr.Host, fr.Framed()
 	rq.body = append([]byte(nil), rc.Request.Body()...)
 	rq.path, _, _ = strings.Cut(rq.uri, "?")
 	return rq, en.checkRequest(rc, rq)
@@ -107,6 +99,9 @@
 
 // checkRequest holds a request against the limits in force.
 func (en *Entry) checkRequest(rc *app.RequestContext, rq *request) *refusal {
+	if rq.host == "" {
+		return refuse(consts.StatusBadRequest, guard.ReasonBadRequest, "the request has no host")
+	}
 	if !strings.HasPrefix(rq.path, "/") {
 		return refuse(consts.StatusBadRequest, guard.ReasonBadRequest, "the request has no path")
 	}
@@ -127,14 +122,6 @@
 	return nil
 }
 
-func parseField(line []byte) (field, bool) {
-	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
-		return field{}, false
-	}
-	return field{name: string(name), value: string(bytes.Trim(value, " \t"))}, true
-}
-
 func without(fields []field, named []string) []field {
 	if len(named) == 0 {
 		return fields
@@ -162,42 +149,3 @@
 
 // maxPatience bounds what a client may ask for.
 const maxPatience = time.Hour
-
-// framing is what a request's headers say of where it ends.
-type framing struct {
-	hosts, lengths, codings int
-	host, coding            string
-	badLength               bool
-}
-
-func (fr *framing) note(fi field) {
-	switch {
-	case strings.EqualFold(fi.name, "Host"):
-		fr.hosts++
-		fr.host = fi.value
-	case strings.EqualFold(fi.name, "Content-Length"):
-		fr.lengths++
-		_, err := strconv.ParseUint(fi.value, 10, 63)
-		fr.badLength = fr.badLength || err != nil || fi.value[0] == '+'
-	case strings.EqualFold(fi.name, "Transfer-Encoding"):
-		fr.codings++
-		fr.coding = fi.value
-	}
-}
-
-func (fr *framing) check(http11 bool) *refusal {
-	var text string
-	switch {
-	case fr.hosts != 1 || fr.host == "":
-		text = "the request needs one host"
-	case fr.lengths > 1 || fr.badLength:
-		text = "the request's length is not one number"
-	case fr.codings > 1 || fr.codings == 1 && !strings.EqualFold(fr.coding, "chunked"):
-		text = "the request's transfer coding is not known"
-	case fr.codings == 1 && (fr.lengths > 0 || !http11):
-		text = "the request has two lengths"
-	default:
-		return nil
-	}
-	return refuse(consts.StatusBadRequest, guard.ReasonBadRequest, text)
-}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -210,6 +210,8 @@
 		{"negative length", one("POST /v1/search HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n")},
 		{"long headers", one("POST /v1/search HTTP/1.1\r\nHost: a\r\nX-Long: " + strings.Repeat("x", 20000) + "\r\n\r\n")},
 		{"not HTTP", one("\x16\x03\x01 hello\r\n\r\n")},
+		{"two lengths", one("POST /v1/search HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 0\r\n\r\n" + post(wire.RouteSearch, "", `{}`))},
+		{"length and chunks", one("POST /v1/search HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + post(wire.RouteSearch, "", `{}`))},
 		{"no host", one("POST /v1/search HTTP/1.1\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}")},
 		{"HTTP/1.0", one(fmt.Sprintf("POST /v1/search HTTP/1.0\r\nContent-Length: %d\r\n\r\n%s", len(good), good))},
 		{"unknown route", one("GET /v2/search HTTP/1.1\r\n" + lastHead + "\r\n")},
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -38,6 +38,9 @@
 	Times func() Times
 	// WriteTime bounds each write of an answer.
 	WriteTime time.Duration
+	// OwnFraming is set where the handlers read all headers, and check Framing
+	// themselves.
+	OwnFraming bool
 	// Refused is told of each refusal, with its reason; it may be nil.
 	Refused func(reason string)
 	// Panicked is told of each panic of a handler; it may be nil.
@@ -82,6 +85,9 @@
 	}
 	hz := server.New(append(opts, more...)...)
 	hz.Use(count(cfg.Refused), catch(cfg.Panicked), checkHost)
+	if !cfg.OwnFraming {
+		hz.Use(checkFraming)
+	}
 	hz.NoRoute(noRoute)
 	hz.NoMethod(noMethod(hz.Engine))
 	return hz
--- a/io/oper/oper_test.go
+++ b/io/oper/oper_test.go
@@ -168,6 +168,8 @@
 		{"unknown log level", ask("PUT", "/v1/log", "", `{"level":"loud"}`), nil},
 		{"log level of the wrong type", ask("PUT", "/v1/log", "", `{"level":3}`), nil},
 		{"health", ask("GET", "/v1/health", "", ""), nil},
+		{"two lengths", ask("PUT", config, "If-Match: *\r\nContent-Length: 0\r\n", "DELETE "+config+" HTTP/1.1\r\nHost: a\r\n\r\n"), nil},
+		{"length and chunks", ask("PUT", config, "If-Match: *\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\nDELETE "+config+" HTTP/1.1\r\nHost: a\r\n\r\n"), nil},
 		{"unknown route", ask("GET", "/v1/teams", "", ""), nil},
 		{"unknown method", ask("DELETE", config, "", ""), nil},
 	}
