--- a/io/accept/conn.go
+++ b/io/accept/conn.go
@@ -6,6 +6,9 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // interim begins the reply that asks for a request's body; it ends no request.
@@ -24,6 +27,8 @@
 	// running counts handlers: a request that came in one packet with the one
 	// before needs no further read to begin.
 	running int
+	// begins counts the handlers that began.
+	begins int
 	// shut is set when the connection was closed as idle.
 	shut bool
 }
@@ -93,6 +98,23 @@
 	}
 }
 
+// roundTrip is that of the connection as the kernel sees it; 0 if it does not tell.
+func (cn *Conn) roundTrip() time.Duration {
+	sc, ok := bare(cn.Conn).(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var ti *unix.TCPInfo
+	if rc.Control(func(fd uintptr) { ti, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }) != nil || err != nil {
+		return 0
+	}
+	return time.Duration(ti.Rtt) * time.Microsecond
+}
+
 // bare is the connection under those that wrap it and say so, as tls.Conn does.
 func bare(nc net.Conn) net.Conn {
 	for {
--- a/io/accept/context.go
+++ b/io/accept/context.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"laburnumvane/core/lead"
 )
 
 type connKey struct{}
@@ -24,11 +26,25 @@
 	return func() { cn.add(-1) }
 }
 
+// Trip tells how far the client of ctx is, and whether it opened its connection for
+// the request at hand. It is nothing where ctx carries no connection.
+func Trip(ctx context.Context) lead.Trip {
+	cn, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return lead.Trip{}
+	}
+	cn.mu.Lock()
+	fresh := cn.begins == 1
+	cn.mu.Unlock()
+	return lead.Trip{RoundTrip: cn.roundTrip(), Fresh: fresh}
+}
+
 func (cn *Conn) add(n int) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	cn.running += n
 	if n > 0 {
+		cn.begins++
 		// The request is here, however it was read; only a reply written
 		// from now on is its own.
 		cn.begun, cn.answered = true, false
--- a/io/entry/carried.go
+++ b/io/entry/carried.go
@@ -8,11 +8,12 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"laburnumvane/core/fault"
+	"laburnumvane/core/lead"
 	"laburnumvane/io/inner"
 )
 
 // carriedRequest is another VM's request as if it had come to this one.
-func carriedRequest(cr *inner.CarryRequest, now time.Duration) *request {
+func carriedRequest(cr *inner.CarryRequest, now time.Duration, ld *lead.Lead) *request {
 	spent := time.Duration(cr.GetSpentUs()) * time.Microsecond
 	rq := &request{
 		id:      cr.GetId(),
@@ -21,12 +22,17 @@
 		host:    cr.GetHost(),
 		body:    cr.GetBody(),
 		framed:  cr.GetFramed(),
+		away:    time.Duration(cr.GetAwayUs()) * time.Microsecond,
 		carried: true,
 		began:   now - spent,
 	}
 	if left := time.Duration(cr.GetLeftUs()) * time.Microsecond; left > 0 {
 		rq.patience = left + spent
 	}
+	if rq.away == 0 {
+		// An older VM does not tell.
+		rq.away = ld.Away(lead.Trip{})
+	}
 	rq.path, _, _ = strings.Cut(rq.uri, "?")
 	for _, fi := range cr.GetFields() {
 		rq.fields = append(rq.fields, field{name: fi.GetName(), value: fi.GetValue()})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"laburnumvane/core/fanout"
+	"laburnumvane/core/lead"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
 	"laburnumvane/core/route"
@@ -76,6 +77,7 @@
 	pace     pace
 	budgets  *budgets
 	valves   valves
+	lead     *lead.Lead
 	leaving  atomic.Bool
 	moving   atomic.Bool
 	inFlight atomic.Int64
@@ -92,7 +94,7 @@
 
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Entry {
-	en := &Entry{cfg: cfg, budgets: newBudgets()}
+	en := &Entry{cfg: cfg, budgets: newBudgets(), lead: lead.New(lead.Config{})}
 	gc := guard.Config{
 		MaxBody:    mostBody,
 		MaxHeader:  mostHeader,
@@ -166,6 +168,7 @@
 	en.inFlight.Add(1)
 	defer en.inFlight.Add(-1)
 	rq, rf := en.read(rc, en.cfg.Clock())
+	rq.away = en.lead.Away(accept.Trip(ctx))
 	if rf == nil {
 		rf = en.answer(ctx, rc, rq)
 	}
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// wayBack is what an answer needs from here to the client: the way, and the
-	// writing of it.
-	wayBack = 6 * time.Millisecond
 	// hopBack is what it needs more where another VM passes it on: small VMs take
 	// some milliseconds to read, copy and write it.
 	hopBack = 4 * time.Millisecond
@@ -49,6 +46,8 @@
 	head     []byte
 	machine  *fanout.Machine
 	hard     time.Duration
+	// hedgeAfter is how long an attempt may take before another server is asked.
+	hedgeAfter time.Duration
 	// sent is when the first attempts had been written.
 	sent time.Duration
 	// mailbox has room for every attempt that there can be, so that a server's
@@ -80,11 +79,12 @@
 	if rq.patience > 0 {
 		wait = min(wait, rq.patience)
 	}
-	back := wayBack
+	back := rq.away + en.lead.Own()
 	if rq.carried {
 		back += hopBack
 	}
 	fl.hard = rq.began + wait - back
+	fl.hedgeAfter = fl.pace.delay(back)
 	room := 0
 	for _, name := range fl.services {
 		// No server is asked twice for a shard.
@@ -98,7 +98,7 @@
 		MaxAttempts: rt.MaxAttempts,
 		Target:      rq.began + rt.Target - back,
 		Hard:        fl.hard,
-		HedgeAfter:  fl.pace.delay(),
+		HedgeAfter:  fl.hedgeAfter,
 		LeastTime:   leastTime,
 		Chooser:     fl,
 		Budget:      fl,
@@ -108,7 +108,7 @@
 
 // Pick chooses a server of a shard.
 func (fl *flight) Pick(now time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool) {
-	ki := steer.Kind{Usual: fl.pace.takes(), Slack: fl.pace.delay()}
+	ki := steer.Kind{Usual: fl.pace.takes(), Slack: fl.hedgeAfter}
 	return fl.en.cfg.Steer.Pick(now, ki, fl.vw.Candidates(fl.services[shard]), tried, rand.Float64)
 }
 
@@ -134,8 +134,8 @@
 	if done {
 		return an
 	}
-	tm := time.NewTimer(fl.machine.Wake() - clock())
-	defer tm.Stop()
+	al := fl.newAlarm()
+	defer al.stop()
 	for {
 		var ev fanout.Event
 		select {
@@ -143,11 +143,12 @@
 			if an, done = fl.perform(fl.takeJoined(jr)); done {
 				return an
 			}
-			tm.Reset(max(0, fl.machine.Wake()-clock()))
+			al.set()
 			continue
 		case ar := <-fl.mailbox:
 			ev = fl.note(ar)
-		case <-tm.C:
+		case <-al.timer.C:
+			al.rang()
 			fl.moveOn()
 			ev = fanout.Event{Kind: fanout.EvWake}
 		case <-ctx.Done():
@@ -156,14 +157,14 @@
 		if an, done = fl.perform(fl.machine.Step(clock(), ev)); done {
 			return an
 		}
-		tm.Reset(max(0, fl.machine.Wake()-clock()))
+		al.set()
 	}
 }
 
 // moveOn takes back the attempts that have waited here for as long as a server
 // may take: they cost nobody anything yet, and another server may have room.
 func (fl *flight) moveOn() {
-	late := fl.en.cfg.Clock() - fl.pace.delay()
+	late := fl.en.cfg.Clock() - fl.hedgeAfter
 	for k, ca := range fl.calls {
 		if ca != nil && fl.results[k].verdict == 0 && fl.machine.Started(k) <= late && ca.Waits() {
 			fl.short = true
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -77,6 +77,7 @@
 		Framed:  rq.framed,
 		SpentUs: uint64(spent.Microseconds()),
 		Route:   rt.Digest(),
+		AwayUs:  uint64(rq.away.Microseconds()),
 	}
 	if rq.patience > 0 {
 		cr.LeftUs = uint64(max(1, (rq.patience - spent).Microseconds()))
@@ -103,7 +104,7 @@
 		return declined(declinedBusy), nil
 	}
 	defer en.carried.Add(-1)
-	rq := carriedRequest(cr, en.cfg.Clock())
+	rq := carriedRequest(cr, en.cfg.Clock(), en.lead)
 	vw := en.cfg.View()
 	rt, reason := en.routeOf(vw, rq, cr)
 	if reason != "" {
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -77,7 +77,7 @@
 func (fl *flight) join(joiners []*origin.Upstream, group []fanout.Action) {
 	en := fl.en
 	now, usual := en.cfg.Clock(), fl.pace.takes()
-	late := fl.pace.delay()
+	late := fl.hedgeAfter
 	rq := &inner.JoinRequest{
 		Request:  en.carryRequest(fl.rq, fl.rt, now),
 		Limit:    uint32(fl.rt.Gather.Limit),
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -84,7 +84,7 @@
 		return &inner.JoinReply{Declined: true}, nil
 	}
 	now, vw := en.cfg.Clock(), en.cfg.View()
-	rq := carriedRequest(jr.GetRequest(), now)
+	rq := carriedRequest(jr.GetRequest(), now, en.lead)
 	if _, reason := en.routeOf(vw, rq, jr.GetRequest()); reason != "" {
 		return &inner.JoinReply{Declined: en.decline(rq, reason).GetDeclined(), Reason: reason}, nil
 	}
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -18,6 +18,7 @@
 		Str("outcome", an.Outcome.String()).
 		Int("status", status).
 		Float64("ms", float64((an.At-rq.began).Microseconds())/1000).
+		Float64("awayMs", float64(rq.away.Microseconds())/1000).
 		Float64("sentMs", float64((fl.sent-rq.began).Microseconds())/1000).
 		Float64("slowestMs", float64(fl.slowest().Microseconds())/1000).
 		Int("parts", len(an.Winners)).
--- a/io/entry/pace.go
+++ b/io/entry/pace.go
@@ -58,11 +58,12 @@
 	return rp
 }
 
-// delay is how long an attempt may take before a second server is asked.
-func (rp *routePace) delay() time.Duration {
+// delay is how long an attempt may take before a second server is asked; back is how
+// long before the target an answer has to leave.
+func (rp *routePace) delay(back time.Duration) time.Duration {
 	late := rp.late.Delay()
 	most := time.Duration(hedgeShare * float64(rp.target))
-	return min(max(late, rp.target-wayBack-secondTimes*late), most)
+	return min(max(late, rp.target-back-secondTimes*late), most)
 }
 
 // observe takes in what one server took.
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -32,6 +32,9 @@
 	// patience is how long the client will wait; 0 if it did not say.
 	patience time.Duration
 	began    time.Duration
+	// away is how long the client waits outside this VM, before its request came and
+	// after the answer left.
+	away time.Duration
 	// carried is set if another VM passed it on.
 	carried bool
 }
