--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -98,14 +98,7 @@
 
 	mu      sync.Mutex
 	replica *feed.Replica
-	// heard is when the store itself was heard, directly or through others.
-	heard   time.Duration
-	everWas bool
-	// failed is set if a call to the store failed since it was heard; returned
-	// is when it came back after an absence, 0 if none is known. News that is
-	// late does not show one: it may be this VM's source that was slow.
-	failed   bool
-	returned time.Duration
+	absence feed.Absence
 	// contact is when the store or a VM of another data centre answered last,
 	// with news or without.
 	contact time.Duration
@@ -157,7 +150,7 @@
 func (fo *Follower) Silence() time.Duration {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return fo.cfg.Clock() - max(fo.contact, fo.heard)
+	return fo.cfg.Clock() - max(fo.contact, fo.absence.Last())
 }
 
 // Touch notes that a VM of another data centre answered just now.
@@ -175,10 +168,10 @@
 }
 
 func (fo *Follower) age(now time.Duration) time.Duration {
-	if !fo.everWas {
+	if !fo.absence.Ever() {
 		return never
 	}
-	return now - fo.heard
+	return now - fo.absence.Last()
 }
 
 // Run follows until the context ends.
@@ -310,9 +303,10 @@
 }
 
 func (fo *Follower) noteFailed() {
+	now := fo.cfg.Clock()
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	fo.failed = true
+	fo.absence.Failed(now)
 }
 
 // source is where an update comes from.
@@ -334,15 +328,11 @@
 	before := fo.replica.AsOf()
 	ch.Events = fo.replica.Take(up)
 	// What a peer has not seen yet it cannot vouch for.
-	if fo.replica.Known() && up.AsOf >= before && (!fo.everWas || so.at > fo.heard) {
-		if fo.everWas && fo.failed && so.at-fo.heard > feed.StaleAfter {
-			fo.returned = so.at
-		}
-		fo.heard, fo.failed = so.at, false
-		fo.everWas = true
+	if fo.replica.Known() && up.AsOf >= before {
+		fo.absence.Heard(so.at)
 	}
-	fo.returned = max(fo.returned, so.returned)
-	ch.Returned = fo.returned
+	fo.absence.Told(so.returned)
+	ch.Returned = fo.absence.Returned()
 	fo.wakeAll()
 	fo.mu.Unlock()
 	// That old news became fresh is told too: what lapses next may have been due
--- a/io/follow/serve.go
+++ b/io/follow/serve.go
@@ -44,7 +44,7 @@
 func (fo *Follower) heardAt() time.Duration {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return fo.heard
+	return fo.absence.Last()
 }
 
 // look makes the reply of this moment and tells whether it is worth sending.
@@ -56,8 +56,8 @@
 		AgeMs:   uint64(age.Milliseconds()),
 		Leaving: fo.leaving,
 	}
-	if fo.returned > 0 {
-		rp.ReturnedMs = uint64((fo.cfg.Clock() - fo.returned).Milliseconds()) + 1
+	if returned := fo.absence.Returned(); returned > 0 {
+		rp.ReturnedMs = uint64((fo.cfg.Clock() - returned).Milliseconds()) + 1
 	}
 	if fo.replica.Known() {
 		rp.AsOf = fo.replica.AsOf()
