--- a/io/entry/pace.go
+++ b/io/entry/pace.go
@@ -23,11 +23,13 @@
 	secondTimes = 2
 	// hedgeShare bounds the wait as a share of the target.
 	hedgeShare = 0.55
-	// usualGain is the weight of the newest latency in what is usual, and
-	// usualMost bounds it, in times the usual, so that a slow third of the
-	// servers does not make slowness usual.
-	usualGain = 0.05
-	usualMost = 3
+	// usualStep is the share by which what is usual moves towards each latency,
+	// whatever its size: it settles where half of them lie below. A mean moves with
+	// the slow ones: with a sixth of the servers slow by ten it stood at twice what
+	// a sound one took, and the queue that was let grow at a server with it.
+	usualStep = 0.03
+	// usualLeast keeps it above what a step rounds to nothing.
+	usualLeast = 100 * time.Microsecond
 	// usualGuess is the share of the target that is assumed at first.
 	usualGuess = 8
 )
@@ -70,8 +72,12 @@
 func (rp *routePace) observe(took time.Duration) {
 	rp.late.Observe(took)
 	was := rp.usual.Load()
+	step := int64(usualStep * float64(was))
+	if int64(took) < was {
+		step = -step
+	}
 	// Two at once may lose one of them, which changes nothing much.
-	rp.usual.Store(was + int64(usualGain*float64(min(int64(took), usualMost*was)-was)))
+	rp.usual.Store(max(was+step, int64(usualLeast)))
 }
 
 // takes is what a request takes at most servers.
