--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -255,6 +255,13 @@
 	} else if ar.verdict != fanout.Served {
 		en.cfg.Meter.Count(meter.Upstream, ar.verdict.String())
 	}
-	window := en.cfg.Steer.End(now, up.Process(), steer.Attempt{Verdict: ar.verdict, Took: ar.rs.Took, Usual: usual})
-	en.cfg.Relay.Allow(up, window)
+	li := en.cfg.View().Limits(up)
+	al := en.cfg.Steer.End(now, up.Process(), steer.Attempt{
+		Verdict: ar.verdict,
+		Took:    ar.rs.Took,
+		Usual:   usual,
+		Most:    li.Most,
+		Fair:    li.Fair,
+	})
+	en.cfg.Relay.Allow(up, al)
 }
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -193,13 +193,14 @@
 	}
 	cn.used = cn.sv.cfg.Clock()
 	cn.mu.Unlock()
+	// The result first: what it shows of the server bounds what begins next.
+	ca.finish(Result{Reply: rp})
 	if reuse {
 		cn.sv.free(cn)
 	} else {
 		cn.sv.cfg.Count("closing")
 		cn.close()
 	}
-	ca.finish(Result{Reply: rp})
 	return reuse
 }
 
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -8,6 +8,7 @@
 
 	"laburnumvane/core/origin"
 	"laburnumvane/core/queue"
+	"laburnumvane/core/steer"
 )
 
 const (
@@ -47,8 +48,12 @@
 	open    int
 	dialing int
 	// busy counts those with a request, window bounds them; 0 is no bound.
-	busy    int
-	window  int
+	busy   int
+	window int
+	// resume is when the next request may begin, and armed is set while a timer
+	// waits for it.
+	resume  time.Duration
+	armed   bool
 	waiting queue.Line[*Call]
 	shut    bool
 	// backoff is when opening may be tried again.
@@ -69,7 +74,7 @@
 	now := sv.cfg.Clock()
 	sv.mu.Lock()
 	sv.used = now
-	if sv.hasRoom() {
+	if sv.hasRoom(now) {
 		if cn := sv.takeIdle(now, ca.rq.Fresh); cn != nil {
 			sv.busy++
 			sv.mu.Unlock()
@@ -84,7 +89,43 @@
 	}
 }
 
-func (sv *Server) hasRoom() bool { return sv.window == 0 || sv.busy < sv.window }
+func (sv *Server) hasRoom(now time.Duration) bool {
+	return now >= sv.resume && (sv.window == 0 || sv.busy < sv.window)
+}
+
+// arm has the calls that wait looked at when the next one may begin. The caller
+// holds the lock.
+func (sv *Server) arm(now time.Duration) {
+	if sv.armed || sv.waiting.Len() == 0 || now >= sv.resume {
+		return
+	}
+	sv.armed = true
+	time.AfterFunc(sv.resume-now, sv.wake)
+}
+
+// wake starts a call that waited for its time.
+func (sv *Server) wake() {
+	sv.mu.Lock()
+	sv.armed = false
+	cn := sv.spare(sv.cfg.Clock())
+	sv.mu.Unlock()
+	if cn != nil {
+		sv.put(cn)
+	}
+}
+
+// spare takes an idle connection for a call that waits, if there is room for it.
+// The caller holds the lock.
+func (sv *Server) spare(now time.Duration) *conn {
+	n := len(sv.idle)
+	if n == 0 || sv.waiting.Len() == 0 || !sv.hasRoom(now) {
+		sv.arm(now)
+		return nil
+	}
+	cn := sv.idle[n-1]
+	sv.idle = sv.idle[:n-1]
+	return cn
+}
 
 // enqueue lets a call wait, or tells why it may not.
 func (sv *Server) enqueue(now time.Duration, ca *Call) Kind {
@@ -97,9 +138,10 @@
 		return KindBackoff
 	}
 	sv.waiting.Push(ca.rq.Priority, ca)
-	if sv.hasRoom() && sv.open < sv.limits.Most && sv.dialing < sv.waiting.Len() && now >= sv.backoff {
+	if sv.hasRoom(now) && sv.open < sv.limits.Most && sv.dialing < sv.waiting.Len() && now >= sv.backoff {
 		sv.dial()
 	}
+	sv.arm(now)
 	return ""
 }
 
@@ -202,14 +244,16 @@
 
 // put gives a connection to a call that waits, or keeps it.
 func (sv *Server) put(cn *conn) {
+	now := sv.cfg.Clock()
 	sv.mu.Lock()
 	if sv.shut {
 		sv.mu.Unlock()
 		cn.close()
 		return
 	}
-	if sv.waiting.Len() == 0 || !sv.hasRoom() {
+	if sv.waiting.Len() == 0 || !sv.hasRoom(now) {
 		sv.idle = append(sv.idle, cn)
+		sv.arm(now)
 		sv.mu.Unlock()
 		return
 	}
@@ -219,15 +263,16 @@
 	cn.start(ca)
 }
 
-// allow bounds the requests under way, and starts those that fit now.
-func (sv *Server) allow(window int) {
+// allow bounds what begins from now on, and starts one that fits now.
+func (sv *Server) allow(al steer.Allowance) {
+	now := sv.cfg.Clock()
 	sv.mu.Lock()
-	grown := window > sv.window
-	sv.window = window
+	grown := al.Window > sv.window
+	sv.window = al.Window
+	sv.resume = now + al.Rest
 	var cn *conn
-	if n := len(sv.idle); grown && n > 0 && sv.waiting.Len() > 0 && sv.hasRoom() {
-		cn = sv.idle[n-1]
-		sv.idle = sv.idle[:n-1]
+	if grown {
+		cn = sv.spare(now)
 	}
 	sv.mu.Unlock()
 	if cn != nil {
@@ -260,7 +305,7 @@
 			break
 		}
 	}
-	if sv.hasRoom() && sv.waiting.Len() > sv.dialing && sv.open < sv.limits.Most && now >= sv.backoff && !sv.shut {
+	if sv.hasRoom(now) && sv.waiting.Len() > sv.dialing && sv.open < sv.limits.Most && now >= sv.backoff && !sv.shut {
 		sv.dial()
 	}
 	var failed []*Call
