--- a/core/plan/alone.go
+++ b/core/plan/alone.go
@@ -1,5 +1,7 @@
 package plan
 
+import "laburnumvane/core/route"
+
 // ServesAlone tells whether the servers of this VM's own data centre suffice for
 // the least answer of every gathered route.
 func (vw *View) ServesAlone() bool {
@@ -7,20 +9,31 @@
 		return true
 	}
 	for _, rt := range vw.cfg.Routes.Routes() {
-		if rt.Gather == nil {
-			continue
+		if rt.Gather != nil && !vw.ServesNear(rt) {
+			return false
 		}
-		parts := 0
-		for _, name := range rt.Gather.Shards {
-			if vw.hasNear(name) {
-				parts++
+	}
+	return true
+}
+
+// ServesNear tells whether the servers of this VM's own data centre suffice for a
+// route's least answer.
+func (vw *View) ServesNear(rt *route.Route) bool {
+	if rt.Gather == nil {
+		for _, sh := range rt.Split {
+			if sh.Weight > 0 && !vw.hasNear(sh.Service) {
+				return false
 			}
 		}
-		if parts < rt.Gather.MinParts() {
-			return false
+		return true
+	}
+	parts := 0
+	for _, name := range rt.Gather.Shards {
+		if vw.hasNear(name) {
+			parts++
 		}
 	}
-	return true
+	return parts >= rt.Gather.MinParts()
 }
 
 func (vw *View) hasNear(service string) bool {
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -14,6 +14,12 @@
 // serves its clients stays, and so does one that cannot serve them but hears the
 // others: there the servers are at fault, and no VM would do better.
 //
+// How long a silence proves anything hangs on what should have been heard: a VM with
+// many requests is owed dozens of answers within a tenth of a second, one with two a
+// second hardly any. So a short silence is enough where answers are owed and VMs
+// elsewhere do not answer either: found after 0.35 s in place of 1.25, with which the
+// callers of a cut-off data centre were refused for 1.9 s in place of 2.6.
+//
 // All requests that were not served count, whatever was said of them: in the first
 // seconds of a partition attempts hang until a deadline, then there seems to be no
 // room, and only when all far servers count as dark there is no server.
@@ -33,6 +39,15 @@
 	// data centre's VMs ready sends clients to all of them, and one that finds
 	// any does not send them elsewhere.
 	DefaultIdle = 1600 * time.Millisecond
+	// DefaultOwed is how many answers of other data centres must be overdue or lost,
+	// with none heard meanwhile, for a shorter silence to prove as much, and
+	// DefaultSoon is that silence: above the pauses of a server and of this VM's own
+	// processor, and short beside what the balancer takes to send clients elsewhere.
+	// A VM with twenty requests a second over ten shards has as many within it.
+	// Since all of them may be due to servers at fault, VMs there are asked for a sign
+	// of life too.
+	DefaultOwed = 5
+	DefaultSoon = 150 * time.Millisecond
 	// DefaultShare is the share of requests that must fail for clients to be
 	// better off elsewhere, DefaultLeast the least number that is judged, for a
 	// small VM gets one or two a second, and DefaultEvery the least time over
@@ -47,6 +62,8 @@
 type Config struct {
 	Silence time.Duration
 	Idle    time.Duration
+	Soon    time.Duration
+	Owed    int
 	// Share is 0 to 1.
 	Share float64
 	Least int64
@@ -57,6 +74,11 @@
 type Sight struct {
 	// Silence is the time since anything was heard from beyond the data centre.
 	Silence time.Duration
+	// Owed is how many answers of other data centres are overdue, or were lost since
+	// one was heard. Mute is set if VMs there were asked for a sign of life within the
+	// silence, and gave none.
+	Owed int
+	Mute bool
 	// Asked counts all requests since the start, Unserved those of them that
 	// were not served.
 	Asked, Unserved int64
@@ -82,6 +104,12 @@
 	if cfg.Idle == 0 {
 		cfg.Idle = DefaultIdle
 	}
+	if cfg.Soon == 0 {
+		cfg.Soon = DefaultSoon
+	}
+	if cfg.Owed == 0 {
+		cfg.Owed = DefaultOwed
+	}
 	if cfg.Share == 0 {
 		cfg.Share = DefaultShare
 	}
@@ -102,11 +130,18 @@
 		ju.failing = float64(failed) >= ju.cfg.Share*float64(asked)
 		ju.before, ju.dueAt = si, now+ju.cfg.Every
 	}
-	silent := si.Silence > ju.cfg.Silence
-	idle := si.Lacking && si.Silence > ju.cfg.Idle
+	proven := si.Mute && ju.Doubts(si)
+	silent := proven || si.Silence > ju.cfg.Silence || ju.off && si.Silence > ju.cfg.Soon
+	idle := si.Lacking && (proven || si.Silence > ju.cfg.Idle)
 	ju.off = silent && (ju.failing || ju.off || idle)
 	return ju.off
 }
 
+// Doubts tells whether more answers are owed than chance explains, so that VMs of
+// other data centres should be asked for a sign of life.
+func (ju *Judge) Doubts(si Sight) bool {
+	return si.Silence > ju.cfg.Soon && si.Owed >= ju.cfg.Owed
+}
+
 // Failing tells whether too many of the requests lately were not served.
 func (ju *Judge) Failing() bool { return ju.failing }
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -106,3 +106,47 @@
 		})
 	}
 }
+
+// A data centre without servers of its own is cut off while requests come. Each ten
+// milliseconds one more answer is owed by a server elsewhere. Callers are refused
+// until the balancer has found the VM out, which takes two of its checks from here: a
+// second of silence first would be a second more for all of them.
+func TestCutOffIsProvenByAnswersOwed(t *testing.T) {
+	cases := []struct {
+		name string
+		// everyMs is the time from one attempt to the next.
+		everyMs int
+		// mute is set if VMs elsewhere gave no sign of life.
+		mute, lacking bool
+		within        time.Duration
+	}{
+		{"many attempts", 10, true, true, 250 * ms},
+		{"few attempts", 60, true, true, 400 * ms},
+		{"two requests a second", 500, true, true, 1650 * ms},
+		{"servers at fault: a VM there lives", 10, false, false, 0},
+		{"can serve alone", 10, true, false, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ju := reach.New(reach.Config{})
+			found := time.Duration(0)
+			for now := time.Duration(0); now < 1700*ms && found == 0; now += 50 * ms {
+				si := reach.Sight{Silence: now, Owed: int(now/ms) / tc.everyMs, Lacking: tc.lacking}
+				// They are asked once there is a doubt, and then have some time.
+				si.Mute = tc.mute && ju.Doubts(reach.Sight{Silence: now - 50*ms, Owed: si.Owed})
+				if ju.Look(now, si) {
+					found = now
+				}
+			}
+			if tc.within == 0 {
+				is.Equal(found, time.Duration(0))
+				return
+			}
+			is.True(found > 0 && found <= tc.within)
+			// It stays so until somebody is heard, also while nothing more is owed.
+			is.True(ju.Look(found+50*ms, reach.Sight{Silence: found + 50*ms, Lacking: tc.lacking}))
+			is.True(!ju.Look(found+time.Second, reach.Sight{Silence: 20 * ms, Lacking: tc.lacking}))
+		})
+	}
+}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -306,6 +306,21 @@
 	return now - me.quietSince
 }
 
+// Overdue counts the servers outside this VM's data centre that should have answered
+// something by now.
+func (tb *Table) Overdue(now time.Duration, dir *origin.Directory) int {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	owed := 0
+	dir.All(func(up *origin.Upstream) {
+		me, seen := tb.seen[up.Process()]
+		if seen && up.DataCentre != tb.cfg.DataCentre && me.quiet(now) > 0 {
+			owed++
+		}
+	})
+	return owed
+}
+
 // Keep forgets all servers but those.
 func (tb *Table) Keep(dir *origin.Directory) {
 	tb.mu.Lock()
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -190,7 +190,7 @@
 				return
 			case <-tm.C:
 			}
-			if cl.table.Quiet(cl.cfg.Clock(), ho.Process()) >= doubtAfter && !cl.Lives(ho.Addr) {
+			if cl.table.Quiet(cl.cfg.Clock(), ho.Process()) >= doubtAfter && !cl.Lives(ho.Addr, probeTime) {
 				cancel(errSilent)
 				return
 			}
@@ -200,12 +200,12 @@
 	return func() { close(done) }
 }
 
-// Lives asks a VM for a sign of life and waits 300 ms for it at most.
-func (cl *Client) Lives(addr string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+// Lives asks a VM for a sign of life and waits so long for it at most.
+func (cl *Client) Lives(addr string, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	// A connection of its own: the one in use may be what has gone silent.
-	tr := &http.Transport{DialContext: (&net.Dialer{Timeout: probeTime}).DialContext, DisableKeepAlives: true}
+	tr := &http.Transport{DialContext: (&net.Dialer{Timeout: wait}).DialContext, DisableKeepAlives: true}
 	defer tr.CloseIdleConnections()
 	_, err := inner.NewHomeProtobufClient("http://"+addr, &http.Client{Transport: tr}).Carry(ctx, &inner.CarryRequest{})
 	return err == nil
--- a/io/edge/cutoff.go
+++ b/io/edge/cutoff.go
@@ -2,14 +2,27 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
+	"time"
 
 	"laburnumvane/core/reach"
 	"laburnumvane/io/meter"
 )
 
-// probeAfter is the silence from beyond the data centre after which a VM there is
-// asked for a sign of life: a tick before it may be taken for a cut.
-const probeAfter = reach.DefaultSilence - tickEvery
+const (
+	// lookEvery is how often the silence from beyond the data centre is looked at.
+	lookEvery = 50 * time.Millisecond
+	// probeAfter is the silence after which a VM there is asked for a sign of life
+	// in any case: a tick before it may be taken for a cut.
+	probeAfter = reach.DefaultSilence - tickEvery
+	// probeTime is how long a VM may take to give it, and probeEvery how often some
+	// are asked. Within a region it is a few milliseconds away; a small one that is
+	// short of processor time may need some tens more.
+	probeTime  = 150 * time.Millisecond
+	probeEvery = 250 * time.Millisecond
+	// probeVMs is how many are asked at once: one of them may be down itself.
+	probeVMs = 2
+)
 
 // judgeCut takes this VM out of the balancer's rotation while it is cut off: its
 // check fails and its answers close their connections.
@@ -21,37 +34,52 @@
 		Asked:    tr.Asked,
 		Unserved: tr.Unserved,
 	}
-	if si.Silence > probeAfter && now >= eg.probeAt {
-		eg.probeAt = now + tickEvery
-		eg.probe()
+	// Most of the time nothing is silent, and servers and routes need not be looked
+	// at.
+	if si.Silence > reach.DefaultSoon {
+		si.Owed = tr.FarLost + eg.steer.Overdue(now, vw.Upstreams())
+		si.Mute = time.Duration(eg.muteSince.Load()) > now-si.Silence
+		si.Lacking = !vw.ServesAlone()
+	}
+	if si.Silence > probeAfter || eg.isolated.Load() || eg.cut.Doubts(si) {
+		eg.probe(now)
 	}
-	// Most of the time nothing is silent, and the routes need not be looked at.
-	si.Lacking = si.Silence > reach.DefaultIdle && !vw.ServesAlone()
 	off := eg.cut.Look(now, si) && vw.FleetSize() > 1
 	if eg.isolated.Swap(off) == off {
 		return
 	}
 	eg.entry.Move(off)
-	eg.cfg.Log.Warn().Bool("cutOff", off).Int64("silenceMs", si.Silence.Milliseconds()).
-		Bool("failing", eg.cut.Failing()).Msg("cut off from servers and other VMs")
+	eg.cfg.Log.Warn().Bool("cutOff", off).Int64("silenceMs", si.Silence.Milliseconds()).Int("owed", si.Owed).
+		Bool("mute", si.Mute).Bool("failing", eg.cut.Failing()).Msg("cut off from servers and other VMs")
 }
 
-// probe asks a VM of another data centre whether it hears this one. While the
+// probe asks VMs of other data centres whether they hear this one. While the
 // store is away nobody has news, and a VM without requests of its own hears from
 // nobody by itself: without a probe all of a fleet took that for a cut, and left
 // the rotation together.
-func (eg *Edge) probe() {
-	vm, ok := eg.view.Load().FarVM(rand.Float64())
-	if !ok {
+func (eg *Edge) probe(now time.Duration) {
+	if now < eg.probeAt {
 		return
 	}
-	eg.workers.run(func() {
-		eg.meter.Count(meter.Platform, "probe")
-		if eg.homes.Lives(vm.Addr) {
-			eg.follow.Touch()
+	eg.probeAt = now + probeEvery
+	var left atomic.Int64
+	left.Store(probeVMs)
+	for range probeVMs {
+		vm, ok := eg.view.Load().FarVM(rand.Float64())
+		if !ok {
 			return
 		}
-		eg.meter.Count(meter.Platform, "probeFailed")
-		eg.cfg.Log.Debug().Str("vm", vm.Addr).Msg("no sign of life from another data centre")
-	})
+		eg.workers.run(func() {
+			eg.meter.Count(meter.Platform, "probe")
+			if eg.homes.Lives(vm.Addr, probeTime) {
+				eg.follow.Touch()
+				return
+			}
+			eg.meter.Count(meter.Platform, "probeFailed")
+			eg.cfg.Log.Debug().Str("vm", vm.Addr).Msg("no sign of life from another data centre")
+			if left.Add(-1) == 0 {
+				eg.muteSince.Store(int64(now))
+			}
+		})
+	}
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -75,6 +75,9 @@
 	isolated atomic.Bool
 	// probeAt is when other data centres may be asked for a sign of life again.
 	probeAt time.Duration
+	// muteSince is when VMs of other data centres were asked last for a sign of life
+	// that none of them gave.
+	muteSince atomic.Int64
 	// summaryAt is when the next summary is due.
 	summaryAt time.Duration
 
@@ -183,6 +186,8 @@
 func (eg *Edge) control(ctx context.Context, st *state) {
 	tk := time.NewTicker(tickEvery)
 	defer tk.Stop()
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
 	defer close(eg.ended)
 	for {
 		select {
@@ -195,6 +200,7 @@
 			eg.meter.Set(meter.Connections, eg.conns.Load())
 			eg.meter.Set(meter.InFlight, int64(eg.entry.InFlight()))
 			eg.summary()
+		case <-look.C:
 		case <-ctx.Done():
 			return
 		}
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -21,6 +21,7 @@
 	reasonNoID     = "noRequestId"
 	reasonNoRoutes = "noConfiguration"
 	reasonNoRoom   = "noRoom"
+	reasonCutOff   = "cutOff"
 )
 
 const (
@@ -30,6 +31,9 @@
 	// backLater is the same where there is no server; news of one comes within
 	// a second or two.
 	backLater = 500 * time.Millisecond
+	// backMoved is when the balancer sends clients to other data centres after this
+	// VM was found cut off: it asks once a second, and twice.
+	backMoved = 2 * time.Second
 	// backBoot is the same where there is no configuration yet: a VM that boots
 	// has it within some tenths of a second.
 	backBoot = 150 * time.Millisecond
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -90,6 +90,10 @@
 	pending pending
 	// farHeard is when a server of another data centre answered last.
 	farHeard atomic.Int64
+	// farLost counts the attempts lost there since.
+	farLost atomic.Int64
+	// movingSince is when Move was turned on.
+	movingSince atomic.Int64
 }
 
 // New makes the listener; Serve starts it.
@@ -143,7 +147,13 @@
 
 // Move makes each answer close its connection, or ends that, so that clients
 // reach another VM with their next request.
-func (en *Entry) Move(on bool) { en.moving.Store(on) }
+//
+// While it is on, requests that need servers of other data centres are refused at
+// once: an attempt there hangs until its deadline.
+func (en *Entry) Move(on bool) {
+	en.movingSince.Store(int64(en.cfg.Clock()))
+	en.moving.Store(on)
+}
 
 // Traffic is what became of the requests since the start.
 type Traffic struct {
@@ -152,6 +162,8 @@
 	Asked, Unserved int64
 	// FarHeard is when a server of another data centre answered last.
 	FarHeard time.Duration
+	// FarLost counts the attempts that were lost there since then.
+	FarLost int
 }
 
 // Traffic returns what became of the requests since the start.
@@ -160,9 +172,16 @@
 		Asked:    en.asked.Load(),
 		Unserved: en.unserved.Load(),
 		FarHeard: time.Duration(en.farHeard.Load()),
+		FarLost:  int(en.farLost.Load()),
 	}
 }
 
+// heardFar notes an answer from another data centre.
+func (en *Entry) heardFar(now time.Duration) {
+	en.farHeard.Store(int64(now))
+	en.farLost.Store(0)
+}
+
 func (en *Entry) serve(ctx context.Context, rc *app.RequestContext) {
 	defer accept.Begin(ctx)()
 	en.inFlight.Add(1)
@@ -191,6 +210,10 @@
 	if !ok {
 		return refuse(consts.StatusNotFound, guard.ReasonNoRoute, "there is no such route")
 	}
+	if en.moving.Load() && !vw.ServesNear(rt) {
+		en.cutOff(rq).write(rc)
+		return nil
+	}
 	if homes := vw.Homes(rt); len(homes) > 0 {
 		if rs := en.forward(ctx, homes, rq, rt); rs != nil {
 			rs.write(rc)
@@ -222,6 +245,17 @@
 	return rs, an.Outcome.String()
 }
 
+// cutOff refuses a request that this VM cannot serve while it is cut off.
+func (en *Entry) cutOff(rq *request) *response {
+	en.asked.Add(1)
+	en.unserved.Add(1)
+	rs := own(consts.StatusServiceUnavailable, reasonCutOff, "this VM reaches too few servers")
+	since := en.cfg.Clock() - time.Duration(en.movingSince.Load())
+	rs.comeBack(max(backSoon, backMoved-since))
+	en.logRefused(rq, rs.status, reasonCutOff)
+	return rs
+}
+
 func (en *Entry) count(an fanout.Answer, rq *request) {
 	if an.Outcome == fanout.OutcomeFailed || an.Outcome == fanout.OutcomeNotRun {
 		en.unserved.Add(1)
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -244,7 +244,7 @@
 func (en *Entry) settle(up *origin.Upstream, ar arrival, sent, usual time.Duration) {
 	now := en.cfg.Clock()
 	if ar.rs.Reply != nil && up.DataCentre != en.cfg.DataCentre {
-		en.farHeard.Store(int64(now))
+		en.heardFar(now)
 	}
 	if ar.rs.Err != nil {
 		en.cfg.Meter.Count(meter.Upstream, string(ar.rs.Err.Kind))
@@ -252,6 +252,9 @@
 			en.cfg.Steer.Withdraw(now, up.Process(), now-sent)
 			return
 		}
+		if up.DataCentre != en.cfg.DataCentre {
+			en.farLost.Add(1)
+		}
 	} else if ar.verdict != fanout.Served {
 		en.cfg.Meter.Count(meter.Upstream, ar.verdict.String())
 	}
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -183,7 +183,7 @@
 		en.cfg.Steer.Withdraw(now, ac.Upstream.Process(), 0)
 		return ar
 	case fanout.Served:
-		en.farHeard.Store(int64(now))
+		en.heardFar(now)
 		ar.rs.Reply = &relay.Reply{Header: http.Header{}, Body: body}
 		ar.rs.Reply.Header.Set(en.cfg.Names.Receipt, pa.GetReceipt())
 	}
