--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -137,6 +137,9 @@
 
 // decline tells another VM that its request is not taken, and the log why.
 func (en *Entry) decline(rq *request, reason string) *inner.CarryReply {
+	if reason == carry.ReasonOtherRoute {
+		en.cfg.Meter.Count(meter.Sent, reason)
+	}
 	en.cfg.Log.Info().Str("id", rq.id).Str("reason", reason).Uint64("version", version(en.cfg.View())).
 		Msg("declined for another VM")
 	return declined(reason)
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -90,9 +90,10 @@
 	// Of routed requests: why one was not answered whole, what became of
 	// attempts, and what is refused.
 	routed := []string{"target", "noUpstream", "attempts", "mayHaveRun", "clientGone"}
+	unrouted := []string{"noRequestId", "noConfiguration", "noRoom", "cutOff", "homeLost"}
 	verdicts := []string{"failed", "refused", "elsewhere", "lost", "unsent"}
 	return map[string][]string{
-		Refusal:    join(border, own, limits, tickets, []string{"leaving"}),
+		Refusal:    join(border, own, limits, tickets, unrouted, []string{"leaving"}),
 		Operator:   join(border, operators),
 		Admitted:   {"urgent", "interactive", "batch"},
 		Outcome:    {"complete", "partial", "notRun", "unknown", "served", "failed", "gone"},
@@ -100,7 +101,7 @@
 		Retry:      join(replies, refusals, failures, verdicts),
 		Upstream:   join(refusals, failures, verdicts, []string{"moveBudget", "noRoom", "dropped", "garbled"}),
 		Dropped:    {"foreign", "afterAnswer"},
-		Sent:       {"primary", "first", "hedge", "retry", "home", "homeNone", "homeLost", "joined", "forOthers"},
+		Sent:       {"primary", "first", "hedge", "retry", "home", "homeNone", "homeLost", "joined", "forOthers", "otherRoute"},
 		Connection: {
 			"opened", "dialFailed", "refused", "stale", "silent", "late", "ping", "pingFailed", "cancelSent",
 			"cancelLeft", "idleClosed", "backoff", "probe", "open", "openFailed", "openReset", "ended", "closing",
--- a/io/meter/source_test.go
+++ b/io/meter/source_test.go
@@ -297,6 +297,8 @@
 			wa.want(name, meter.Operator, reason)
 		case "oper":
 			wa.want(name, meter.Operator, reason)
+		case "carry":
+			wa.want(name, meter.Sent, reason)
 		default:
 			t.Errorf("%s: say in this test under which family it is counted", name)
 		}
