--- a/cmd/laburnumvane/gateway.go
+++ b/cmd/laburnumvane/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
 
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/edge"
 	"laburnumvane/io/lines"
 	"laburnumvane/platform"
@@ -40,6 +41,10 @@
 as long as any may come, and the process ends within the platform's grace.
 SIGHUP reads the settings file again; it is also looked at every two seconds.
 
+--off switches a mechanism off that decides about requests, for operators who
+suspect it in trouble; docs/operate/mechanisms.md says what each is for and what it
+is worth. No rule hangs on one.
+
 Exit codes:
    0  stopped as planned, nothing was cut off
    1  could not start, or requests were still under way when the grace ended
@@ -57,6 +62,11 @@
 				Name:  "metrics-port",
 				Usage: "serve metrics on `PORT` of this VM's address; 0 turns them off",
 			},
+			&cli.StringSliceFlag{
+				Name:    "off",
+				Usage:   "switch off the mechanism `NAME`; may be given several times, or a list with commas",
+				Sources: cli.EnvVars("LABURNUMVANE_OFF"),
+			},
 			&cli.StringFlag{
 				Name:  "log-level",
 				Usage: "log lines from `LEVEL` on: debug, info, warn or error",
@@ -74,6 +84,10 @@
 	if err != nil {
 		return &Error{Op: op, Kind: KindUsage, Err: err}
 	}
+	off, err := toggle.Parse(cmd.StringSlice("off"))
+	if err != nil {
+		return &Error{Op: op, Kind: KindUsage, Err: err}
+	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	// The signals are taken before anything is started, so that one that comes
 	// during the boot still stops the VM as planned.
@@ -83,7 +97,9 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	lo, flush := queuedLogger(cmd.String("log-level"))
 	defer flush()
-	eg, err := edge.Start(set.Edge(cmd.Int("metrics-port"), lo))
+	cfg := set.Edge(cmd.Int("metrics-port"), lo)
+	cfg.Settings.Off = off
+	eg, err := edge.Start(cfg)
 	if err != nil {
 		return &Error{Op: op, Kind: KindFailure, Err: err}
 	}
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -32,8 +32,8 @@
 // Defaults of a Config.
 const (
 	// DefaultRoundTrip is assumed where the kernel does not know one: that of a
-	// caller in the same city.
-	DefaultRoundTrip = 3 * time.Millisecond
+	// caller in the same city, and some room.
+	DefaultRoundTrip = 4500 * time.Microsecond
 	// DefaultWriting is what joining the parts, writing the answer and reading it
 	// at the other end take. With 20 records of 16 bytes it is below 1 ms on 0.4 of
 	// a core; the rest is for the spread of the way.
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -16,6 +16,9 @@
 
 // Line is what waits. It is not safe for concurrent use.
 type Line[T comparable] struct {
+	// OldestFirst turns the order of those with one priority round.
+	OldestFirst bool
+
 	items []item[T]
 }
 
@@ -37,7 +40,8 @@
 	}
 	best := len(li.items) - 1
 	for i := best - 1; i >= 0; i-- {
-		if li.items[i].priority < li.items[best].priority {
+		older, newest := li.items[i].priority, li.items[best].priority
+		if older < newest || li.OldestFirst && older == newest {
 			best = i
 		}
 	}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -7,6 +7,7 @@
 
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
+	"laburnumvane/core/toggle"
 )
 
 // Weights of the cost. All times are what one more attempt is expected to take.
@@ -85,6 +86,8 @@
 type Config struct {
 	// DataCentre is where this VM stands.
 	DataCentre string
+	// Off are the mechanisms that are switched off.
+	Off toggle.Set
 }
 
 // Table holds what this VM has seen of each server.
@@ -144,7 +147,7 @@
 func (tb *Table) cost(now time.Duration, ki Kind, up *origin.Upstream) (cost float64, ok bool) {
 	usual := ki.Usual
 	cost = float64(usual)
-	if up.DataCentre != tb.cfg.DataCentre {
+	if up.DataCentre != tb.cfg.DataCentre && !tb.cfg.Off.Off(toggle.Nearness) {
 		cost += max(farShare*float64(usual), float64(farLeast))
 	}
 	me, seen := tb.seen[up.Process()]
@@ -157,9 +160,14 @@
 		return 0, false
 	}
 	cost += latency*(1+queueShare*float64(me.inFlight)) - float64(usual)
-	kept := fading(now-me.failAt, failFade)
-	cost += kept * (me.fails*float64(failCost) + me.refusals*float64(refuseCost))
-	return cost + max(0, quiet-float64(ki.Slack)), true
+	if !tb.cfg.Off.Off(toggle.Failures) {
+		kept := fading(now-me.failAt, failFade)
+		cost += kept * (me.fails*float64(failCost) + me.refusals*float64(refuseCost))
+	}
+	if !tb.cfg.Off.Off(toggle.Pauses) {
+		cost += max(0, quiet-float64(ki.Slack))
+	}
+	return cost, true
 }
 
 // Begin counts an attempt as in flight.
@@ -226,7 +234,9 @@
 	me.inFlight = max(0, me.inFlight-1)
 	switch at.Verdict {
 	case fanout.Served:
-		me.note(now, at)
+		if !tb.cfg.Off.Off(toggle.Slowness) {
+			me.note(now, at)
+		}
 		me.mark(now, 0, 0)
 		me.quietSince = now
 		// A short request behind a long one is no sign of a queue.
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -11,6 +11,7 @@
 	"laburnumvane/core/origin"
 	"laburnumvane/core/rank"
 	"laburnumvane/core/route"
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/entry"
 	"laburnumvane/io/follow"
 )
@@ -61,6 +62,8 @@
 	Extra entry.Extra
 	// StopGrace is the time from the signal to the end of the process.
 	StopGrace time.Duration
+	// Off are the mechanisms that are switched off.
+	Off toggle.Set
 	// LeaseTime is how long this VM's entry outlives it.
 	LeaseTime time.Duration
 }
--- a/io/edge/cutoff.go
+++ b/io/edge/cutoff.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumvane/core/reach"
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/meter"
 )
 
@@ -38,13 +39,13 @@
 	// at.
 	if si.Silence > reach.DefaultSoon {
 		si.Owed = tr.FarLost + eg.steer.Overdue(now, vw.Upstreams())
-		si.Mute = time.Duration(eg.muteSince.Load()) > now-si.Silence
+		si.Mute = !eg.set.Off.Off(toggle.Proofs) && time.Duration(eg.muteSince.Load()) > now-si.Silence
 		si.Lacking = !vw.ServesAlone()
 	}
 	if si.Silence > probeAfter || eg.isolated.Load() || eg.cut.Doubts(si) {
 		eg.probe(now)
 	}
-	off := eg.cut.Look(now, si) && vw.FleetSize() > 1
+	off := eg.cut.Look(now, si) && vw.FleetSize() > 1 && !eg.set.Off.Off(toggle.Cuts)
 	if eg.isolated.Swap(off) == off {
 		return
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -17,6 +17,7 @@
 	"laburnumvane/core/reach"
 	"laburnumvane/core/route"
 	"laburnumvane/core/steer"
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/carry"
 	"laburnumvane/io/entry"
 	"laburnumvane/io/follow"
@@ -96,7 +97,7 @@
 		set:     cfg.Settings,
 		began:   time.Now(),
 		meter:   meter.New(),
-		steer:   steer.New(steer.Config{DataCentre: cfg.Settings.Self.DataCentre}),
+		steer:   steer.New(steer.Config{DataCentre: cfg.Settings.Self.DataCentre, Off: cfg.Settings.Off}),
 		cut:     reach.New(reach.Config{}),
 		changes: make(chan follow.Change),
 		taken:   make(chan struct{}),
@@ -104,6 +105,9 @@
 	}
 	eg.key, _ = cfg.Decoder.VMEntry(eg.set.Name, eg.set.Self, eg.set.Capacity)
 	eg.extra.Store(&eg.set.Extra)
+	for _, name := range eg.set.Off.Names() {
+		eg.meter.Count(meter.Off, name)
+	}
 	workers, err := newCrew(dialWorkers)
 	if err != nil {
 		return nil, &Error{Op: "edge.Start", Kind: KindListen, Err: err}
@@ -118,6 +122,8 @@
 		Reached:  func(pr origin.Process, ok bool) { eg.steer.Reached(eg.clock(), pr, ok) },
 		Opened:   func() { eg.conns.Add(1) },
 		Closed:   func() { eg.conns.Add(-1) },
+
+		OldestFirst: cfg.Settings.Off.Off(toggle.Newest),
 	})
 	eg.follow = follow.New(follow.Config{
 		Self:       eg.set.Self,
@@ -143,7 +149,8 @@
 	eg.task(func() { eg.follow.Run(ctx) })
 	eg.task(func() { eg.enlist.run(ctx) })
 	cfg.Log.Info().Str("vm", eg.set.Name).Str("dataCentre", eg.set.Self.DataCentre).
-		Str("clients", eg.set.ClientAddr).Str("inner", eg.set.InnerAddr).Msg("started")
+		Str("clients", eg.set.ClientAddr).Str("inner", eg.set.InnerAddr).
+		Strs("off", eg.set.Off.Names()).Msg("started")
 	return eg, nil
 }
 
@@ -296,6 +303,7 @@
 		Homes:      eg.homes,
 		Meter:      eg.meter,
 		Log:        eg.cfg.Log,
+		Off:        eg.set.Off,
 	})
 	innerLn, err := net.Listen("tcp", eg.set.InnerAddr)
 	if err != nil {
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -7,6 +7,7 @@
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
 	"laburnumvane/core/rank"
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/follow"
 	"laburnumvane/io/meter"
 )
@@ -55,7 +56,7 @@
 // change takes what became known at once.
 func (st *state) change(ch follow.Change) {
 	now := st.eg.clock()
-	if ch.Returned > 0 && now < ch.Returned+lingerTime && st.view.Upstreams().Len() > 0 {
+	if ch.Returned > 0 && !st.eg.set.Off.Off(toggle.Absence) && now < ch.Returned+lingerTime && st.view.Upstreams().Len() > 0 {
 		st.servers.Suspect(ch.Returned)
 	}
 	upstreams, fleet := false, false
--- a/io/entry/alarm.go
+++ b/io/entry/alarm.go
@@ -1,6 +1,10 @@
 package entry
 
-import "time"
+import (
+	"time"
+
+	"laburnumvane/core/toggle"
+)
 
 // alarm is the timer of a request: it fires when its machine wants to wake, and
 // tells how late it did.
@@ -31,7 +35,7 @@
 func (al *alarm) stop() { al.timer.Stop() }
 
 func (al *alarm) rang() {
-	if al.at > 0 {
+	if al.at > 0 && !al.fl.en.cfg.Off.Off(toggle.Timers) {
 		al.fl.en.lead.Woke(al.fl.en.cfg.Clock() - al.at)
 	}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -18,6 +18,7 @@
 	"laburnumvane/core/plan"
 	"laburnumvane/core/route"
 	"laburnumvane/core/steer"
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/accept"
 	"laburnumvane/io/guard"
 	"laburnumvane/io/inner"
@@ -68,6 +69,8 @@
 	Homes Homes
 	Meter *meter.Meter
 	Log   *log.Logger
+	// Off are the mechanisms that are switched off; it may be empty.
+	Off toggle.Set
 }
 
 // Entry is the clients' listener.
@@ -98,7 +101,7 @@
 
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Entry {
-	en := &Entry{cfg: cfg, budgets: newBudgets(), lead: lead.New(lead.Config{})}
+	en := &Entry{cfg: cfg, budgets: newBudgets(!cfg.Off.Off(toggle.Reserve)), lead: lead.New(lead.Config{})}
 	gc := guard.Config{
 		MaxBody:    mostBody,
 		MaxHeader:  mostHeader,
@@ -187,7 +190,7 @@
 	en.inFlight.Add(1)
 	defer en.inFlight.Add(-1)
 	rq, rf := en.read(rc, en.cfg.Clock())
-	rq.away = en.lead.Away(accept.Trip(ctx))
+	rq.away = en.lead.Away(en.trip(ctx))
 	if rf == nil {
 		rf = en.answer(ctx, rc, rq)
 	}
@@ -199,6 +202,14 @@
 	}
 }
 
+// trip tells how far a request's client is.
+func (en *Entry) trip(ctx context.Context) lead.Trip {
+	if en.cfg.Off.Off(toggle.Trips) {
+		return lead.Trip{}
+	}
+	return accept.Trip(ctx)
+}
+
 // answer finds a request's route and answers it, or tells why not.
 func (en *Entry) answer(ctx context.Context, rc *app.RequestContext, rq *request) *refusal {
 	vw := en.cfg.View()
@@ -214,7 +225,7 @@
 		en.cutOff(rq).write(rc)
 		return nil
 	}
-	if homes := vw.Homes(rt); len(homes) > 0 {
+	if homes := vw.Homes(rt); len(homes) > 0 && !en.cfg.Off.Off(toggle.Homes) {
 		if rs := en.forward(ctx, homes, rq, rt); rs != nil {
 			rs.write(rc)
 			return nil
@@ -229,7 +240,7 @@
 func (en *Entry) take(ctx context.Context, rq *request, rt *route.Route, vw *plan.View) (*response, string) {
 	en.asked.Add(1)
 	va := en.valves.of(rt)
-	if !va.Admit(en.level(vw.Routes(), rt), rand.Float64()) {
+	if !en.cfg.Off.Off(toggle.Valve) && !va.Admit(en.level(vw.Routes(), rt), rand.Float64()) {
 		rs := own(consts.StatusServiceUnavailable, reasonNoRoom, "the servers have no room for more")
 		rs.comeBack(backSoon)
 		en.unserved.Add(1)
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -10,6 +10,7 @@
 	"laburnumvane/core/plan"
 	"laburnumvane/core/route"
 	"laburnumvane/core/steer"
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/meter"
 	"laburnumvane/io/relay"
 )
@@ -85,6 +86,10 @@
 	}
 	fl.hard = rq.began + wait - back
 	fl.hedgeAfter = fl.pace.delay(back)
+	hedgeAfter := fl.hedgeAfter
+	if en.cfg.Off.Off(toggle.Hedges) {
+		hedgeAfter = 0
+	}
 	room := 0
 	for _, name := range fl.services {
 		// No server is asked twice for a shard.
@@ -98,7 +103,7 @@
 		MaxAttempts: rt.MaxAttempts,
 		Target:      rq.began + rt.Target - back,
 		Hard:        fl.hard,
-		HedgeAfter:  fl.hedgeAfter,
+		HedgeAfter:  hedgeAfter,
 		LeastTime:   leastTime,
 		Chooser:     fl,
 		Budget:      fl,
@@ -164,6 +169,9 @@
 // moveOn takes back the attempts that have waited here for as long as a server
 // may take: they cost nobody anything yet, and another server may have room.
 func (fl *flight) moveOn() {
+	if fl.en.cfg.Off.Off(toggle.Moves) {
+		return
+	}
 	late := fl.en.cfg.Clock() - fl.hedgeAfter
 	for k, ca := range fl.calls {
 		if ca != nil && fl.results[k].verdict == 0 && fl.machine.Started(k) <= late && ca.Waits() {
@@ -259,6 +267,9 @@
 		en.cfg.Meter.Count(meter.Upstream, ar.verdict.String())
 	}
 	li := en.cfg.View().Limits(up)
+	if en.cfg.Off.Off(toggle.Pacing) {
+		li.Fair = 1
+	}
 	al := en.cfg.Steer.End(now, up.Process(), steer.Attempt{
 		Verdict: ar.verdict,
 		Took:    ar.rs.Took,
@@ -266,5 +277,7 @@
 		Most:    li.Most,
 		Fair:    li.Fair,
 	})
-	en.cfg.Relay.Allow(up, al)
+	if !en.cfg.Off.Off(toggle.Windows) {
+		en.cfg.Relay.Allow(up, al)
+	}
 }
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -7,6 +7,7 @@
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/steer"
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/carry"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/meter"
@@ -38,7 +39,7 @@
 
 // dispatch sends first attempts of a gather, joined where that is worth it.
 func (fl *flight) dispatch(sends []fanout.Action) {
-	if fl.rt.Gather == nil || len(sends) < joinLeast {
+	if fl.rt.Gather == nil || len(sends) < joinLeast || fl.en.cfg.Off.Off(toggle.Joins) {
 		for _, ac := range sends {
 			fl.send(ac)
 		}
--- a/io/entry/pace.go
+++ b/io/entry/pace.go
@@ -109,8 +109,10 @@
 
 // budgets holds one budget for each service.
 type budgets struct {
-	mu        sync.RWMutex
-	extra     Extra
+	mu    sync.RWMutex
+	extra Extra
+	// reserve is set if tokens are kept for attempts that are needed.
+	reserve   bool
 	byService map[string]*serviceBudget
 }
 
@@ -122,8 +124,8 @@
 	credited atomic.Int64
 }
 
-func newBudgets() *budgets {
-	return &budgets{byService: make(map[string]*serviceBudget)}
+func newBudgets(reserve bool) *budgets {
+	return &budgets{reserve: reserve, byService: make(map[string]*serviceBudget)}
 }
 
 // set takes new bounds. Budgets are made anew, each with no more tokens than it
@@ -153,7 +155,11 @@
 	if over := bu.Tokens() - tokens; over > 0 {
 		bu.Charge(over)
 	}
-	return &serviceBudget{Budget: bu, kept: int(depth / 3)}
+	kept := 0
+	if bs.reserve {
+		kept = int(depth / 3)
+	}
+	return &serviceBudget{Budget: bu, kept: kept}
 }
 
 func (bs *budgets) of(now time.Duration, service string) *serviceBudget {
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -1,5 +1,7 @@
 package meter
 
+import "laburnumvane/core/toggle"
+
 // Families of counters; each is counted by reason.
 const (
 	// Refusal counts requests that this VM refused itself, by reason.
@@ -38,6 +40,8 @@
 	Sign = "sign"
 	// Logged counts what became of log lines.
 	Logged = "logged"
+	// Off is 1 for each mechanism that is switched off.
+	Off = "off"
 )
 
 // Histograms, in milliseconds.
@@ -124,10 +128,20 @@
 		Server:      {"probe", "hintLags", "oldNews", "newSnapshot", "holdingDropped", "tooManyConnections"},
 		ServerState: {"unknown", "cold", "serving", "shedding", "suspect", "draining", "gone"},
 		Sign:        {"leaving", "unreachable", "returned"},
+		Off:         mechanisms(),
 		Logged:      {"searches", "sampledOut", "lost"},
 	}
 }
 
+// mechanisms lists those that can be switched off.
+func mechanisms() []string {
+	var all []string
+	for _, me := range toggle.All() {
+		all = append(all, me.String())
+	}
+	return all
+}
+
 func join(lists ...[]string) []string {
 	var all []string
 	for _, list := range lists {
--- a/io/relay/pool.go
+++ b/io/relay/pool.go
@@ -40,6 +40,9 @@
 	// Reached is told whether a connection to a server could be opened; it may
 	// be nil.
 	Reached func(pr origin.Process, ok bool)
+	// OldestFirst starts the oldest of what waits for a server first, in place of the
+	// newest.
+	OldestFirst bool
 	// IdleClose and SpareClose have defaults.
 	IdleClose  time.Duration
 	SpareClose time.Duration
@@ -97,6 +100,7 @@
 		sv, ok := po.servers[up.Process()]
 		if !ok {
 			sv = &Server{cfg: &po.cfg, process: up.Process(), addr: up.Addr}
+			sv.waiting.OldestFirst = po.cfg.OldestFirst
 			po.servers[up.Process()] = sv
 		}
 		sv.setLimits(plan(up))
