--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -9,10 +9,10 @@
 // none stands for no attempt.
 const none = -1
 
-// spareTries is how many attempts beyond MaxAttempts may be spent on servers
+// SpareTries is how many attempts beyond MaxAttempts may be spent on servers
 // that provably did not run the request, so that a wave of refusals does not go
 // round all servers of a service.
-const spareTries = 1
+const SpareTries = 1
 
 // attempt is one try on one server.
 type attempt struct {
@@ -31,6 +31,8 @@
 	// reached is set once an attempt may have arrived at the service, so that
 	// further ones draw on the budget.
 	reached bool
+	// refused is set once a server had no room.
+	refused bool
 	// dead is set when nothing more can be done for it.
 	dead bool
 	// hedgeAt is when a further server is asked; 0 if never.
@@ -164,6 +166,7 @@
 		mc.shown = ev.Attempt
 	case Refused:
 		mc.full = true
+		sh.refused = true
 	}
 	if sh.open == 0 {
 		mc.retry(now, at.shard, ev.Verdict)
@@ -202,7 +205,17 @@
 }
 
 func (mc *Machine) mayTry(sh *shard) bool {
-	return sh.ran+sh.open < mc.cfg.MaxAttempts && sh.tries < mc.cfg.MaxAttempts+spareTries
+	return sh.ran+sh.open < mc.cfg.MaxAttempts && sh.tries < mc.cfg.MaxAttempts+SpareTries
+}
+
+// pick picks a server that was not asked for the shard. Where there is none, one that
+// refused is asked again: it did not run the request, and may have room by now.
+func (mc *Machine) pick(now time.Duration, i int) (*origin.Upstream, bool) {
+	up, ok := mc.cfg.Chooser.Pick(now, i, mc.triedOf(i))
+	if !ok && mc.shards[i].refused {
+		up, ok = mc.cfg.Chooser.Pick(now, i, mc.spentOf(i))
+	}
+	return up, ok
 }
 
 // send picks a server and sends; it tells whether it could.
@@ -211,7 +224,7 @@
 		mc.reason = ReasonDeadline
 		return false
 	}
-	up, ok := mc.cfg.Chooser.Pick(now, i, mc.triedOf(i))
+	up, ok := mc.pick(now, i)
 	if !ok {
 		mc.reason = ReasonNoUpstream
 		return false
@@ -274,6 +287,19 @@
 	return mc.tried
 }
 
+// spentOf lists the servers that were asked for a shard and did more than refuse.
+// Where two of three servers of a shard are left, and both refuse two of five requests
+// at random, one request in six is refused by both; asked once more, one in sixteen.
+func (mc *Machine) spentOf(i int) []*origin.Upstream {
+	mc.tried = mc.tried[:0]
+	for k := range mc.attempts {
+		if at := &mc.attempts[k]; at.shard == i && at.verdict != Refused {
+			mc.tried = append(mc.tried, at.up)
+		}
+	}
+	return mc.tried
+}
+
 // kill gives a shard up.
 func (mc *Machine) kill(i int, reason string) {
 	sh := &mc.shards[i]
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -92,8 +92,9 @@
 	}
 	room := 0
 	for _, name := range fl.services {
-		// No server is asked twice for a shard.
-		room += len(vw.Candidates(name))
+		// A server is asked again only after it refused, and no more often than the
+		// route allows.
+		room += len(vw.Candidates(name)) + rt.MaxAttempts + fanout.SpareTries
 	}
 	fl.mailbox = make(chan arrival, room)
 	fl.machine = fanout.New(fanout.Config{
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -42,8 +42,10 @@
 	br *bufio.Reader
 
 	mu sync.Mutex
-	// call is the one under way, nil while idle.
+	// call is the one under way, nil while idle; last is the id of the one before, or
+	// of this one.
 	call *Call
+	last string
 	// wrote is set once the whole request is written.
 	wrote  bool
 	closed bool
@@ -63,7 +65,14 @@
 		cn.sv.resend(ca)
 		return
 	}
-	cn.call = ca
+	if cn.last == ca.rq.ID {
+		// A late second answer to the first could be taken for one to this.
+		cn.mu.Unlock()
+		cn.close()
+		cn.sv.resend(ca)
+		return
+	}
+	cn.call, cn.last = ca, ca.rq.ID
 	cn.wrote = false
 	cn.mu.Unlock()
 	ca.mu.Lock()
@@ -232,6 +241,13 @@
 	cn.sv.lost(cn, busy)
 }
 
+// carried tells whether a request with that id was the last one on it.
+func (cn *conn) carried(id string) bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.last == id
+}
+
 func (cn *conn) isClosed() bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -75,7 +75,7 @@
 	sv.mu.Lock()
 	sv.used = now
 	if sv.hasRoom(now) {
-		if cn := sv.takeIdle(now, ca.rq.Fresh); cn != nil {
+		if cn := sv.takeIdle(now, &ca.rq); cn != nil {
 			sv.busy++
 			sv.mu.Unlock()
 			cn.start(ca)
@@ -103,11 +103,15 @@
 	time.AfterFunc(sv.resume-now, sv.wake)
 }
 
-// wake starts a call that waited for its time.
+// wake starts a call that waited for its time, or opens a connection for it.
 func (sv *Server) wake() {
+	now := sv.cfg.Clock()
 	sv.mu.Lock()
 	sv.armed = false
-	cn := sv.spare(sv.cfg.Clock())
+	cn := sv.spare(now)
+	if cn == nil {
+		sv.dialForWaiting(now)
+	}
 	sv.mu.Unlock()
 	if cn != nil {
 		sv.put(cn)
@@ -138,18 +142,20 @@
 		return KindBackoff
 	}
 	sv.waiting.Push(ca.rq.Priority, ca)
-	if sv.hasRoom(now) && sv.open < sv.limits.Most && sv.dialing < sv.waiting.Len() && now >= sv.backoff {
-		sv.dial()
-	}
+	sv.dialForWaiting(now)
 	sv.arm(now)
 	return ""
 }
 
-// takeIdle returns the connection used last, so that those not needed grow old.
-func (sv *Server) takeIdle(now time.Duration, fresh bool) *conn {
+// takeIdle returns the connection used last, so that those not needed grow old. One
+// on which the same request was refused is passed over for the one used before it.
+func (sv *Server) takeIdle(now time.Duration, rq *Request) *conn {
+	if n := len(sv.idle); n > 1 && sv.idle[n-1].carried(rq.ID) {
+		sv.idle[n-1], sv.idle[n-2] = sv.idle[n-2], sv.idle[n-1]
+	}
 	for n := len(sv.idle); n > 0; n = len(sv.idle) {
 		cn := sv.idle[n-1]
-		if fresh && cn.idleFor(now) > freshFor {
+		if rq.Fresh && cn.idleFor(now) > freshFor {
 			if sv.open < sv.limits.Most {
 				return nil
 			}
@@ -167,6 +173,14 @@
 	return nil
 }
 
+// dialForWaiting opens a connection if a call waits that has room but none. The caller
+// holds the lock.
+func (sv *Server) dialForWaiting(now time.Duration) {
+	if sv.hasRoom(now) && sv.open < sv.limits.Most && sv.dialing < sv.waiting.Len() && now >= sv.backoff && !sv.shut {
+		sv.dial()
+	}
+}
+
 // dial opens a connection in the background. The caller holds the lock.
 func (sv *Server) dial() {
 	sv.open++
@@ -305,11 +319,10 @@
 			break
 		}
 	}
-	if sv.hasRoom(now) && sv.waiting.Len() > sv.dialing && sv.open < sv.limits.Most && now >= sv.backoff && !sv.shut {
-		sv.dial()
-	}
+	sv.dialForWaiting(now)
+	sv.arm(now)
 	var failed []*Call
-	if sv.open == 0 {
+	if sv.open == 0 && !sv.armed {
 		failed = sv.waiting.Drain()
 	}
 	sv.mu.Unlock()
