--- a/core/plan/view.go
+++ b/core/plan/view.go
@@ -38,9 +38,6 @@
 	// Warm is how many are kept open without demand.
 	Warm int
 	Most int
-	// Fair is this VM's part of the requests that the server works on at once,
-	// among all VMs that send to it.
-	Fair float64
 }
 
 // View is what is known at one moment.
@@ -85,9 +82,7 @@
 	vw.findHomes()
 	vw.findJoiners()
 	cfg.Upstreams.All(func(up *origin.Upstream) {
-		li := vw.part(up)
-		li.Fair = float64(max(1, up.Slots)) / float64(vw.senders(up.Service))
-		vw.limits[up.ID] = li
+		vw.limits[up.ID] = vw.part(up)
 	})
 	cfg.Upstreams.All(func(up *origin.Upstream) {
 		if _, done := vw.reach[up.Service]; !done {
@@ -184,7 +179,7 @@
 	}
 	for _, up := range all {
 		if vw.limits[up.ID].Most == 0 {
-			vw.limits[up.ID] = Limits{Most: 1, Fair: vw.limits[up.ID].Fair}
+			vw.limits[up.ID] = Limits{Most: 1}
 			reach = append(reach, up)
 		}
 	}
@@ -212,14 +207,6 @@
 	return one(conns.Share(left, far, at, shift(up)))
 }
 
-// senders is the number of VMs that send most of a service's requests.
-func (vw *View) senders(service string) int {
-	if len(vw.large) > 0 && vw.gathered[service] {
-		return len(vw.large)
-	}
-	return len(vw.fleet.all)
-}
-
 // partOfGather gives most of a shard's connections to the large VMs. The small
 // ones open theirs only when they find no large one.
 func (vw *View) partOfGather(usable int) Limits {
--- a/core/steer/memory.go
+++ b/core/steer/memory.go
@@ -64,21 +64,12 @@
 
 // cut makes the window smaller by as much as an answer took longer than it should
 // have, within bounds, unless the attempt was sent before the last cut.
-func (me *memory) cut(now, took time.Duration, allowed, least float64) {
+func (me *memory) cut(now, took time.Duration, allowed float64) {
 	if me.cutAt > 0 && now-took < me.cutAt {
 		return
 	}
 	me.cutAt = now
-	me.window = max(least, me.window*min(max(allowed/float64(took), windowCutMost), windowCutLeast))
-}
-
-// allowance is what the window allows after an answer that took so long. A window
-// below one is a share of the time: the rest passes without a request.
-func (me *memory) allowance(took time.Duration) Allowance {
-	if me.window >= 1 {
-		return Allowance{Window: int(me.window)}
-	}
-	return Allowance{Window: 1, Rest: min(time.Duration(float64(took)*(1/me.window-1)), restMost)}
+	me.window = max(1, me.window*min(max(allowed/float64(took), windowCutMost), windowCutLeast))
 }
 
 // note takes in how long an answer took.
--- a/core/steer/overload_test.go
+++ b/core/steer/overload_test.go
@@ -183,7 +183,7 @@
 func (lo *load) done(rq *simRequest, ve fanout.Verdict) {
 	vm := rq.vm
 	vm.busy[rq.server]--
-	window := vm.tb.End(lo.now, process(rq.server), steer.Attempt{Verdict: ve, Took: lo.now - rq.sent, Usual: usual}).Window
+	window := vm.tb.End(lo.now, process(rq.server), steer.Attempt{Verdict: ve, Took: lo.now - rq.sent, Usual: usual})
 	vm.window[rq.server] = window
 	if ve == fanout.Served && lo.now-rq.began <= target {
 		lo.inTime++
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -53,25 +53,25 @@
 	fadeMost  = 8 * time.Second
 	// failFade is the same for failures and refusals.
 	failFade = 4 * time.Second
-	// windowMost bounds how many requests of this VM a server works on or
-	// queues. It is cut when an answer took windowTimes the usual, at most once for
-	// each round trip and by as much as it took longer, between windowCutLeast and
-	// windowCutMost, and rises by one for each round trip without. It never stands
-	// above what this VM's connections allow, or the first cuts would change
-	// nothing: with both, the last of three servers of a shard answered within
-	// 67 ms and not 118 at the median in the second after the others were lost. A refusal alone does not cut it: a server that is full is slow
-	// too, and one that refuses at random takes what it takes. At a third more
-	// load than a server can take its own queue would grow until each answer is
-	// late; so the queue stays at that length, and what does not fit waits
-	// here, where it can still go elsewhere.
+	// windowMost bounds how many requests of this VM a server works on or queues. A
+	// window is cut when an answer took windowTimes the usual, at most once for each
+	// round trip and by as much as it took longer, to between windowCutMost and
+	// windowCutLeast of what it was, and rises by windowRise for each round trip
+	// without. It never stands above what this VM's connections allow, or the first
+	// cuts would change nothing: with both, the last of three servers of a shard
+	// answered within 100 ms and not 133 at the median, in the second after the others
+	// were lost. The rise is small since all VMs rise together: with a whole request a
+	// round trip nine VMs filled that server's queue again at once.
+	//
+	// A refusal alone does not cut it: a server that is full is slow too, and one that
+	// refuses at random takes what it takes. At a third more load than a server can
+	// take its own queue would grow until each answer is late; so the queue stays at
+	// that length, and what does not fit waits here, where it can still go elsewhere.
 	windowMost     = 16
 	windowCutLeast = 0.7
 	windowCutMost  = 0.3
 	windowRise     = 0.2
-	// restMost bounds how long a VM waits between two requests to a server, so that
-	// it sees within a third of a second that the queue is gone.
-	restMost    = 300 * time.Millisecond
-	windowTimes = 3
+	windowTimes    = 3
 	// expectFor is how long the longest kind of request is remembered.
 	expectFor = time.Second
 	// soundTimes and soundFails bound what a sound server may be remembered for:
@@ -202,34 +202,16 @@
 	// Most is how many connections this VM may have to the server, which is as many
 	// requests at once; 0 if that is not known.
 	Most int
-	// Fair is this VM's part of what the server works on at once; 0 counts as one.
-	Fair float64
 }
 
-// least is what the window is never cut below: with the other VMs' parts it keeps
-// the server at work, also where it is slow by itself and not from its queue.
-func (at Attempt) least() float64 {
-	if at.Fair <= 0 {
-		return 1
-	}
-	return min(1, at.Fair)
-}
-
-// Allowance bounds what this VM sends to a server from now on.
-type Allowance struct {
-	// Window is how many requests may be under way at once.
-	Window int
-	// Rest is how long none may begin.
-	Rest time.Duration
-}
-
-// End settles an attempt and returns what this VM may send to the server from now on.
-func (tb *Table) End(now time.Duration, pr origin.Process, at Attempt) Allowance {
+// End settles an attempt and returns how many requests of this VM the server may
+// have at once from now on.
+func (tb *Table) End(now time.Duration, pr origin.Process, at Attempt) (window int) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	me, ok := tb.seen[pr]
 	if !ok {
-		return Allowance{Window: windowMost}
+		return windowMost
 	}
 	me.inFlight = max(0, me.inFlight-1)
 	switch at.Verdict {
@@ -241,9 +223,9 @@
 		me.quietSince = now
 		// A short request behind a long one is no sign of a queue.
 		if allowed := windowTimes * max(at.Usual, me.expect); at.Took > allowed {
-			me.cut(now, at.Took, float64(allowed), at.least())
+			me.cut(now, at.Took, float64(allowed))
 		} else {
-			me.window += windowRise / max(1, me.window)
+			me.window += windowRise / me.window
 		}
 	case fanout.Failed:
 		me.mark(now, 1, 0)
@@ -261,7 +243,7 @@
 		me.window = min(me.window, float64(at.Most))
 	}
 	me.window = min(me.window, windowMost)
-	return me.allowance(at.Took)
+	return int(me.window)
 }
 
 // Withdraw settles an attempt that was given up by this VM. One that had waited
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -55,7 +55,7 @@
 func (wo *world) end(took time.Duration, ve fanout.Verdict) int {
 	wo.tb.Begin(wo.now, usual, process("near"))
 	wo.now += took
-	return wo.tb.End(wo.now, process("near"), steer.Attempt{Verdict: ve, Took: took, Usual: usual}).Window
+	return wo.tb.End(wo.now, process("near"), steer.Attempt{Verdict: ve, Took: took, Usual: usual})
 }
 
 func TestNearFirst(t *testing.T) {
--- a/core/toggle/toggle.go
+++ b/core/toggle/toggle.go
@@ -30,8 +30,6 @@
 	Reserve
 	// Windows bounds the requests of this VM at each server by its queue.
 	Windows
-	// Pacing lets a window fall below one request.
-	Pacing
 	// Moves takes what waits here for one server to another.
 	Moves
 	// Newest starts the newest of what waits first.
@@ -66,7 +64,7 @@
 
 // names are those of settings, logs and metrics, by mechanism.
 var names = [count]string{ //nolint:gochecknoglobals // a constant list
-	"hedges", "reserve", "windows", "pacing", "moves", "newest", "valve", "homes", "joins",
+	"hedges", "reserve", "windows", "moves", "newest", "valve", "homes", "joins",
 	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "absence",
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -41,8 +41,8 @@
 // Relay sends requests to servers.
 type Relay interface {
 	Send(up *origin.Upstream, rq relay.Request) *relay.Call
-	// Allow bounds the requests to a server from now on.
-	Allow(up *origin.Upstream, al steer.Allowance)
+	// Allow bounds the requests to a server that are under way at once.
+	Allow(up *origin.Upstream, window int)
 }
 
 // Homes has other VMs do work for this one.
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -267,18 +267,13 @@
 	} else if ar.verdict != fanout.Served {
 		en.cfg.Meter.Count(meter.Upstream, ar.verdict.String())
 	}
-	li := en.cfg.View().Limits(up)
-	if en.cfg.Off.Off(toggle.Pacing) {
-		li.Fair = 1
-	}
-	al := en.cfg.Steer.End(now, up.Process(), steer.Attempt{
+	window := en.cfg.Steer.End(now, up.Process(), steer.Attempt{
 		Verdict: ar.verdict,
 		Took:    ar.rs.Took,
 		Usual:   usual,
-		Most:    li.Most,
-		Fair:    li.Fair,
+		Most:    en.cfg.View().Limits(up).Most,
 	})
 	if !en.cfg.Off.Off(toggle.Windows) {
-		en.cfg.Relay.Allow(up, al)
+		en.cfg.Relay.Allow(up, window)
 	}
 }
--- a/io/relay/pool.go
+++ b/io/relay/pool.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"laburnumvane/core/origin"
-	"laburnumvane/core/steer"
 )
 
 const (
@@ -122,13 +121,14 @@
 	return sv.Send(rq)
 }
 
-// Allow bounds the requests to a server from now on; the others wait here.
-func (po *Pool) Allow(up *origin.Upstream, al steer.Allowance) {
+// Allow bounds the requests to a server that are under way at once; the others
+// wait here.
+func (po *Pool) Allow(up *origin.Upstream, window int) {
 	po.mu.RLock()
 	sv, ok := po.servers[up.Process()]
 	po.mu.RUnlock()
 	if ok {
-		sv.allow(al)
+		sv.allow(window)
 	}
 }
 
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -8,7 +8,6 @@
 
 	"laburnumvane/core/origin"
 	"laburnumvane/core/queue"
-	"laburnumvane/core/steer"
 )
 
 const (
@@ -48,12 +47,8 @@
 	open    int
 	dialing int
 	// busy counts those with a request, window bounds them; 0 is no bound.
-	busy   int
-	window int
-	// resume is when the next request may begin, and armed is set while a timer
-	// waits for it.
-	resume  time.Duration
-	armed   bool
+	busy    int
+	window  int
 	waiting queue.Line[*Call]
 	shut    bool
 	// backoff is when opening may be tried again.
@@ -74,7 +69,7 @@
 	now := sv.cfg.Clock()
 	sv.mu.Lock()
 	sv.used = now
-	if sv.hasRoom(now) {
+	if sv.hasRoom() {
 		if cn := sv.takeIdle(now, &ca.rq); cn != nil {
 			sv.busy++
 			sv.mu.Unlock()
@@ -89,47 +84,7 @@
 	}
 }
 
-func (sv *Server) hasRoom(now time.Duration) bool {
-	return now >= sv.resume && (sv.window == 0 || sv.busy < sv.window)
-}
-
-// arm has the calls that wait looked at when the next one may begin. The caller
-// holds the lock.
-func (sv *Server) arm(now time.Duration) {
-	if sv.armed || sv.waiting.Len() == 0 || now >= sv.resume {
-		return
-	}
-	sv.armed = true
-	time.AfterFunc(sv.resume-now, sv.wake)
-}
-
-// wake starts a call that waited for its time, or opens a connection for it.
-func (sv *Server) wake() {
-	now := sv.cfg.Clock()
-	sv.mu.Lock()
-	sv.armed = false
-	cn := sv.spare(now)
-	if cn == nil {
-		sv.dialForWaiting(now)
-	}
-	sv.mu.Unlock()
-	if cn != nil {
-		sv.put(cn)
-	}
-}
-
-// spare takes an idle connection for a call that waits, if there is room for it.
-// The caller holds the lock.
-func (sv *Server) spare(now time.Duration) *conn {
-	n := len(sv.idle)
-	if n == 0 || sv.waiting.Len() == 0 || !sv.hasRoom(now) {
-		sv.arm(now)
-		return nil
-	}
-	cn := sv.idle[n-1]
-	sv.idle = sv.idle[:n-1]
-	return cn
-}
+func (sv *Server) hasRoom() bool { return sv.window == 0 || sv.busy < sv.window }
 
 // enqueue lets a call wait, or tells why it may not.
 func (sv *Server) enqueue(now time.Duration, ca *Call) Kind {
@@ -143,7 +98,6 @@
 	}
 	sv.waiting.Push(ca.rq.Priority, ca)
 	sv.dialForWaiting(now)
-	sv.arm(now)
 	return ""
 }
 
@@ -176,7 +130,7 @@
 // dialForWaiting opens a connection if a call waits that has room but none. The caller
 // holds the lock.
 func (sv *Server) dialForWaiting(now time.Duration) {
-	if sv.hasRoom(now) && sv.open < sv.limits.Most && sv.dialing < sv.waiting.Len() && now >= sv.backoff && !sv.shut {
+	if sv.hasRoom() && sv.open < sv.limits.Most && sv.dialing < sv.waiting.Len() && now >= sv.backoff && !sv.shut {
 		sv.dial()
 	}
 }
@@ -258,16 +212,14 @@
 
 // put gives a connection to a call that waits, or keeps it.
 func (sv *Server) put(cn *conn) {
-	now := sv.cfg.Clock()
 	sv.mu.Lock()
 	if sv.shut {
 		sv.mu.Unlock()
 		cn.close()
 		return
 	}
-	if sv.waiting.Len() == 0 || !sv.hasRoom(now) {
+	if sv.waiting.Len() == 0 || !sv.hasRoom() {
 		sv.idle = append(sv.idle, cn)
-		sv.arm(now)
 		sv.mu.Unlock()
 		return
 	}
@@ -277,16 +229,15 @@
 	cn.start(ca)
 }
 
-// allow bounds what begins from now on, and starts one that fits now.
-func (sv *Server) allow(al steer.Allowance) {
-	now := sv.cfg.Clock()
+// allow bounds the requests under way, and starts one that fits now.
+func (sv *Server) allow(window int) {
 	sv.mu.Lock()
-	grown := al.Window > sv.window
-	sv.window = al.Window
-	sv.resume = now + al.Rest
+	grown := window > sv.window
+	sv.window = window
 	var cn *conn
-	if grown {
-		cn = sv.spare(now)
+	if n := len(sv.idle); grown && n > 0 && sv.waiting.Len() > 0 && sv.hasRoom() {
+		cn = sv.idle[n-1]
+		sv.idle = sv.idle[:n-1]
 	}
 	sv.mu.Unlock()
 	if cn != nil {
@@ -320,9 +271,8 @@
 		}
 	}
 	sv.dialForWaiting(now)
-	sv.arm(now)
 	var failed []*Call
-	if sv.open == 0 && !sv.armed {
+	if sv.open == 0 {
 		failed = sv.waiting.Drain()
 	}
 	sv.mu.Unlock()
