--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -77,7 +77,8 @@
 		Framed:  rq.framed,
 		SpentUs: uint64(spent.Microseconds()),
 		Route:   rt.Digest(),
-		AwayUs:  uint64(rq.away.Microseconds()),
+		// This VM writes the answer too.
+		AwayUs: uint64((rq.away + en.lead.Own()).Microseconds()),
 	}
 	if rq.patience > 0 {
 		cr.LeftUs = uint64(max(1, (rq.patience - spent).Microseconds()))
