--- a/core/toggle/toggle.go
+++ b/core/toggle/toggle.go
@@ -83,8 +83,11 @@
 // Kind says what went wrong.
 type Kind string
 
-// KindUnknown: there is no mechanism of that name.
-const KindUnknown Kind = "unknown"
+// Kinds of errors.
+const (
+	// KindUnknown: there is no mechanism of that name.
+	KindUnknown Kind = "unknown"
+)
 
 // Error is a name that cannot be used.
 type Error struct {
--- a/io/guard/framing_test.go
+++ b/io/guard/framing_test.go
@@ -55,7 +55,8 @@
 	go func() { ended <- do.Serve() }()
 	t.Cleanup(func() {
 		do.Abort()
-		<-ended
+		// What ended it is the abort.
+		_ = <-ended
 	})
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
