--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -195,3 +195,37 @@
 		is.True(takes || all)
 	}
 }
+
+// A data centre is cut off, and a VM elsewhere doubts for a moment that it is reached
+// itself: it asks two VMs. If both stood in the one that is cut off, neither would
+// answer, and a sound VM would leave the rotation.
+func TestFarVMs(t *testing.T) {
+	cases := []struct {
+		name   string
+		sizes  map[string][]float64
+		n      int
+		drawn  int
+		places int
+	}{
+		{"three others", map[string][]float64{"a": same(3, 1), "b": same(2, 1), "c": same(4, 1), "d": same(1, 1)}, 2, 2, 2},
+		{"one other", map[string][]float64{"a": same(1, 1), "b": same(3, 1)}, 2, 2, 1},
+		{"one other, one VM", map[string][]float64{"a": same(2, 1), "b": same(1, 1)}, 2, 1, 1},
+		{"none", map[string][]float64{"a": same(4, 1)}, 2, 0, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			si := newSite(1, tc.sizes)
+			vw := si.view(rank.VM{Addr: "a-0", DataCentre: "a"})
+			for _, draw := range []float64{0, 0.3, 0.6, 0.99} {
+				seen, places := map[string]bool{}, map[string]bool{}
+				for _, vm := range vw.FarVMs(tc.n, func() float64 { return draw }) {
+					is.True(vm.DataCentre != "a")
+					seen[vm.Addr], places[vm.DataCentre] = true, true
+				}
+				is.Equal(len(seen), tc.drawn)
+				is.Equal(len(places), tc.places)
+			}
+		})
+	}
+}
--- a/core/plan/view.go
+++ b/core/plan/view.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"slices"
+
 	"laburnumvane/core/conns"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/rank"
@@ -135,21 +137,47 @@
 // Upstreams are all servers.
 func (vw *View) Upstreams() *origin.Directory { return vw.cfg.Upstreams }
 
-// FarVM draws one of the VMs of other data centres; the draw is uniform within 0
-// to 1. There may be none.
-func (vw *View) FarVM(draw float64) (rank.VM, bool) {
-	far := len(vw.fleet.all) - len(vw.fleet.ranked[vw.cfg.Self.DataCentre])
-	left := int(draw * float64(far))
+// FarVMs draws so many VMs of other data centres, of different ones as far as there
+// are: one that is cut off itself must not answer for all. The draw is uniform within 0
+// to 1.
+func (vw *View) FarVMs(n int, draw func() float64) []rank.VM {
+	byPlace := make(map[string][]rank.VM)
+	var places []string
 	for _, vm := range vw.fleet.all {
 		if vm.DataCentre == vw.cfg.Self.DataCentre {
 			continue
 		}
-		if left == 0 {
-			return vm, true
+		if len(byPlace[vm.DataCentre]) == 0 {
+			places = append(places, vm.DataCentre)
+		}
+		byPlace[vm.DataCentre] = append(byPlace[vm.DataCentre], vm)
+	}
+	var drawn []rank.VM
+	for len(drawn) < n && len(places) > 0 {
+		at := int(draw() * float64(len(places)))
+		place := places[at]
+		vms := byPlace[place]
+		k := int(draw() * float64(len(vms)))
+		drawn = append(drawn, vms[k])
+		byPlace[place] = slices.Delete(vms, k, k+1)
+		places = slices.Delete(places, at, at+1)
+		if len(places) == 0 {
+			places = left(byPlace)
+		}
+	}
+	return drawn
+}
+
+// left lists the data centres that have VMs, in order.
+func left(byPlace map[string][]rank.VM) []string {
+	var places []string
+	for place, vms := range byPlace {
+		if len(vms) > 0 {
+			places = append(places, place)
 		}
-		left--
 	}
-	return rank.VM{}, false
+	slices.Sort(places)
+	return places
 }
 
 // FleetSize is the number of VMs, this one counted.
--- a/io/edge/cutoff.go
+++ b/io/edge/cutoff.go
@@ -21,7 +21,8 @@
 	// short of processor time may need some tens more.
 	probeTime  = 150 * time.Millisecond
 	probeEvery = 250 * time.Millisecond
-	// probeVMs is how many are asked at once: one of them may be down itself.
+	// probeVMs is how many are asked at once, of different data centres: one of them
+	// may be down itself, or its data centre be the one that is cut off.
 	probeVMs = 2
 )
 
@@ -63,13 +64,10 @@
 		return
 	}
 	eg.probeAt = now + probeEvery
+	vms := eg.view.Load().FarVMs(probeVMs, rand.Float64)
 	var left atomic.Int64
-	left.Store(probeVMs)
-	for range probeVMs {
-		vm, ok := eg.view.Load().FarVM(rand.Float64())
-		if !ok {
-			return
-		}
+	left.Store(int64(len(vms)))
+	for _, vm := range vms {
 		eg.workers.run(func() {
 			eg.meter.Count(meter.Platform, "probe")
 			if eg.homes.Lives(vm.Addr, probeTime) {
