edge, retry: a VM takes its former entry over, and tries to write one ever more rarely

Change: entries carry their lease through the feed; a VM that finds its own goes on renewing that lease, a tenth of a call. An entry that was seen to go takes its lease with it: no write under the old one. The bridge from a channel to a context in enlist is gone.

--- a/core/feed/replica.go
+++ b/core/feed/replica.go
@@ -9,6 +9,8 @@
 	Key      string
 	Value    []byte
 	Revision uint64
+	// Lease is what the entry goes with; 0 if it stays, or that is not known.
+	Lease uint64
 }
 
 // Event is an entry that was written or, without value, removed.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -137,17 +137,19 @@
 		Count:      func(event string) { eg.meter.Count(meter.Platform, event) },
 	})
 	eg.homes = carry.New(carry.Config{Clock: eg.clock, DataCentre: eg.set.Self.DataCentre})
-	eg.enlist = newEnlist(eg)
+	ctx, cancel := context.WithCancel(context.Background())
+	eg.cancel = cancel
+	listed, unlist := context.WithCancel(ctx)
+	eg.enlist = newEnlist(eg, unlist)
 	st := newState(eg)
 	eg.view.Store(st.view)
 	if err := eg.listen(); err != nil {
+		cancel()
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	eg.cancel = cancel
 	eg.task(func() { eg.control(ctx, st) })
 	eg.task(func() { eg.follow.Run(ctx) })
-	eg.task(func() { eg.enlist.run(ctx) })
+	eg.task(func() { eg.enlist.run(listed) })
 	cfg.Log.Info().Str("vm", eg.set.Name).Str("dataCentre", eg.set.Self.DataCentre).
 		Str("clients", eg.set.ClientAddr).Str("inner", eg.set.InnerAddr).
 		Strs("off", eg.set.Off.Names()).Msg("started")
--- a/io/edge/enlist.go
+++ b/io/edge/enlist.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
+
+	"laburnumvane/core/retry"
 )
 
 const (
@@ -12,33 +14,76 @@
 	keepShare = 3
 	// enlistTime bounds a call.
 	enlistTime = time.Second
-	// enlistRetry is the wait after a call that failed; as much again is drawn,
-	// so that a fleet whose entries were lost together does not write them at
-	// the same moment.
+	// enlistRetry is the wait after a call that failed, and doubles up to enlistMost;
+	// as much again is drawn, so that a fleet whose entries were lost together does
+	// not write them at the same moment. Each call is paid for, also one that is
+	// refused, and nobody waits for an entry: others go on counting a VM for vmForget,
+	// which is longer than the longest wait.
 	enlistRetry = time.Second
+	enlistMost  = 8 * time.Second
 )
 
+// adoptTime is how long a VM waits for its first copy of the store before it writes an
+// entry anew. Nobody waits for the entry; a copy takes some tenths of a second.
+const adoptTime = time.Second
+
+// enlistPause is the wait after so many calls that failed.
+func enlistPause(fails int) time.Duration {
+	bo := retry.Backoff{First: enlistRetry, Most: enlistMost, Jitter: 1}
+	return bo.Wait(fails, rand.Float64())
+}
+
 // enlist keeps this VM's entry in the store, by which the others find it.
+//
+// A VM that starts again after a crash finds the entry that its former process wrote,
+// and goes on renewing the lease of that: a renewal is a tenth of the price of a call,
+// and a new lease with a new entry is two. After a power loss of a fleet that is most
+// of what its VMs ask of the store.
 type enlist struct {
 	eg    *Edge
 	lease uint64
 	// listed is set while the entry is thought to be there.
 	listed bool
 	lost   chan struct{}
-	// halt closes stop, which ends run, and run closes ended.
-	halt  func()
-	stop  chan struct{}
+	// former has the lease of an entry that says the same as this VM's own, and copied
+	// is closed once the first copy of the store was looked through for one.
+	former chan uint64
+	copied chan struct{}
+	// looked is set then; only the control goroutine uses it.
+	looked bool
+	// halt ends run, and run closes ended.
+	halt  context.CancelFunc
 	ended chan struct{}
 }
 
-func newEnlist(eg *Edge) *enlist {
-	stop := make(chan struct{})
+// newEnlist makes it; halt ends the context that run gets.
+func newEnlist(eg *Edge, halt context.CancelFunc) *enlist {
 	return &enlist{
-		eg:    eg,
-		lost:  make(chan struct{}, 1),
-		halt:  sync.OnceFunc(func() { close(stop) }),
-		stop:  stop,
-		ended: make(chan struct{}),
+		eg:     eg,
+		lost:   make(chan struct{}, 1),
+		former: make(chan uint64, 1),
+		copied: make(chan struct{}),
+		halt:   halt,
+		ended:  make(chan struct{}),
+	}
+}
+
+// found tells of an entry under this VM's key.
+func (el *enlist) found(value []byte, lease uint64) {
+	if _, own := el.entry(); lease == 0 || !bytes.Equal(value, own) {
+		return
+	}
+	select {
+	case el.former <- lease:
+	default:
+	}
+}
+
+// lookedThrough tells that a copy of the store was looked through for one.
+func (el *enlist) lookedThrough() {
+	if !el.looked {
+		el.looked = true
+		close(el.copied)
 	}
 }
 
@@ -50,30 +95,35 @@
 	}
 }
 
-// run writes the entry and keeps it until end is called or the context ends.
+// entry is this VM's own.
+func (el *enlist) entry() (key string, value []byte) {
+	return el.eg.cfg.Decoder.VMEntry(el.eg.set.Name, el.eg.set.Self, el.eg.set.Capacity)
+}
+
+// run writes the entry and keeps it until its context ends.
 func (el *enlist) run(ctx context.Context) {
 	defer close(el.ended)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-el.stop:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
+	if !el.eg.set.FirstStart {
+		el.adopt(ctx)
+	}
+	fails := 0
 	for ctx.Err() == nil {
 		wait := el.eg.set.LeaseTime / keepShare
 		if err := el.round(ctx); err != nil {
-			el.eg.cfg.Log.Warn().Err(err).Msg("this VM's entry could not be written or kept")
-			wait = enlistRetry + time.Duration(rand.Int64N(int64(enlistRetry)))
+			fails++
+			wait = enlistPause(fails)
+			el.eg.cfg.Log.Warn().Err(err).Int("fails", fails).Int64("waitMs", wait.Milliseconds()).
+				Msg("this VM's entry could not be written or kept")
+		} else {
+			fails = 0
 		}
 		tm := time.NewTimer(wait)
 		select {
 		case <-tm.C:
 		case <-el.lost:
 			tm.Stop()
-			el.listed = false
+			// An entry goes with its lease: to write under that one would be refused.
+			el.listed, el.lease = false, 0
 			pause(ctx, time.Duration(rand.Int64N(int64(enlistRetry))))
 		case <-ctx.Done():
 			tm.Stop()
@@ -81,6 +131,23 @@
 	}
 }
 
+// adopt takes over the lease of a former process, if its entry is found soon.
+func (el *enlist) adopt(ctx context.Context) {
+	tm := time.NewTimer(adoptTime)
+	defer tm.Stop()
+	select {
+	case <-el.copied:
+	case <-tm.C:
+	case <-ctx.Done():
+	}
+	select {
+	case el.lease = <-el.former:
+		el.listed = true
+		el.eg.cfg.Log.Info().Uint64("lease", el.lease).Msg("entry of a former process taken over")
+	default:
+	}
+}
+
 func pause(ctx context.Context, wait time.Duration) {
 	tm := time.NewTimer(wait)
 	defer tm.Stop()
@@ -110,7 +177,7 @@
 		}
 		el.lease = lease
 	}
-	key, value := el.eg.cfg.Decoder.VMEntry(el.eg.set.Name, el.eg.set.Self, el.eg.set.Capacity)
+	key, value := el.entry()
 	if err := store.Put(bounded, key, value, el.lease); err != nil {
 		if store.Missing(err) {
 			el.lease = 0
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -74,6 +74,7 @@
 	if fleet {
 		st.setFleet()
 	}
+	st.eg.enlist.lookedThrough()
 	st.publish()
 }
 
@@ -84,6 +85,9 @@
 		return st.putServer(now, ev, up, err), false
 	}
 	if vm, capacity, ok, err := dec.VM(ev.Key, ev.Value); ok {
+		if ev.Key == st.eg.key {
+			st.eg.enlist.found(ev.Value, ev.Lease)
+		}
 		if err != nil {
 			st.unreadable(ev, err)
 			return false, false
--- a/io/follow/pack.go
+++ b/io/follow/pack.go
@@ -25,7 +25,7 @@
 }
 
 func (pa *packer) pack(ev feed.Event) *inner.FeedEvent {
-	fe := &inner.FeedEvent{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Removed: ev.Removed}
+	fe := &inner.FeedEvent{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Removed: ev.Removed, Lease: ev.Lease}
 	if len(ev.Value) < packFrom {
 		return fe
 	}
@@ -38,7 +38,7 @@
 
 func unpack(fe *inner.FeedEvent) (feed.Event, error) {
 	ev := feed.Event{
-		Item:    feed.Item{Key: fe.GetKey(), Value: fe.GetValue(), Revision: fe.GetRevision()},
+		Item:    feed.Item{Key: fe.GetKey(), Value: fe.GetValue(), Revision: fe.GetRevision(), Lease: fe.GetLease()},
 		Removed: fe.GetRemoved(),
 	}
 	if !fe.GetPacked() {
