plan, relay, peak: small VMs keep no connections, and openings that fail grow rare

Cause: 174 small VMs each kept a connection to all 14 servers that hold no shard, which take 240.

Change: where there are large VMs, small ones open connections on demand only. As many are kept warm as were in use at once lately (core/peak).

--- a/core/plan/view.go
+++ b/core/plan/view.go
@@ -218,8 +218,8 @@
 func (vw *View) part(up *origin.Upstream) Limits {
 	usable := vw.accepts(up.Service)
 	usable -= conns.Reserve(usable)
-	if len(vw.large) > 0 && vw.gathered[up.Service] {
-		return vw.partOfGather(usable)
+	if len(vw.large) > 0 {
+		return vw.partAmongLarge(usable)
 	}
 	total := len(vw.fleet.all)
 	if usable >= total {
@@ -235,9 +235,12 @@
 	return one(conns.Share(left, far, at, shift(up)))
 }
 
-// partOfGather gives most of a shard's connections to the large VMs. The small
-// ones open theirs only when they find no large one.
-func (vw *View) partOfGather(usable int) Limits {
+// partAmongLarge gives most of a server's connections to the large VMs. The small
+// ones open theirs only when they need one: for a request that may run once, which
+// goes on a new connection anyway, or where they find no large VM. With one kept by
+// each of 174 small VMs, those of before a power loss filled a server's places until
+// it noticed, and the new ones were reset 38,000 times in ten seconds.
+func (vw *View) partAmongLarge(usable int) Limits {
 	if vw.large[vw.cfg.Self.Addr] {
 		most := min(max(1, int(homePart*float64(usable))/len(vw.large)), mostConnections)
 		return Limits{Warm: min(most, homeWarm), Most: most}
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -49,8 +49,8 @@
 	// wrote is set once the whole request is written.
 	wrote  bool
 	closed bool
-	// used is when the last answer came, or when it was opened.
-	used time.Duration
+	// opened is when it was opened, used when the last answer came, or the same.
+	opened, used time.Duration
 	// keep is how long the server keeps it idle; 0 if it did not say.
 	keep time.Duration
 }
@@ -248,6 +248,14 @@
 	return cn.last == id
 }
 
+// wasTurnedAway tells whether a connection that ends was hardly open and never used: a
+// reset by a server without places may come later than the proof of an opening waits.
+func (cn *conn) wasTurnedAway(now time.Duration) bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.last == "" && now-cn.opened < freshFor
+}
+
 func (cn *conn) isClosed() bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
--- a/io/relay/pool.go
+++ b/io/relay/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumvane/core/origin"
+	"laburnumvane/core/peak"
 )
 
 const (
@@ -98,7 +99,7 @@
 	dir.All(func(up *origin.Upstream) {
 		sv, ok := po.servers[up.Process()]
 		if !ok {
-			sv = &Server{cfg: &po.cfg, process: up.Process(), addr: up.Addr}
+			sv = &Server{cfg: &po.cfg, process: up.Process(), addr: up.Addr, peak: peak.Peak{Span: peakSpan}}
 			sv.waiting.OldestFirst = po.cfg.OldestFirst
 			po.servers[up.Process()] = sv
 		}
@@ -151,15 +152,15 @@
 	}
 }
 
-// Cold counts the servers to which fewer connections are open than the plan
-// keeps warm.
+// Cold counts the servers to which no connection is open though the plan keeps some
+// warm.
 func (po *Pool) Cold() int {
 	po.mu.RLock()
 	defer po.mu.RUnlock()
 	cold := 0
 	for _, sv := range po.servers {
 		sv.mu.Lock()
-		if sv.open-sv.dialing < sv.limits.Warm {
+		if sv.open-sv.dialing < min(1, sv.limits.Warm) {
 			cold++
 		}
 		sv.mu.Unlock()
