--- a/core/feed/boot.go
+++ b/core/feed/boot.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -18,9 +19,13 @@
 	// with this VM never answers; the store must not have to wait for it.
 	seedMost  = 500 * time.Millisecond
 	seedLeast = 40 * time.Millisecond
+	// comingMost is how long the store is left alone at most while others that boot too
+	// will have a copy soon: a fleet that lost its power would else read it 195 times
+	// at once, which takes its link half a second.
+	comingMost = 300 * time.Millisecond
 	// seedPause is the wait between two rounds of that. bootRetry is the wait
 	// before the store is asked again; it doubles up to bootRetryMost.
-	seedPause     = 60 * time.Millisecond
+	seedPause     = 30 * time.Millisecond
 	bootRetry     = 200 * time.Millisecond
 	bootRetryMost = 1500 * time.Millisecond
 )
@@ -38,19 +43,23 @@
 	Now time.Duration
 }
 
-// Boot decides whom a VM asks that has no copy yet: the seeds first, and on and
-// on, since while the store turns this VM away they are the only ones it knows,
-// and each of them may be booting itself. It is not safe for concurrent use.
+// Boot decides whom a VM asks that has no copy yet: the seeds first and those that they
+// name, and on and on, since while the store turns this VM away they are the only ones
+// it knows, and each of them may be booting itself. It is not safe for concurrent use.
 type Boot struct {
 	cfg BootConfig
+	// peers are the seeds and those that were named.
+	peers []string
 	// storeAt and seedAt are when the store and a seed are asked next.
 	storeAt, seedAt time.Duration
 	wait            time.Duration
+	// coming is set once the store was left alone for those that boot too.
+	coming bool
 }
 
 // NewBoot makes a boot that begins now.
 func NewBoot(cfg BootConfig) *Boot {
-	bo := &Boot{cfg: cfg, wait: bootRetry, seedAt: cfg.Now}
+	bo := &Boot{cfg: cfg, peers: slices.Clone(cfg.Seeds), wait: bootRetry, seedAt: cfg.Now}
 	bo.storeAt = cfg.Now + bo.seedTime()
 	return bo
 }
@@ -58,13 +67,8 @@
 // seedTime is how long only the seeds are asked; the seeds themselves ask the
 // store at once.
 func (bo *Boot) seedTime() time.Duration {
-	for _, addr := range bo.cfg.Seeds {
-		if addr == bo.cfg.Self {
-			return 0
-		}
-	}
 	switch {
-	case len(bo.cfg.Seeds) == 0:
+	case len(bo.cfg.Seeds) == 0, bo.isSeed():
 		return 0
 	case bo.cfg.FirstStart:
 		return firstTime
@@ -72,6 +76,8 @@
 	return againTime
 }
 
+func (bo *Boot) isSeed() bool { return slices.Contains(bo.cfg.Seeds, bo.cfg.Self) }
+
 // Next says whom to ask. For a seed, Wait is how long its answer may take.
 func (bo *Boot) Next(now time.Duration) Step {
 	if now >= bo.storeAt {
@@ -90,21 +96,47 @@
 	return Step{From: FromPeer, Addr: addr, Wait: min(max(bo.storeAt-now, seedLeast), seedMost)}
 }
 
-// Failed tells that what was asked had no copy, or did not answer.
-func (bo *Boot) Failed(now time.Duration, st Step) {
+// Failed tells that what was asked gave no copy. A peer that has none to give lives, and
+// names others that have one by now; one whose machine refused the connection is about
+// to start, like this VM.
+func (bo *Boot) Failed(now time.Duration, st Step, rp Report) {
 	switch st.From {
 	case FromPeer:
 		bo.seedAt = now + seedPause
+		if rp.Empty || rp.Refused {
+			bo.leaveStore()
+		}
+		for _, addr := range rp.Others {
+			bo.name(now, addr)
+		}
 	case FromStore:
 		bo.storeAt = max(bo.storeAt, now+seedPause)
 	}
 }
 
-// seed draws one of the seeds.
+// leaveStore puts the first call to the store off, once.
+func (bo *Boot) leaveStore() {
+	if bo.coming || bo.wait != bootRetry || bo.isSeed() {
+		return
+	}
+	bo.coming = true
+	half := int64(comingMost / 2)
+	bo.storeAt = max(bo.storeAt, bo.cfg.Now+comingMost/2+time.Duration(bo.cfg.Rand.Int64N(half)))
+}
+
+// name adds a VM that has a copy, which can be asked at once.
+func (bo *Boot) name(now time.Duration, addr string) {
+	bo.seedAt = now
+	if addr != bo.cfg.Self && !slices.Contains(bo.peers, addr) {
+		bo.peers = append(bo.peers, addr)
+	}
+}
+
+// seed draws one of the seeds, or of those that were named.
 func (bo *Boot) seed() (string, bool) {
-	if len(bo.cfg.Seeds) == 0 {
+	if len(bo.peers) == 0 {
 		return "", false
 	}
-	addr := bo.cfg.Seeds[bo.cfg.Rand.IntN(len(bo.cfg.Seeds))]
+	addr := bo.peers[bo.cfg.Rand.IntN(len(bo.peers))]
 	return addr, addr != bo.cfg.Self
 }
--- a/core/feed/boot_test.go
+++ b/core/feed/boot_test.go
@@ -1,7 +1,9 @@
 package feed_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,7 +37,7 @@
 				// A seed without power takes all the time that it is given.
 				is.True(st.Wait > 0)
 				now += st.Wait
-				bo.Failed(now, st)
+				bo.Failed(now, st, feed.Report{Failed: true})
 			}
 			is.True(now <= tc.most)
 		})
@@ -55,7 +57,7 @@
 		asked[st.From]++
 		// Refusals come within a round trip.
 		now += max(st.Wait, 2*time.Millisecond)
-		bo.Failed(now, st)
+		bo.Failed(now, st, feed.Report{Failed: true})
 	}
 	is.True(asked[feed.FromStore] <= 45)
 	is.True(asked[feed.FromPeer] >= 60)
@@ -66,3 +68,113 @@
 		Self: "self", Seeds: seeds, FirstStart: first, Rand: rand.New(rand.NewPCG(1, 2)),
 	})
 }
+
+// booting is a fleet that starts within a quarter of a second, and knows three seeds.
+// Each copy takes the link of the VM that gives it, or the store's.
+type booting struct {
+	vms       []*bootingVM
+	byAddr    map[string]*bootingVM
+	storeFree time.Duration
+	calls     int
+}
+
+type bootingVM struct {
+	addr   string
+	begins time.Duration
+	boot   *feed.Boot
+	giver  feed.Giver
+	// next is when it acts again, has when it has its copy, free when its link is.
+	next, has, free time.Duration
+}
+
+const (
+	// peerCopy is 23 kB at 20 Mbit/s, storeCopy 450 kB at a gigabit.
+	peerCopy  = 9 * time.Millisecond
+	storeCopy = 3600 * time.Microsecond
+	way       = 2 * time.Millisecond
+	unknown   = time.Hour
+)
+
+func newBooting(n int, seed uint64) *booting {
+	bg := &booting{byAddr: make(map[string]*bootingVM)}
+	rnd := rand.New(rand.NewPCG(seed, 5))
+	seeds := []string{"vm0", "vm1", "vm2"}
+	for i := range n {
+		vm := &bootingVM{addr: fmt.Sprintf("vm%d", i), begins: time.Duration(rnd.Int64N(int64(250 * time.Millisecond))), has: unknown}
+		vm.next = vm.begins
+		vm.boot = feed.NewBoot(feed.BootConfig{Self: vm.addr, Seeds: seeds, Rand: rand.New(rand.NewPCG(seed, uint64(i))), Now: vm.begins})
+		bg.vms = append(bg.vms, vm)
+		bg.byAddr[vm.addr] = vm
+	}
+	return bg
+}
+
+func (bg *booting) run(until time.Duration) {
+	for now := time.Duration(0); now < until; now += time.Millisecond {
+		for _, vm := range bg.vms {
+			if vm.next <= now && vm.has > now {
+				bg.step(now, vm)
+			}
+		}
+	}
+}
+
+func (bg *booting) step(now time.Duration, vm *bootingVM) {
+	st := vm.boot.Next(now)
+	switch st.From {
+	case feed.FromStore:
+		bg.calls++
+		bg.storeFree = max(bg.storeFree, now) + storeCopy
+		vm.has = bg.storeFree + way
+		vm.next = vm.has
+	case feed.FromPeer:
+		bg.ask(now, vm, st)
+	case feed.FromNobody:
+		vm.next = now + max(st.Wait, time.Millisecond)
+	}
+}
+
+func (bg *booting) ask(now time.Duration, vm *bootingVM, st feed.Step) {
+	peer := bg.byAddr[st.Addr]
+	vm.next = now + way
+	if peer.begins > now || peer.has > now {
+		vm.boot.Failed(vm.next, st, feed.Report{Empty: true})
+		return
+	}
+	give, others := peer.giver.Ask(now, vm.addr)
+	if !give {
+		vm.boot.Failed(vm.next, st, feed.Report{Empty: true, Others: others})
+		return
+	}
+	peer.free = max(peer.free, now) + peerCopy
+	if peer.free > now+st.Wait {
+		vm.next = now + st.Wait
+		vm.boot.Failed(vm.next, st, feed.Report{Failed: true})
+		return
+	}
+	vm.has = peer.free + way
+	vm.next = vm.has
+}
+
+// All VMs lost their power and start within a quarter of a second; until a VM has a copy
+// of the store it refuses its clients. With a large configuration each read of the store
+// takes 4 ms of its link: when all of 195 VMs read it, the last waits for 0.7 s, and each
+// read is paid for. The copies spread from VM to VM, and a few read the store.
+func TestFleetBootsTogether(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{9, 58, 195} {
+		for seed := range uint64(5) {
+			bg := newBooting(n, seed)
+			bg.run(2 * time.Second)
+			var waits []time.Duration
+			for _, vm := range bg.vms {
+				waits = append(waits, vm.has-vm.begins)
+			}
+			slices.Sort(waits)
+			t.Logf("%d VMs: median %v, last %v, %d calls to the store", n, waits[n/2], waits[n-1], bg.calls)
+			is.True(waits[n/2] <= 160*time.Millisecond)
+			is.True(waits[n-1] <= 400*time.Millisecond)
+			is.True(bg.calls <= 3+n/6)
+		}
+	}
+}
--- a/core/feed/guide.go
+++ b/core/feed/guide.go
@@ -97,10 +97,14 @@
 
 // Report is what came of a step.
 type Report struct {
-	// Failed is set if there was no answer, Empty if the peer has no copy yet.
-	Failed, Empty bool
+	// Failed is set if there was no answer, Refused if the peer's machine refused the
+	// connection: its process is not there, or not yet. Empty is set if the peer has no
+	// copy yet, or gives none now.
+	Failed, Refused, Empty bool
 	// Age is how old a peer's news is.
 	Age time.Duration
+	// Others are VMs that a peer without a copy to give names.
+	Others []string
 }
 
 // GuideConfig sets a guide.
--- a/io/follow/boot.go
+++ b/io/follow/boot.go
@@ -17,25 +17,23 @@
 	})
 	for ctx.Err() == nil && !fo.known() {
 		st := bo.Next(fo.cfg.Clock())
-		if err := fo.bootStep(ctx, st); err != nil {
-			bo.Failed(fo.cfg.Clock(), st)
+		if rp, err := fo.bootStep(ctx, st); err != nil {
+			bo.Failed(fo.cfg.Clock(), st, rp)
 		}
 	}
 }
 
-func (fo *Follower) bootStep(ctx context.Context, st feed.Step) error {
+func (fo *Follower) bootStep(ctx context.Context, st feed.Step) (feed.Report, error) {
 	switch st.From {
 	case feed.FromStore:
-		_, err := fo.fromStore(ctx)
-		return err
+		return fo.fromStore(ctx)
 	case feed.FromPeer:
 		bounded, cancel := context.WithTimeout(ctx, st.Wait)
 		defer cancel()
-		_, err := fo.fromPeer(bounded, st.Addr)
-		return err
+		return fo.fromPeer(bounded, st.Addr)
 	}
 	sleep(ctx, st.Wait)
-	return nil
+	return feed.Report{}, nil
 }
 
 func (fo *Follower) known() bool {
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -91,8 +92,9 @@
 	guide *feed.Guide
 	peers *stubs.Pool[inner.Feed]
 	pack  packer
-	// whole packs copies for VMs that have none.
+	// whole packs copies for VMs that have none, and giver bounds them.
 	whole copyPacker
+	giver feed.Giver
 	// places holds the data centre of each VM; only Run uses it.
 	places map[string]string
 	// asked is when the store was asked last.
@@ -289,7 +291,7 @@
 	return fo.cfg.Store.Range(bounded, fo.cfg.Prefix)
 }
 
-// errNoCopy tells that a peer knows nothing yet.
+// errNoCopy tells that a peer knows nothing yet, or gives no copy now.
 var errNoCopy = errors.New("it has no copy")
 
 func (fo *Follower) fromPeer(ctx context.Context, addr string) (feed.Report, error) {
@@ -309,12 +311,12 @@
 	}
 	if err == nil && an.update.AsOf == 0 {
 		fo.cfg.Count("peerEmpty")
-		return feed.Report{Empty: true, Age: never}, errors.Wrap(errNoCopy, addr)
+		return feed.Report{Empty: true, Age: never, Others: an.others}, errors.Wrap(errNoCopy, addr)
 	}
 	if err != nil {
 		fo.cfg.Count("peerFailed")
 		fo.peers.Drop(addr)
-		return feed.Report{Failed: true, Age: never}, errors.Wrap(err, addr)
+		return feed.Report{Failed: true, Refused: errors.Is(err, syscall.ECONNREFUSED), Age: never}, errors.Wrap(err, addr)
 	}
 	now := fo.cfg.Clock()
 	fo.take(an.update, source{from: feed.FromPeer, peer: addr, at: now - an.age, returned: an.returned(now)})
--- a/io/follow/peers.go
+++ b/io/follow/peers.go
@@ -21,6 +21,8 @@
 	// sinceReturn is the time since the store came back; 0 if no absence is
 	// known.
 	sinceReturn time.Duration
+	// others are VMs that have a copy, named by one that gives none.
+	others []string
 }
 
 // returned is when the store came back on this VM's clock; 0 if no absence is
@@ -58,6 +60,7 @@
 		update:  feed.Update{Whole: rp.GetWhole(), AsOf: rp.GetAsOf()},
 		age:     time.Duration(rp.GetAgeMs()) * time.Millisecond,
 		leaving: rp.GetLeaving(),
+		others:  rp.GetOthers(),
 
 		sinceReturn: time.Duration(rp.GetReturnedMs()) * time.Millisecond,
 	}
--- a/io/follow/serve.go
+++ b/io/follow/serve.go
@@ -21,6 +21,9 @@
 // the age would grow by a whole wait with each VM that news passes.
 func (fo *Follower) Follow(ctx context.Context, rq *inner.FollowRequest) (*inner.FollowReply, error) {
 	fo.noteAsker(rq)
+	if others, give := fo.gives(rq); !give {
+		return &inner.FollowReply{Others: others}, nil
+	}
 	wait := min(time.Duration(rq.GetWaitMs())*time.Millisecond, mostWait)
 	until := fo.cfg.Clock() + wait
 	begun := fo.heardAt()
@@ -42,6 +45,17 @@
 	}
 }
 
+// gives tells whether a caller without a copy gets one from this VM, or whom to ask.
+func (fo *Follower) gives(rq *inner.FollowRequest) (others []string, give bool) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if rq.GetAfter() > 0 || !rq.GetPacks() || !fo.replica.Known() {
+		return nil, true
+	}
+	give, others = fo.giver.Ask(fo.cfg.Clock(), rq.GetFrom())
+	return others, give
+}
+
 // noteAsker keeps a caller whose news is newer than this VM's: the store may turn this
 // one away and serve the other.
 func (fo *Follower) noteAsker(rq *inner.FollowRequest) {
