steer, entry: a VM that joins answers warns of slow servers

Cause: with a sixth or more of the servers slow each of 21 large VMs meets a given server once or twice a second, and finds it slow only then; the VMs beside it see its answers to all others.

Change: a joiner does not send to a server that it has seen slow or silent, and says so; the caller asks another at once, without a token, and leaves that one for 0.4 s. It can be switched off (`warnings`).

--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -81,6 +81,10 @@
 	// less than a strike, and one failure or refusal twelve seconds ago.
 	soundTimes = 2
 	soundFails = 0.02
+	// warnedSlow is how many times the usual a server is thought to take that another VM
+	// found slow or silent: enough for it to be left, and gone with fadeFirst unless this
+	// VM sees the same.
+	warnedSlow = 4
 	// noise keeps VMs with the same memory from choosing the same server.
 	noise = 0.1
 )
@@ -297,6 +301,26 @@
 		kept*(me.fails+me.refusals) < soundFails && me.quiet(now) == 0 && now >= me.avoidUntil
 }
 
+// Doubted tells whether a server is slow, or silent for longer than it should be.
+func (tb *Table) Doubted(now time.Duration, pr origin.Process) bool {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	me, ok := tb.seen[pr]
+	return ok && (me.strikes > 1 && me.slowness(now) >= soundTimes || me.quiet(now) > 0)
+}
+
+// Warn takes another VM's word that a server is slow or silent. A VM that stands beside a
+// server has its answers to many others: with three requests of ten to a slow server each
+// of 21 VMs needs a second to find one, and the VMs beside it a fifth of that.
+func (tb *Table) Warn(now time.Duration, pr origin.Process) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	me := tb.of(pr)
+	if me.slowness(now) < warnedSlow {
+		me.slow, me.slowAt = warnedSlow, now
+	}
+}
+
 // SoundPlaces lists the data centres other than this VM's own that have a sound server
 // among those; near tells whether this one has.
 func (tb *Table) SoundPlaces(now time.Duration, ups []*origin.Upstream) (near bool, places []string) {
--- a/core/toggle/toggle.go
+++ b/core/toggle/toggle.go
@@ -56,6 +56,8 @@
 	Failures
 	// Nearness prefers servers of the own data centre.
 	Nearness
+	// Warnings has VMs tell which servers of their data centre are slow or silent.
+	Warnings
 	// Absence keeps servers whose entries lapsed while the store was away.
 	Absence
 
@@ -65,7 +67,7 @@
 // names are those of settings, logs and metrics, by mechanism.
 var names = [count]string{ //nolint:gochecknoglobals // a constant list
 	"hedges", "reserve", "windows", "moves", "newest", "valve", "homes", "joins",
-	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "absence",
+	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "warnings", "absence",
 }
 
 // String is the mechanism's name.
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -199,6 +199,10 @@
 	switch ar.verdict {
 	case fanout.Unsent:
 		en.cfg.Steer.Withdraw(now, ac.Upstream.Process(), 0)
+		if pa.GetDoubted() {
+			en.cfg.Steer.Warn(now, ac.Upstream.Process())
+			en.cfg.Meter.Count(meter.Sent, "warned")
+		}
 		return ar
 	case fanout.Served:
 		en.heardFar(now)
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -8,6 +8,7 @@
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/record"
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/meter"
 	"laburnumvane/io/relay"
@@ -28,6 +29,8 @@
 	box  chan arrival
 	got  []arrival
 	open int
+	// doubted marks the servers that were not asked since they are slow or silent.
+	doubted []bool
 }
 
 // followTime is how long the caller may take to ask for what an answer left out;
@@ -97,6 +100,8 @@
 		calls: make([]*relay.Call, len(jr.GetServers())),
 		box:   make(chan arrival, len(jr.GetServers())),
 		got:   make([]arrival, len(jr.GetServers())),
+
+		doubted: make([]bool, len(jr.GetServers())),
 	}
 	jo.head = en.head(jo.rq)
 	for k, id := range jr.GetServers() {
@@ -105,6 +110,11 @@
 			jo.got[k].verdict = fanout.Unsent
 			continue
 		}
+		if en.warns(now, up) {
+			jo.got[k].verdict = fanout.Unsent
+			jo.doubted[k] = true
+			continue
+		}
 		jo.open++
 		jo.send(k, up)
 	}
@@ -115,6 +125,12 @@
 	return jo.first(ctx), nil
 }
 
+// warns tells whether the caller is better off with another server, which it can ask at
+// once: nothing was sent, so that it costs no token.
+func (en *Entry) warns(now time.Duration, up *origin.Upstream) bool {
+	return !en.cfg.Off.Off(toggle.Warnings) && en.cfg.Steer.Doubted(now, up.Process())
+}
+
 func microseconds(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
 
 func (jo *joiner) send(k int, up *origin.Upstream) {
@@ -224,6 +240,7 @@
 func (jo *joiner) part(k int) *inner.JoinPart {
 	ar := jo.got[k]
 	pa := &inner.JoinPart{Server: uint32(k), Verdict: verdictTo(ar.verdict), TookUs: uint64(ar.rs.Took.Microseconds())}
+	pa.Doubted = jo.doubted[k]
 	if ar.verdict == fanout.Served {
 		pa.Receipt = ar.rs.Reply.Header.Get(jo.en.cfg.Names.Receipt)
 	}
