feed, follow: seeds hear who has a copy, also while they have none

Cause: the seeds are small VMs, which need 180 ms and more to read a store with a large configuration, so that VMs that ask them go on to the store, though large VMs have their copy after 90 ms.

Change: a VM that read the store itself tells the seeds, and they name it to others. One VM in eight reads the store without waiting.

--- a/core/feed/boot.go
+++ b/core/feed/boot.go
@@ -21,8 +21,10 @@
 	seedLeast = 40 * time.Millisecond
 	// comingMost is how long the store is left alone at most while others that boot too
 	// will have a copy soon: a fleet that lost its power would else read it 195 times
-	// at once, which takes its link half a second.
-	comingMost = 300 * time.Millisecond
+	// at once, which takes its link half a second. One VM in readersEvery does not wait,
+	// for the seeds may be slow to read it.
+	comingMost   = 600 * time.Millisecond
+	readersEvery = 8
 	// seedPause is the wait between two rounds of that. bootRetry is the wait
 	// before the store is asked again; it doubles up to bootRetryMost.
 	seedPause     = 30 * time.Millisecond
@@ -107,7 +109,7 @@
 			bo.leaveStore()
 		}
 		for _, addr := range rp.Others {
-			bo.name(now, addr)
+			bo.Name(now, addr)
 		}
 	case FromStore:
 		bo.storeAt = max(bo.storeAt, now+seedPause)
@@ -120,12 +122,19 @@
 		return
 	}
 	bo.coming = true
+	if bo.cfg.Rand.IntN(readersEvery) == 0 {
+		return
+	}
 	half := int64(comingMost / 2)
 	bo.storeAt = max(bo.storeAt, bo.cfg.Now+comingMost/2+time.Duration(bo.cfg.Rand.Int64N(half)))
 }
 
-// name adds a VM that has a copy, which can be asked at once.
-func (bo *Boot) name(now time.Duration, addr string) {
+// Tells says whether this VM should have the seeds know of its copy after a step: they
+// may have none, and are asked by all others.
+func (bo *Boot) Tells(st Step) bool { return st.From == FromStore && !bo.isSeed() }
+
+// Name adds a VM that has a copy, which can be asked at once.
+func (bo *Boot) Name(now time.Duration, addr string) {
 	bo.seedAt = now
 	if addr != bo.cfg.Self && !slices.Contains(bo.peers, addr) {
 		bo.peers = append(bo.peers, addr)
--- a/core/feed/giver.go
+++ b/core/feed/giver.go
@@ -18,28 +18,44 @@
 // it to four more, three seeds reach two hundred VMs in three rounds. It is not safe for
 // concurrent use.
 type Giver struct {
-	// given is when copies were given lately, to whom.
-	given []gift
+	// given is when the latest copies were given, holders the VMs that have one, the
+	// newest last.
+	given   []time.Duration
+	holders []holder
 }
 
-type gift struct {
-	to string
-	at time.Duration
+type holder struct {
+	addr string
+	at   time.Duration
 }
 
 // Ask tells whether a VM gets a copy now, and if not, who got one lately.
 func (gi *Giver) Ask(now time.Duration, from string) (give bool, others []string) {
-	for len(gi.given) > 0 && now-gi.given[0].at > namedFor {
-		gi.given = gi.given[1:]
+	if n := len(gi.given); n >= giveMost && now-gi.given[n-giveMost] < giveSpan {
+		return false, gi.Others(now, from)
 	}
-	if n := len(gi.given); n < giveMost || now-gi.given[n-giveMost].at >= giveSpan {
-		gi.given = append(gi.given, gift{to: from, at: now})
-		return true, nil
+	gi.given = append(gi.given, now)
+	gi.given = gi.given[max(0, len(gi.given)-giveMost):]
+	gi.Note(now, from)
+	return true, nil
+}
+
+// Note takes in that a VM has a copy.
+func (gi *Giver) Note(now time.Duration, addr string) {
+	if addr == "" {
+		return
 	}
-	for i := len(gi.given) - 1; i >= 0 && len(others) < namedMost; i-- {
-		if to := gi.given[i].to; to != "" && to != from {
-			others = append(others, to)
+	gi.holders = append(gi.holders, holder{addr: addr, at: now})
+	gi.holders = gi.holders[max(0, len(gi.holders)-namedMost):]
+}
+
+// Others names VMs that have a copy, to one that asks for it.
+func (gi *Giver) Others(now time.Duration, from string) []string {
+	var others []string
+	for _, ho := range gi.holders {
+		if ho.addr != from && now-ho.at <= namedFor {
+			others = append(others, ho.addr)
 		}
 	}
-	return false, others
+	return others
 }
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -97,6 +97,8 @@
 	giver feed.Giver
 	// places holds the data centre of each VM; only Run uses it.
 	places map[string]string
+	// tells are the calls to seeds that nobody waits for.
+	tells sync.WaitGroup
 	// asked is when the store was asked last.
 	asked time.Duration
 
@@ -189,11 +191,14 @@
 // Run follows until the context ends.
 func (fo *Follower) Run(ctx context.Context) {
 	defer fo.peers.Close()
+	defer fo.tells.Wait()
 	fo.boot(ctx)
 	last := feed.Step{}
 	for ctx.Err() == nil {
 		fo.takePeers()
-		fo.takeAsker()
+		if as := fo.takenAsker(); as.addr != "" {
+			fo.guide.Hint(as.addr, fo.cfg.Clock()-as.heard)
+		}
 		st := fo.guide.Next(fo.cfg.Clock(), fo.Age())
 		if st.From != feed.FromNobody && (st.From != last.From || st.Addr != last.Addr) {
 			fo.cfg.Switched(st, fo.Age(), nil)
@@ -223,15 +228,14 @@
 	}
 }
 
-// takeAsker lets the guide know of a VM that has newer news.
-func (fo *Follower) takeAsker() {
+// takenAsker is the VM with newer news that asked last; it has no address if none did
+// since the last call.
+func (fo *Follower) takenAsker() asker {
 	fo.mu.Lock()
+	defer fo.mu.Unlock()
 	as := fo.asker
 	fo.asker = asker{}
-	fo.mu.Unlock()
-	if as.addr != "" {
-		fo.guide.Hint(as.addr, fo.cfg.Clock()-as.heard)
-	}
+	return as
 }
 
 func (fo *Follower) step(ctx context.Context, st feed.Step) (feed.Report, error) {
--- a/io/follow/serve.go
+++ b/io/follow/serve.go
@@ -49,9 +49,12 @@
 func (fo *Follower) gives(rq *inner.FollowRequest) (others []string, give bool) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	if rq.GetAfter() > 0 || !rq.GetPacks() || !fo.replica.Known() {
+	if rq.GetAfter() > 0 || !rq.GetPacks() {
 		return nil, true
 	}
+	if !fo.replica.Known() {
+		return fo.giver.Others(fo.cfg.Clock(), rq.GetFrom()), false
+	}
 	give, others = fo.giver.Ask(fo.cfg.Clock(), rq.GetFrom())
 	return others, give
 }
@@ -65,7 +68,11 @@
 	age := time.Duration(rq.GetAgeMs()-1) * time.Millisecond
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	if now := fo.cfg.Clock(); age < fo.age(now) {
+	now := fo.cfg.Clock()
+	if age <= feed.StaleAfter && rq.GetAfter() > 0 {
+		fo.giver.Note(now, rq.GetFrom())
+	}
+	if age < fo.age(now) {
 		fo.asker = asker{addr: rq.GetFrom(), heard: now - age}
 	}
 }
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -113,7 +113,7 @@
 		},
 		Platform: {
 			"get", "getFailed", "range", "rangeFailed", "swap", "swapFailed", "watch", "watchFailed", "vmsFailed",
-			"store", "storeFailed", "peer", "peerFailed", "peerEmpty", "probe", "probeFailed", "compacted",
+			"store", "storeFailed", "peer", "peerFailed", "peerEmpty", "tell", "tellFailed", "packFailed", "probe", "probeFailed", "compacted",
 		},
 		Change: {"accepted", "conflict", "unknown", "dryRun", "refused"},
 		Config: {
