--- a/core/feed/guide.go
+++ b/core/feed/guide.go
@@ -32,10 +32,9 @@
 	// others rank: what all VMs of a data centre ask together grows with the logarithm
 	// of their number.
 	retryRanks = 40
-	// rankDelay is how much longer a VM waits for each one that ranks before
-	// it, before it asks the store in their place.
-	// For those beyond the first rankFew it is rankLate: with dozens of VMs in a data
-	// centre, a store that has turned away so many is most likely away for all.
+	// rankDelay is how much longer a VM waits for each one that ranks before it, before
+	// it asks the store in their place. For those beyond the first rankFew it is
+	// rankLate: a store that has turned away so many is most likely away for all.
 	rankDelay = 200 * time.Millisecond
 	rankLate  = time.Second
 	rankFew   = 4
@@ -48,14 +47,6 @@
 	// urgentPause is the wait from one such call to the next; it doubles while
 	// they fail. Peers are asked in between, for the store may turn this VM away.
 	urgentPause = 2 * time.Second
-	// searchFirst is the wait from one VM with old news to the next, which doubles up
-	// to searchNear within the data centre and to searchFar beyond, where bytes are
-	// paid for; it is over once somebody has news. Where the store serves some VMs,
-	// news spreads from them within a second or two even so; where it serves none,
-	// asking all others as often as it went was 58 calls a second of each of 78 VMs.
-	searchFirst = 5 * time.Millisecond
-	searchNear  = 80 * time.Millisecond
-	searchFar   = 400 * time.Millisecond
 	// idleWait is how long to wait where nobody is left to ask.
 	idleWait = 100 * time.Millisecond
 	// jitter spreads retries, as a share.
@@ -202,25 +193,18 @@
 
 // Next says whom to ask; age is that of this VM's own news.
 func (gu *Guide) Next(now, age time.Duration) Step {
-	first := gu.leader(now)
-	if gu.mute && age > UrgentAfter && now >= gu.retryAt && now >= gu.urgentAt {
-		gu.urgentAt = now + gu.spread(urgentPause<<min(gu.fails, 3))
+	if gu.urgent(now, age) {
 		return Step{From: FromStore}
 	}
-	leads := gu.before == 0
-	if first == "" && leads {
-		first = gu.leaderAbove(now)
+	if hint := gu.takeHint(); hint != "" && age > StaleAfter {
+		return Step{From: FromPeer, Addr: hint}
 	}
+	first := gu.leader(now)
 	if first == "" {
 		gu.lack(now)
 	}
-	due := gu.lacking && now >= gu.lackSince+gu.turn() && now >= gu.retryAt
 	switch {
-	case age > StaleAfter && gu.hint != "":
-		hint := gu.hint
-		gu.hint = ""
-		return Step{From: FromPeer, Addr: hint}
-	case due && (first == "" || !leads):
+	case gu.due(now, first):
 		return Step{From: FromStore}
 	case first == "":
 		return gu.elsewhere(now)
@@ -230,20 +214,30 @@
 	return Step{From: FromPeer, Addr: first}
 }
 
+// urgent tells whether the store is asked before any other VM, see UrgentAfter.
+func (gu *Guide) urgent(now, age time.Duration) bool {
+	if !gu.mute || age <= UrgentAfter || now < gu.retryAt || now < gu.urgentAt {
+		return false
+	}
+	gu.urgentAt = now + gu.spread(urgentPause<<min(gu.fails, 3))
+	return true
+}
+
+// due tells whether it is this VM's turn to ask the store. The first VM of a data centre
+// leaves it to those of the data centres that rank before, while one of them answers.
+func (gu *Guide) due(now time.Duration, first string) bool {
+	if !gu.lacking || now < gu.lackSince+gu.turn() || now < gu.retryAt {
+		return false
+	}
+	return first == "" || gu.before > 0
+}
+
 // turn is how long this VM waits for those that rank before it.
 func (gu *Guide) turn() time.Duration {
 	late := max(0, gu.before-rankFew)
 	return time.Duration(gu.before-late)*rankDelay + time.Duration(late)*rankLate
 }
 
-// Hint takes in that a VM which asked this one has news of that age. Its news may come
-// from the store, which turns this VM away.
-func (gu *Guide) Hint(addr string, age time.Duration) {
-	if age <= StaleAfter {
-		gu.hint = addr
-	}
-}
-
 // lack notes since when there is no news from where it should come.
 func (gu *Guide) lack(now time.Duration) {
 	if !gu.lacking {
@@ -251,71 +245,16 @@
 	}
 }
 
-// leaderAbove is the first VM of a data centre that ranks before the own one:
-// with it only one VM of the region watches the store.
-func (gu *Guide) leaderAbove(now time.Duration) string {
-	for _, vm := range gu.above {
-		if !gu.passed(now, vm.Addr) {
-			return vm.Addr
-		}
-	}
-	return ""
-}
-
-// leader is the first VM that ranks before this one and is not passed over.
+// leader is the first VM that ranks before this one and is not passed over: one of its
+// data centre or, for the first there, the first of a data centre that ranks before it.
+// With these only one VM of the region watches the store.
 func (gu *Guide) leader(now time.Duration) string {
-	for _, vm := range gu.near[:gu.before] {
-		if !gu.passed(now, vm.Addr) {
-			return vm.Addr
-		}
+	vms := gu.near[:gu.before]
+	if gu.before == 0 {
+		vms = gu.above
 	}
-	return ""
-}
-
-// elsewhere asks another data centre, or a VM of the own one that ranks behind.
-func (gu *Guide) elsewhere(now time.Duration) Step {
-	if now >= gu.farAt {
-		if vm, ok := gu.unpassed(now, gu.far); ok {
-			return Step{From: FromPeer, Addr: vm.Addr}
-		}
-	}
-	if now >= gu.nearAt {
-		if vm, ok := gu.unpassed(now, gu.near); ok {
-			return Step{From: FromPeer, Addr: vm.Addr}
-		}
-	}
-	return Step{From: FromNobody, Wait: gu.searchWait(now)}
-}
-
-// unpassed is the first of them that may be asked.
-func (gu *Guide) unpassed(now time.Duration, vms []rank.VM) (rank.VM, bool) {
-	for _, vm := range vms {
-		if vm.Addr != gu.cfg.Self.Addr && !gu.passed(now, vm.Addr) {
-			return vm, true
-		}
-	}
-	return rank.VM{}, false
-}
-
-// searchWait is the time until a search goes on.
-func (gu *Guide) searchWait(now time.Duration) time.Duration {
-	wait := idleWait
-	for _, at := range [2]time.Duration{gu.nearAt, gu.farAt} {
-		if at > now {
-			wait = min(wait, at-now)
-		}
-	}
-	return wait
-}
-
-// foundOld bounds how soon the next VM is asked after one had old news.
-func (gu *Guide) foundOld(now time.Duration) {
-	gu.old++
-	draw := gu.cfg.Rand.Float64()
-	near := retry.Backoff{First: searchFirst, Most: searchNear, Jitter: jitter}
-	far := retry.Backoff{First: searchFirst, Most: searchFar, Jitter: jitter}
-	gu.nearAt = now + near.Wait(gu.old, draw)
-	gu.farAt = now + far.Wait(gu.old, draw)
+	vm, _ := gu.unpassed(now, vms)
+	return vm.Addr
 }
 
 func (gu *Guide) passed(now time.Duration, addr string) bool {
@@ -332,43 +271,51 @@
 
 // Heard takes in what came of a step.
 func (gu *Guide) Heard(now time.Duration, st Step, rp Report) {
-	if st.From == FromPeer {
-		gu.mute = rp.Failed
+	if st.From == FromNobody {
+		return
 	}
-	switch {
-	case st.From == FromNobody:
-	case rp.Failed, rp.Age > StaleAfter:
+	if rp.Failed || rp.Age > StaleAfter {
 		gu.lack(now)
-	default:
-		if gu.old > 0 && st.From == FromPeer {
-			// The store is back for another VM. This one may be who should watch it, and
-			// until then all would ask each other for news that nobody gets.
-			gu.retryAt = min(gu.retryAt, now)
-		}
+	} else {
 		gu.lacking, gu.hint = false, ""
 	}
+	if st.From == FromStore {
+		gu.heardStore(now, rp)
+		return
+	}
+	gu.mute = rp.Failed
+	gu.heardPeer(now, st.Addr, rp)
+}
+
+func (gu *Guide) heardStore(now time.Duration, rp Report) {
+	if !rp.Failed {
+		gu.fails, gu.retryAt = 0, 0
+		return
+	}
+	gu.fails++
+	bo := retry.Backoff{First: retryFirst, Most: retryMost, Jitter: jitter}
+	// All VMs of a data centre together ask little more often than a few would.
+	times := min(1+gu.before, retryRanks)
+	gu.retryAt = now + time.Duration(times)*bo.Wait(gu.fails, gu.cfg.Rand.Float64())
+}
+
+func (gu *Guide) heardPeer(now time.Duration, addr string, rp Report) {
 	switch {
-	case st.From == FromStore && rp.Failed:
-		gu.fails++
-		bo := retry.Backoff{First: retryFirst, Most: retryMost, Jitter: jitter}
-		// All VMs of a data centre together ask little more often than a few would.
-		times := min(1+gu.before, retryRanks)
-		gu.retryAt = now + time.Duration(times)*bo.Wait(gu.fails, gu.cfg.Rand.Float64())
-	case st.From == FromStore:
-		gu.fails = 0
-		gu.retryAt = 0
-	case st.From == FromPeer && rp.Failed:
-		gu.pass[st.Addr] = now + gu.spread(passOver)
-	case st.From == FromPeer && rp.Empty:
-		gu.pass[st.Addr] = now + gu.spread(passEmpty)
-	case st.From == FromPeer && rp.Age > StaleAfter:
+	case rp.Failed:
+		gu.pass[addr] = now + gu.spread(passOver)
+	case rp.Empty:
+		gu.pass[addr] = now + gu.spread(passEmpty)
+	case rp.Age > StaleAfter:
 		wait := passOld
-		if gu.firsts[st.Addr] {
+		if gu.firsts[addr] {
 			wait = passFirst
 		}
-		gu.pass[st.Addr] = now + gu.spread(wait)
+		gu.pass[addr] = now + gu.spread(wait)
 		gu.foundOld(now)
-	case st.From == FromPeer:
+	case gu.old > 0:
+		// The store is back for another VM. This one may be who should watch it, and
+		// until then all would ask each other for news that nobody gets.
+		gu.retryAt = min(gu.retryAt, now)
 		gu.old = 0
 	}
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -113,18 +113,7 @@
 		return nil, &Error{Op: "edge.Start", Kind: KindListen, Err: err}
 	}
 	eg.workers = workers
-	eg.pool = relay.New(relay.Config{
-		Clock:    eg.clock,
-		HeaderID: cfg.Names.RequestID,
-		Dial:     cfg.Dial,
-		Go:       eg.workers.run,
-		Count:    func(event string) { eg.meter.Count(meter.Connection, event) },
-		Reached:  func(pr origin.Process, ok bool) { eg.steer.Reached(eg.clock(), pr, ok) },
-		Opened:   func() { eg.conns.Add(1) },
-		Closed:   func() { eg.conns.Add(-1) },
-
-		OldestFirst: cfg.Settings.Off.Off(toggle.Newest),
-	})
+	eg.pool = eg.newPool()
 	eg.follow = follow.New(follow.Config{
 		Self:       eg.set.Self,
 		Store:      cfg.Store,
@@ -156,6 +145,22 @@
 	return eg, nil
 }
 
+// newPool makes the connections to servers.
+func (eg *Edge) newPool() *relay.Pool {
+	return relay.New(relay.Config{
+		Clock:    eg.clock,
+		HeaderID: eg.cfg.Names.RequestID,
+		Dial:     eg.cfg.Dial,
+		Go:       eg.workers.run,
+		Count:    func(event string) { eg.meter.Count(meter.Connection, event) },
+		Reached:  func(pr origin.Process, ok bool) { eg.steer.Reached(eg.clock(), pr, ok) },
+		Opened:   func() { eg.conns.Add(1) },
+		Closed:   func() { eg.conns.Add(-1) },
+
+		OldestFirst: eg.set.Off.Off(toggle.Newest),
+	})
+}
+
 // clock is the monotonic time since the start.
 func (eg *Edge) clock() time.Duration { return time.Since(eg.began) }
 
