--- a/core/feed/boot.go
+++ b/core/feed/boot.go
@@ -16,8 +16,9 @@
 	firstTime = 1200 * time.Millisecond
 	againTime = 40 * time.Millisecond
 	// seedMost and seedLeast bound the wait for one seed. One that lost its power
-	// with this VM never answers; the store must not have to wait for it.
-	seedMost  = 500 * time.Millisecond
+	// with this VM never answers, and others that would are not asked meanwhile; one
+	// that gives a copy needs some 40 ms for it on a small VM's link.
+	seedMost  = 150 * time.Millisecond
 	seedLeast = 40 * time.Millisecond
 	// comingMost is how long the store is left alone at most while others that boot too
 	// will have a copy soon: a fleet that lost its power would else read it 195 times
