story: what many VMs logged of one request, in order

Cause: a request crosses three or four of 195 VMs, and the way from its id to its cause needed all their logs read by eye.

--- a/cmd/laburnumvane/main.go
+++ b/cmd/laburnumvane/main.go
@@ -102,6 +102,7 @@
 			ticketCommand(),
 			configCommand(),
 			statusCommand(),
+			storyCommand(),
 			checkCommand(),
 			versionCommand(),
 		},
--- a/cmd/laburnumvane/main_test.go
+++ b/cmd/laburnumvane/main_test.go
@@ -192,3 +192,13 @@
 		walk([]string{"laburnumvane", cmd.Name}, cmd)
 	}
 }
+
+func TestSession_Story(t *testing.T) {
+	golden.Check(t, "story", session(t, []step{
+		{args: "story 4f7c8f65fcdc5ff2 testdata/small.log testdata/large.log"},
+		{args: "story 4f7c8f65fcdc5ff2 testdata/large.log --json"},
+		{args: "story ffff testdata/small.log testdata/large.log"},
+		{args: "story 4f7c8f65fcdc5ff2 testdata/none.log"},
+		{args: "story 4f7c8f65fcdc5ff2"},
+	}))
+}
--- /dev/null
+++ b/cmd/laburnumvane/story.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"laburnumvane/io/story"
+)
+
+// storyTime shows microseconds: what parts two lines of a request is often less than a
+// millisecond.
+const storyTime = "15:04:05.000000"
+
+// storyReply is what story prints with --json.
+type storyReply struct {
+	ID       string       `json:"id"`
+	Lines    []story.Line `json:"lines"`
+	BadLines int          `json:"badLines"`
+	LeftOut  int          `json:"leftOut"`
+}
+
+func storyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "story",
+		Usage:     "print what the logs of many VMs say of one request, in order",
+		ArgsUsage: "ID FILE [FILE ...]",
+		Description: `Reads the logs of any number of VMs of "gateway" ("-" for standard input) and
+prints the lines of one request in the order of their times: the VM that a client
+reached, the one that took the request, those that joined answers for it. Lines of
+several VMs may stand in one file, each with its VM's name before the JSON.
+
+Memory does not grow with the logs. Lines that cannot be read are counted and passed
+over; of a request with more than 1,000 lines the first read are shown.
+
+The time is that of each VM's clock. docs/OPERATIONS.md says what the fields mean.
+
+Exit codes: 0 found, 1 a file that cannot be read or no line of the request, 2 wrong
+arguments.
+
+Examples:
+   laburnumvane story 4f7c8f65fcdc5ff2 /var/log/vms/*.log
+   zcat old.gz | laburnumvane story 4f7c8f65fcdc5ff2 - --json`,
+		Flags:  []cli.Flag{jsonFlag()},
+		Action: storyAction,
+	}
+}
+
+func storyAction(_ context.Context, cmd *cli.Command) error {
+	args := cmd.Args().Slice()
+	if len(args) < 2 || args[0] == "" {
+		return usageError(cmd.FullName(), "an ID and at least one FILE are needed")
+	}
+	st := story.New(story.Config{ID: args[0]})
+	for _, name := range args[1:] {
+		if err := readStory(cmd, st, name); err != nil {
+			return failure(cmd.FullName(), err)
+		}
+	}
+	rep := storyReply{ID: args[0], Lines: st.Lines(), BadLines: st.Bad, LeftOut: st.LeftOut}
+	if len(rep.Lines) == 0 {
+		return &Error{Op: cmd.FullName(), Kind: KindFailure, Msg: fmt.Sprintf("no line names %s; %d could not be read", rep.ID, rep.BadLines)}
+	}
+	if cmd.Bool("json") {
+		return printJSON(cmd, rep)
+	}
+	printStory(cmd, rep)
+	return nil
+}
+
+// readStory reads one file as it comes; a log may be larger than memory.
+func readStory(cmd *cli.Command, st *story.Story, name string) error {
+	if name == "-" {
+		return st.Read("stdin", cmd.Root().Reader)
+	}
+	file, err := os.Open(name) //nolint:gosec // the caller's own file
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return st.Read(filepath.Base(name), file)
+}
+
+func printStory(cmd *cli.Command, rep storyReply) {
+	tbl := newTable(cmd.Root().Writer, "TIME", "VM", "WHAT", "DETAILS")
+	for _, ln := range rep.Lines {
+		tbl.row(ln.Time.Format(storyTime), ln.VM, ln.Message, details(ln))
+	}
+	tbl.flush()
+	if rep.BadLines > 0 || rep.LeftOut > 0 {
+		fmt.Fprintf(cmd.Root().ErrWriter, "%d lines could not be read, %d are left out\n", rep.BadLines, rep.LeftOut)
+	}
+}
+
+// details are a line's fields by name.
+func details(ln story.Line) string {
+	parts := make([]string, 0, len(ln.Fields))
+	for name, value := range ln.Fields {
+		parts = append(parts, name+"="+string(value))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/io/story/story_test.go
@@ -0,0 +1,86 @@
+package story_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"laburnumvane/io/story"
+)
+
+const id = "4f7c8f65fcdc5ff2"
+
+// line is one of a VM's log at a second.
+func line(second, message, more string) string {
+	return `{"time":"2026-01-31T11:33:` + second + `Z","level":"info","id":"` + id + `"` + more + `,"message":"` + message + `"}` + "\n"
+}
+
+// A caller got its answer late. The request went from a small VM to a large one, which had
+// servers elsewhere asked through a third; the logs of all three lie side by side, with
+// lines of other requests, cut lines and lines that a collector put together.
+func TestStoryOfOneRequest(t *testing.T) {
+	is := is.New(t)
+	logs := []struct{ name, text string }{
+		{"small.log", line("05.5", "forwarded", `,"home":"10.0.0.2:7000"`) +
+			strings.Replace(line("05.1", "answered", ""), id, "ffff", 1)},
+		{"large.log", "no JSON at all\n" + line("05.4", "answered", `,"ms":61.2,"note":"`+id+`"`) + line("05.4", "cut", "")[:85] + "\n"},
+		{"all.log", "05.2 frontend-c-1 " + line("05.2", "joined for another VM", `,"servers":9`) +
+			`{"message":"names ` + id + ` and is another's"}` + "\n" +
+			strings.Repeat("x", 200<<10) + "\n" + line("05.3", "joined for another VM", "")},
+	}
+	st := story.New(story.Config{ID: id})
+	for _, lg := range logs {
+		is.NoErr(st.Read(lg.name, strings.NewReader(lg.text)))
+	}
+	var got []string
+	for _, ln := range st.Lines() {
+		got = append(got, ln.VM+": "+ln.Message)
+	}
+	is.Equal(got, []string{
+		"frontend-c-1: joined for another VM",
+		"all.log: joined for another VM",
+		"large.log: answered",
+		"small.log: forwarded",
+	})
+	is.Equal(string(st.Lines()[2].Fields["ms"]), "61.2")
+	is.Equal(st.Bad, 3)
+	is.Equal(st.LeftOut, 0)
+}
+
+// A client repeats one id for hours: the lines kept are bounded.
+func TestBounded(t *testing.T) {
+	is := is.New(t)
+	st := story.New(story.Config{ID: id, Lines: 10})
+	is.NoErr(st.Read("a", strings.NewReader(strings.Repeat(line("05.1", "answered", ""), 25))))
+	is.Equal(len(st.Lines()), 10)
+	is.Equal(st.LeftOut, 15)
+}
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, errors.New("input/output error") }
+
+func TestUnreadable(t *testing.T) {
+	is := is.New(t)
+	var se *story.Error
+	is.True(errors.As(story.New(story.Config{ID: id}).Read("a", broken{}), &se))
+	is.Equal(se.Kind, story.KindRead)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(line("05.1", "answered", ""))
+	f.Add("x {" + id)
+	f.Fuzz(func(t *testing.T, text string) {
+		st := story.New(story.Config{ID: id, Lines: 3})
+		if err := st.Read("a", strings.NewReader(text)); err != nil {
+			t.Fatal(err)
+		}
+		for _, ln := range st.Lines() {
+			if ln.Time.IsZero() && ln.VM == "" {
+				t.Fatalf("a line without a writer: %+v", ln)
+			}
+		}
+	})
+}
