plan, entry: two pieces that were longer than their work

FarVMs draws by turns with one shuffle and one stable sort; a declined request is noted in the log apart from the reply, which Join unpacked a flag out of.

--- a/core/plan/view.go
+++ b/core/plan/view.go
@@ -1,7 +1,7 @@
 package plan
 
 import (
-	"slices"
+	"sort"
 
 	"laburnumvane/core/conns"
 	"laburnumvane/core/origin"
@@ -141,43 +141,24 @@
 // are: one that is cut off itself must not answer for all. The draw is uniform within 0
 // to 1.
 func (vw *View) FarVMs(n int, draw func() float64) []rank.VM {
-	byPlace := make(map[string][]rank.VM)
-	var places []string
+	var far []rank.VM
 	for _, vm := range vw.fleet.all {
-		if vm.DataCentre == vw.cfg.Self.DataCentre {
-			continue
-		}
-		if len(byPlace[vm.DataCentre]) == 0 {
-			places = append(places, vm.DataCentre)
+		if vm.DataCentre != vw.cfg.Self.DataCentre {
+			far = append(far, vm)
 		}
-		byPlace[vm.DataCentre] = append(byPlace[vm.DataCentre], vm)
 	}
-	var drawn []rank.VM
-	for len(drawn) < n && len(places) > 0 {
-		at := int(draw() * float64(len(places)))
-		place := places[at]
-		vms := byPlace[place]
-		k := int(draw() * float64(len(vms)))
-		drawn = append(drawn, vms[k])
-		byPlace[place] = slices.Delete(vms, k, k+1)
-		places = slices.Delete(places, at, at+1)
-		if len(places) == 0 {
-			places = left(byPlace)
-		}
+	for i := len(far) - 1; i > 0; i-- {
+		k := int(draw() * float64(i+1))
+		far[i], far[k] = far[k], far[i]
 	}
-	return drawn
-}
-
-// left lists the data centres that have VMs, in order.
-func left(byPlace map[string][]rank.VM) []string {
-	var places []string
-	for place, vms := range byPlace {
-		if len(vms) > 0 {
-			places = append(places, place)
-		}
+	// turn is how many VMs of the same data centre were drawn before each.
+	turn, drawn := make(map[string]int, len(far)), make(map[string]int)
+	for _, vm := range far {
+		turn[vm.Addr] = drawn[vm.DataCentre]
+		drawn[vm.DataCentre]++
 	}
-	slices.Sort(places)
-	return places
+	sort.SliceStable(far, func(i, j int) bool { return turn[far[i].Addr] < turn[far[j].Addr] })
+	return far[:min(n, len(far))]
 }
 
 // FleetSize is the number of VMs, this one counted.
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -109,7 +109,8 @@
 	vw := en.cfg.View()
 	rt, reason := en.routeOf(vw, rq, cr)
 	if reason != "" {
-		return en.decline(rq, reason), nil
+		en.noteDeclined(rq, reason)
+		return declined(reason), nil
 	}
 	if !rt.Idempotent {
 		return declined(declinedRoute), nil
@@ -136,14 +137,13 @@
 	return rt, ""
 }
 
-// decline tells another VM that its request is not taken, and the log why.
-func (en *Entry) decline(rq *request, reason string) *inner.CarryReply {
+// noteDeclined counts and logs why another VM's request is not taken.
+func (en *Entry) noteDeclined(rq *request, reason string) {
 	if reason == carry.ReasonOtherRoute {
 		en.cfg.Meter.Count(meter.Sent, reason)
 	}
 	en.cfg.Log.Info().Str("id", rq.id).Str("reason", reason).Uint64("version", version(en.cfg.View())).
 		Msg("declined for another VM")
-	return declined(reason)
 }
 
 func declined(reason string) *inner.CarryReply {
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -89,7 +89,8 @@
 	now, vw := en.cfg.Clock(), en.cfg.View()
 	rq := carriedRequest(jr.GetRequest(), now, en.lead)
 	if _, reason := en.routeOf(vw, rq, jr.GetRequest()); reason != "" {
-		return &inner.JoinReply{Declined: en.decline(rq, reason).GetDeclined(), Reason: reason}, nil
+		en.noteDeclined(rq, reason)
+		return &inner.JoinReply{Declined: true, Reason: reason}, nil
 	}
 	jo := &joiner{
 		en: en, jr: jr,
