--- a/core/plan/homes.go
+++ b/core/plan/homes.go
@@ -83,9 +83,6 @@
 		if rt.Gather == nil || len(rt.Gather.Shards) == 0 {
 			continue
 		}
-		for _, name := range rt.Gather.Shards {
-			vw.gathered[name] = true
-		}
 		if _, done := vw.homes[rt.Gather.Shards[0]]; !done {
 			vw.homes[rt.Gather.Shards[0]] = vw.homesOf(rt.Gather.Shards)
 		}
--- a/core/plan/view.go
+++ b/core/plan/view.go
@@ -52,11 +52,10 @@
 	limits map[string]Limits
 	// large are the VMs with much more capacity than most, by inner address;
 	// homes those that take a gather, by its first shard, and single those that
-	// take any other request; gathered the services that are shards.
-	large    map[string]bool
-	homes    map[string][]*origin.Upstream
-	single   []*origin.Upstream
-	gathered map[string]bool
+	// take any other request.
+	large  map[string]bool
+	homes  map[string][]*origin.Upstream
+	single []*origin.Upstream
 	// joiners are by data centre.
 	joiners map[string][]*origin.Upstream
 }
@@ -74,11 +73,10 @@
 		cfg.Upstreams = origin.New(nil)
 	}
 	vw := &View{
-		cfg:      cfg,
-		fleet:    newPlaces(cfg.Self, cfg.Fleet),
-		reach:    make(map[string][]*origin.Upstream),
-		limits:   make(map[string]Limits),
-		gathered: make(map[string]bool),
+		cfg:    cfg,
+		fleet:  newPlaces(cfg.Self, cfg.Fleet),
+		reach:  make(map[string][]*origin.Upstream),
+		limits: make(map[string]Limits),
 	}
 	vw.large = vw.findLarge()
 	vw.findHomes()
