fanout, entry: a server that another VM advises against is asked where there is no other

Cause: found when the change was read: a joiner's advice counted as an attempt that was not sent, and a shard whose only server is slow or in a pause was given up for it. Change: a verdict of its own, Doubted: nothing was sent, no token is spent, and the server is asked after all where the shard has no other that may serve.

--- a/cmd/laburnumvane/story.go
+++ b/cmd/laburnumvane/story.go
@@ -82,7 +82,8 @@
 	if err != nil {
 		return err
 	}
-	defer file.Close()
+	// It was only read: what its closing says changes nothing.
+	defer func() { _ = file.Close() }()
 	return st.Read(filepath.Base(name), file)
 }
 
--- a/core/fanout/event.go
+++ b/core/fanout/event.go
@@ -24,6 +24,8 @@
 	Lost
 	// Unsent: no byte of it left this VM.
 	Unsent
+	// Doubted: the VM that should have sent it advises another server. Nothing was sent.
+	Doubted
 )
 
 // MayHaveRun tells whether an attempt with that verdict counts as run.
@@ -46,6 +48,8 @@
 		return "lost"
 	case Unsent:
 		return "unsent"
+	case Doubted:
+		return "doubted"
 	}
 	return "open"
 }
--- a/core/fanout/joined_test.go
+++ b/core/fanout/joined_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -71,3 +72,46 @@
 	acts = mc.Step(80*ms, fanout.Event{Kind: fanout.EvResult, Attempt: 3, Verdict: fanout.Served})
 	is.Equal(acts[len(acts)-1].Answer.Winners, []int{2, 3})
 }
+
+// The VM beside a shard's servers does not send to the first of them, since it is slow.
+// Another one is asked, at no cost of a token; but where the shard has no other, the slow
+// one has to serve, or the answer would lack a part for a mere advice.
+func TestDoubtedServerIsTheLastChoice(t *testing.T) {
+	cases := []struct {
+		name    string
+		servers servers
+		then    []fanout.Verdict
+		asked   []string
+		outcome fanout.Outcome
+	}{
+		{"another one", each(1, "a", "b"), []fanout.Verdict{fanout.Doubted, fanout.Served}, []string{"a0", "b0"}, fanout.OutcomeServed},
+		{"no other one", each(1, "a"), []fanout.Verdict{fanout.Doubted, fanout.Served}, []string{"a0", "a0"}, fanout.OutcomeServed},
+		{"the other one fails", each(1, "a", "b"), []fanout.Verdict{fanout.Doubted, fanout.Failed, fanout.Served}, []string{"a0", "b0", "a0"}, fanout.OutcomeServed},
+		{"nothing was sent in the end", each(1, "a"), []fanout.Verdict{fanout.Doubted, fanout.Unsent}, []string{"a0", "a0"}, fanout.OutcomeNotRun},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			cfg := config(1, 1)
+			cfg.Chooser = tc.servers
+			mc := fanout.New(cfg)
+			acts := mc.Start(0)
+			var asked []string
+			var last fanout.Action
+			for k, ve := range tc.then {
+				for _, ac := range acts {
+					if ac.Kind == fanout.ActSend {
+						asked = append(asked, ac.Upstream.ID)
+					}
+				}
+				acts = mc.Step(time.Duration(k+1)*ms, fanout.Event{Kind: fanout.EvResult, Attempt: k, Verdict: ve})
+			}
+			for _, ac := range acts {
+				last = ac
+			}
+			is.Equal(asked, tc.asked)
+			is.Equal(last.Kind, fanout.ActAnswer)
+			is.Equal(last.Answer.Outcome, tc.outcome)
+		})
+	}
+}
--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -31,8 +31,9 @@
 	// reached is set once an attempt may have arrived at the service, so that
 	// further ones draw on the budget.
 	reached bool
-	// refused is set once a server had no room.
-	refused bool
+	// again is set once a server did nothing that speaks against asking it again: it had
+	// no room, or another VM advised against it.
+	again bool
 	// dead is set when nothing more can be done for it.
 	dead bool
 	// hedgeAt is when a further server is asked; 0 if never.
@@ -148,7 +149,7 @@
 		sh.ran++
 	}
 	switch ev.Verdict {
-	case Unsent, Elsewhere:
+	case Unsent, Elsewhere, Doubted:
 		// Neither arrived at the service: what is at that address is another
 		// one's. It takes nothing from what the service may be asked.
 		sh.tries--
@@ -166,7 +167,9 @@
 		mc.shown = ev.Attempt
 	case Refused:
 		mc.full = true
-		sh.refused = true
+		sh.again = true
+	case Doubted:
+		sh.again = true
 	}
 	if sh.open == 0 {
 		mc.retry(now, at.shard, ev.Verdict)
@@ -209,10 +212,11 @@
 }
 
 // pick picks a server that was not asked for the shard. Where there is none, one that
-// refused is asked again: it did not run the request, and may have room by now.
+// refused is asked again, for it did not run the request and may have room by now, or one
+// that is doubted, which may be slow and is better than none.
 func (mc *Machine) pick(now time.Duration, i int) (*origin.Upstream, bool) {
 	up, ok := mc.cfg.Chooser.Pick(now, i, mc.triedOf(i))
-	if !ok && mc.shards[i].refused {
+	if !ok && mc.shards[i].again {
 		up, ok = mc.cfg.Chooser.Pick(now, i, mc.spentOf(i))
 	}
 	return up, ok
@@ -287,13 +291,14 @@
 	return mc.tried
 }
 
-// spentOf lists the servers that were asked for a shard and did more than refuse.
+// spentOf lists the servers that were asked for a shard and did more than refuse, or were
+// not asked for an advice only.
 // Where two of three servers of a shard are left, and both refuse two of five requests
 // at random, one request in six is refused by both; asked once more, one in sixteen.
 func (mc *Machine) spentOf(i int) []*origin.Upstream {
 	mc.tried = mc.tried[:0]
 	for k := range mc.attempts {
-		if at := &mc.attempts[k]; at.shard == i && at.verdict != Refused {
+		if at := &mc.attempts[k]; at.shard == i && at.verdict != Refused && at.verdict != Doubted {
 			mc.tried = append(mc.tried, at.up)
 		}
 	}
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -196,13 +196,17 @@
 	ar := arrival{attempt: ac.Attempt, verdict: verdictOf(pa.GetVerdict())}
 	ar.rs.Took = microseconds(pa.GetTookUs())
 	now := en.cfg.Clock()
+	if ar.verdict == fanout.Unsent && pa.GetDoubted() {
+		ar.verdict = fanout.Doubted
+	}
 	switch ar.verdict {
 	case fanout.Unsent:
 		en.cfg.Steer.Withdraw(now, ac.Upstream.Process(), 0)
-		if pa.GetDoubted() {
-			en.cfg.Steer.Warn(now, ac.Upstream.Process())
-			en.cfg.Meter.Count(meter.Sent, "warned")
-		}
+		return ar
+	case fanout.Doubted:
+		en.cfg.Steer.Withdraw(now, ac.Upstream.Process(), 0)
+		en.cfg.Steer.Warn(now, ac.Upstream.Process())
+		en.cfg.Meter.Count(meter.Sent, "warned")
 		return ar
 	case fanout.Served:
 		en.heardFar(now)
--- a/io/story/story.go
+++ b/io/story/story.go
@@ -9,6 +9,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -82,13 +84,13 @@
 	br := bufio.NewReaderSize(rd, mostLine)
 	for {
 		line, err := br.ReadSlice('\n')
-		if err == bufio.ErrBufferFull {
+		if errors.Is(err, bufio.ErrBufferFull) {
 			st.Bad++
 			err = skipLine(br)
 			line = nil
 		}
 		st.take(name, bytes.TrimSpace(line))
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
@@ -101,7 +103,7 @@
 func skipLine(br *bufio.Reader) error {
 	for {
 		_, err := br.ReadSlice('\n')
-		if err != bufio.ErrBufferFull {
+		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
 	}
