follow, edge: the word on a cut is sent by the edge's own workers

Cause: found when the change was read: SetCut added to a WaitGroup that Run may be waiting for at the same moment, when a VM ends in a cut. Change: SetCut only notes the verdict; TellCut makes the call, on the edge's workers.

--- a/docs/capacity/doc.go
+++ b/docs/capacity/doc.go
@@ -1,5 +1,5 @@
 // Command capacity works out what each role of a node costs at a given size,
-// from slopes that benchmarks measure, and keeps docs/CAPACITY.md in step.
+// from slopes that benchmarks measure, and keeps docs/capacity/serve.md in step.
 //
 // # Usage
 //
@@ -11,4 +11,4 @@
 // around them is written by hand. A test fails where page and slopes disagree.
 package main
 
-//go:generate go run . -dir . -page ../CAPACITY.md
+//go:generate go run . -dir . -page serve.md
--- a/docs/capacity/main.go
+++ b/docs/capacity/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	dir := flag.String("dir", "docs/capacity", "the folder of "+slopesFile)
-	page := flag.String("page", "docs/CAPACITY.md", "the page")
+	page := flag.String("page", "docs/capacity/serve.md", "the page")
 	measure := flag.Bool("measure", false, "run the benchmarks of the slopes first; takes minutes")
 	only := flag.String("only", "", "measure only slopes whose names begin so")
 	flag.Parse()
--- a/docs/capacity/page_test.go
+++ b/docs/capacity/page_test.go
@@ -16,7 +16,7 @@
 	is := is.New(t)
 	sl, err := readSlopes(slopesFile)
 	is.NoErr(err)
-	page, err := os.ReadFile("../CAPACITY.md")
+	page, err := os.ReadFile("serve.md")
 	is.NoErr(err)
 	want, err := fill(string(page), tables(sl))
 	is.NoErr(err)
--- a/docs/operate/page_test.go
+++ b/docs/operate/page_test.go
@@ -63,11 +63,11 @@
 func TestLinksLead(t *testing.T) {
 	is := is.New(t)
 	links := regexp.MustCompile(`\]\(([^)#:]+)(?:#[^)]*)?\)`)
-	for _, name := range []string{"CAPACITY.md", "DESIGN.md", "FAILURES.md", "MEASURES.md", "OPERATE.md"} {
+	for _, name := range []string{"CAPACITY.md", "capacity/serve.md", "DESIGN.md", "FAILURES.md", "MEASURES.md", "OPERATE.md"} {
 		raw, err := os.ReadFile("../" + name)
 		is.NoErr(err)
 		for _, one := range links.FindAllStringSubmatch(string(raw), -1) {
-			if _, err := os.Stat("../" + one[1]); err != nil {
+			if _, err := os.Stat(filepath.Join("..", filepath.Dir(name), one[1])); err != nil {
 				t.Errorf("%s links to %s: %v", name, one[1], err)
 			}
 		}
--- a/io/costs/doc.go
+++ b/io/costs/doc.go
@@ -10,5 +10,5 @@
 // again, so that the processor time of this process is that of one VM alone.
 // Processor time is less moved by other load on the machine than elapsed time
 // is, but not free of it: take the least of several runs. The figures carry
-// docs/CAPACITY.md.
+// docs/capacity/serve.md.
 package costs
--- a/io/edge/cutoff.go
+++ b/io/edge/cutoff.go
@@ -53,7 +53,10 @@
 		return
 	}
 	eg.entry.Move(off)
-	eg.follow.SetCut(ctx, off)
+	eg.follow.SetCut(off)
+	if off {
+		eg.workers.run(func() { eg.follow.TellCut(ctx) })
+	}
 	eg.cfg.Log.Warn().Bool("cutOff", off).Int64("silenceMs", si.Silence.Milliseconds()).Int("owed", si.Owed).
 		Bool("told", si.Told).Bool("mute", si.Mute).Bool("failing", eg.cut.Failing()).Msg("cut off from servers and other VMs")
 }
--- a/io/follow/cut.go
+++ b/io/follow/cut.go
@@ -23,28 +23,32 @@
 }
 
 // SetCut takes this VM's own verdict on whether its data centre is cut off. Those that
-// follow this VM hear of it at once, and so does the VM that it follows.
-func (fo *Follower) SetCut(ctx context.Context, off bool) {
+// follow this VM hear of a cut at once.
+func (fo *Follower) SetCut(off bool) {
 	fo.mu.Lock()
+	defer fo.mu.Unlock()
 	fo.cut.proven = off
 	if off {
 		fo.wakeAll()
 	}
-	leader := fo.leader
+}
+
+// TellCut has the VM of this data centre that this one follows hear of the verdict. It
+// waits for the answer; the first VM of a data centre follows none there.
+func (fo *Follower) TellCut(ctx context.Context) {
+	fo.mu.Lock()
+	leader, after := fo.leader, fo.replica.AsOf()
 	fo.mu.Unlock()
-	if !off || leader == "" {
+	if leader == "" {
 		return
 	}
-	after := fo.asOf()
-	fo.tells.Go(func() {
-		bounded, cancel := context.WithTimeout(ctx, tellCutTime)
-		defer cancel()
-		fo.cfg.Count("tell")
-		if _, err := fo.ask(bounded, leader, after, 0); err != nil {
-			// The others find out by themselves, a second later.
-			fo.cfg.Count("tellFailed")
-		}
-	})
+	bounded, cancel := context.WithTimeout(ctx, tellCutTime)
+	defer cancel()
+	fo.cfg.Count("tell")
+	if _, err := fo.ask(bounded, leader, after, 0); err != nil {
+		// The others find out by themselves, a second later.
+		fo.cfg.Count("tellFailed")
+	}
 }
 
 // ToldCut tells whether another VM of this data centre said lately that it is cut off.
--- a/io/follow/cut_test.go
+++ b/io/follow/cut_test.go
@@ -45,7 +45,7 @@
 				t.Fatal("answered without news")
 			case <-time.After(100 * time.Millisecond):
 			}
-			fo.SetCut(t.Context(), true)
+			fo.SetCut(true)
 			if tc.knows {
 				select {
 				case <-done:
