--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -95,7 +95,7 @@
 	// attempts, and what is refused.
 	routed := []string{"target", "noUpstream", "attempts", "mayHaveRun", "clientGone"}
 	unrouted := []string{"noRequestId", "noConfiguration", "noRoom", "cutOff", "homeLost"}
-	verdicts := []string{"failed", "refused", "elsewhere", "lost", "unsent"}
+	verdicts := []string{"failed", "refused", "elsewhere", "lost", "unsent", "doubted"}
 	return map[string][]string{
 		Refusal:    join(border, own, limits, tickets, unrouted, []string{"leaving"}),
 		Operator:   join(border, operators),
