node: asking the control goroutine lasts until its function has ended

Node.ask returned as soon as the VM stopped, also while its function was running on the control goroutine: a status was read by its caller while the control goroutine still filled it in. A VM killed under a status call shows it; on a real VM the race could tear a slice.

Ruled out: the stand-ins and the test's own state, which are locked; replies that come over channels (beats, probes), which nobody writes afterwards.

Now asking waits for the function or for the end of the control goroutine, which ends after the event in hand.

--- a/io/node/control.go
+++ b/io/node/control.go
@@ -40,6 +40,7 @@
 }
 
 func (ct *control) loop(ctx context.Context) {
+	defer close(ct.nd.controlEnded)
 	for {
 		select {
 		case ev := <-ct.nd.events:
@@ -73,13 +74,15 @@
 }
 
 // ask runs f on the control goroutine and waits for it; it does not run if the
-// VM stops first.
+// VM stops first. A VM that stops while f runs is not reason enough to return: f
+// would go on filling in what its caller already reads. The control goroutine
+// ends soon after the stop, and after its end f runs no more.
 func (nd *Node) ask(f func(ct *control)) {
 	done := make(chan struct{})
 	nd.post(asked{f: f, done: done})
 	select {
 	case <-done:
-	case <-nd.stopping.Done():
+	case <-nd.controlEnded:
 	}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -50,33 +50,35 @@
 
 // Node is a running VM.
 type Node struct {
-	cfg      Config
-	set      setup.Settings
-	addr     string
-	log      *log.Logger
-	lines    *lines.Queue
-	meter    *meter.Meter
-	view     atomic.Pointer[view.View]
-	servers  atomic.Pointer[[]*upst.Server]
-	ups      atomic.Pointer[[]*upstream]
-	table    *pick.Table
-	workers  *ants.Pool
-	driver   *drive.Driver
-	buckets  sync.Map // team's name to *share.Bucket
-	kv       *plat.Client
-	vms      *plat.Client
-	peers    *peer.Client
-	inner    *peer.Server
-	front    *front.Front
-	oper     *oper.Oper
-	events   chan event
-	leaving  atomic.Bool
-	stopping context.Context
-	stop     context.CancelFunc
-	running  sync.WaitGroup
-	lns      listeners
-	started  time.Time
-	requests atomic.Uint64
+	cfg     Config
+	set     setup.Settings
+	addr    string
+	log     *log.Logger
+	lines   *lines.Queue
+	meter   *meter.Meter
+	view    atomic.Pointer[view.View]
+	servers atomic.Pointer[[]*upst.Server]
+	ups     atomic.Pointer[[]*upstream]
+	table   *pick.Table
+	workers *ants.Pool
+	driver  *drive.Driver
+	buckets sync.Map // team's name to *share.Bucket
+	kv      *plat.Client
+	vms     *plat.Client
+	peers   *peer.Client
+	inner   *peer.Server
+	front   *front.Front
+	oper    *oper.Oper
+	events  chan event
+	// controlEnded is closed when the control goroutine has ended.
+	controlEnded chan struct{}
+	leaving      atomic.Bool
+	stopping     context.Context
+	stop         context.CancelFunc
+	running      sync.WaitGroup
+	lns          listeners
+	started      time.Time
+	requests     atomic.Uint64
 	// complete counts complete searches, of which a sample is logged.
 	complete atomic.Uint64
 	digest   atomic.Pointer[spread.Digest]
@@ -106,13 +108,14 @@
 		return nil, err
 	}
 	nd := &Node{
-		cfg:     cfg,
-		set:     cfg.Settings,
-		meter:   meter.New(),
-		table:   pick.New(pick.Config{DataCentre: cfg.Settings.DataCentre}),
-		events:  make(chan event, eventRoom),
-		lns:     lns,
-		started: time.Now(),
+		cfg:          cfg,
+		set:          cfg.Settings,
+		meter:        meter.New(),
+		table:        pick.New(pick.Config{DataCentre: cfg.Settings.DataCentre}),
+		events:       make(chan event, eventRoom),
+		controlEnded: make(chan struct{}),
+		lns:          lns,
+		started:      time.Now(),
 	}
 	nd.queueLog(cfg.Log)
 	nd.addr = cfg.Settings.AdvertiseAddr
