edge: entries of VMs are written together, under one lease for each data centre

The entry of a VM that died is taken away by the one that the others follow, after a third of the lease's time without a word and no sign of life. A VM that knows nobody stays with the VM that gave its first copy, or each would watch the store until the entries are there.

Ruled out: one entry with all VMs of a data centre (each change is sent whole, writers race); entries without leases (those of a lost data centre stay); one renewer by rank.

End of a lease is not called any more and is gone.

--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -8,6 +8,8 @@
 
 	"github.com/phuslu/log"
 
+	"laburnumvane/core/enlist"
+	"laburnumvane/core/feed"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/rank"
 	"laburnumvane/core/route"
@@ -64,7 +66,7 @@
 	StopGrace time.Duration
 	// Off are the mechanisms that are switched off.
 	Off toggle.Set
-	// LeaseTime is how long this VM's entry outlives it.
+	// LeaseTime is how long the entries of a data centre outlive the last of its VMs.
 	LeaseTime time.Duration
 }
 
@@ -75,10 +77,11 @@
 	Grant(ctx context.Context, ttl time.Duration) (lease uint64, granted time.Duration, err error)
 	// Keep renews it.
 	Keep(ctx context.Context, lease uint64) error
-	// End ends it, and its entries with it.
-	End(ctx context.Context, lease uint64) error
-	// Put writes an entry that goes with a lease.
-	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	// Put writes entries, each under its lease: all of them or none.
+	Put(ctx context.Context, entries []enlist.Leased) error
+	// Remove takes entries away, all of them or, if one with a revision was written
+	// since, none.
+	Remove(ctx context.Context, items []feed.Item) error
 	// Missing tells whether an error means that the lease is gone.
 	Missing(err error) bool
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -11,6 +11,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app/server"
 
+	"laburnumvane/core/enlist"
 	"laburnumvane/core/feed"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
@@ -58,14 +59,18 @@
 	workers *crew
 	entry   *entry.Entry
 	follow  *follow.Follower
-	enlist  *enlist
-	homes   *carry.Client
-	checks  *server.Hertz
-	metrics *server.Hertz
-	inner   *http.Server
-	view    atomic.Pointer[plan.View]
-	extra   atomic.Pointer[entry.Extra]
-	conns   atomic.Int64
+	listing *listing
+	// registrar writes entries, and leases are those that the copy of the store shows,
+	// by data centre.
+	registrar *registrar
+	leases    atomic.Pointer[map[string]uint64]
+	homes     *carry.Client
+	checks    *server.Hertz
+	metrics   *server.Hertz
+	inner     *http.Server
+	view      atomic.Pointer[plan.View]
+	extra     atomic.Pointer[entry.Extra]
+	conns     atomic.Int64
 
 	leaving atomic.Bool
 	ready   atomic.Bool
@@ -123,13 +128,16 @@
 		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Changed:    eg.tell,
 		Switched:   eg.switched,
+		Enlist:     func(ctx context.Context, en enlist.Entry) (uint64, error) { return eg.registrar.enter(ctx, en) },
 		Count:      func(event string) { eg.meter.Count(meter.Platform, event) },
 	})
+	eg.leases.Store(&map[string]uint64{})
+	eg.registrar = newRegistrar(eg)
 	eg.homes = carry.New(carry.Config{Clock: eg.clock, DataCentre: eg.set.Self.DataCentre})
 	ctx, cancel := context.WithCancel(context.Background())
 	eg.cancel = cancel
 	listed, unlist := context.WithCancel(ctx)
-	eg.enlist = newEnlist(eg, unlist)
+	eg.listing = newListing(eg, unlist)
 	st := newState(eg)
 	eg.view.Store(st.view)
 	if err := eg.listen(); err != nil {
@@ -138,7 +146,8 @@
 	}
 	eg.task(func() { eg.control(ctx, st) })
 	eg.task(func() { eg.follow.Run(ctx) })
-	eg.task(func() { eg.enlist.run(listed) })
+	eg.task(func() { eg.listing.run(listed) })
+	eg.task(func() { eg.registrar.run(ctx) })
 	cfg.Log.Info().Str("vm", eg.set.Name).Str("dataCentre", eg.set.Self.DataCentre).
 		Str("clients", eg.set.ClientAddr).Str("inner", eg.set.InnerAddr).
 		Strs("off", eg.set.Off.Names()).Msg("started")
@@ -210,6 +219,7 @@
 			eg.taken <- struct{}{}
 		case <-tk.C:
 			st.tick()
+			st.judgeSilent(ctx)
 			eg.pool.Tick()
 			eg.meter.Set(meter.Connections, eg.conns.Load())
 			eg.meter.Set(meter.InFlight, int64(eg.entry.InFlight()))
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"laburnumvane/core/enlist"
 	"laburnumvane/core/feed"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
@@ -34,12 +35,17 @@
 	// unread are the keys whose entries could not be read.
 	unread map[string]bool
 	view   *plan.View
+	// leads is set while the other VMs of the data centre follow this one, since
+	// leadSince, and silentAt is when it is looked next who of them is silent.
+	leads               bool
+	leadSince, silentAt time.Duration
 }
 
 // listed is a VM as its entry says.
 type listed struct {
-	vm       rank.VM
-	capacity float64
+	vm              rank.VM
+	capacity        float64
+	lease, revision uint64
 }
 
 func newState(eg *Edge) *state {
@@ -74,7 +80,7 @@
 	if fleet {
 		st.setFleet()
 	}
-	st.eg.enlist.lookedThrough()
+	st.eg.listing.lookedThrough()
 	st.publish()
 }
 
@@ -86,7 +92,7 @@
 	}
 	if vm, capacity, ok, err := dec.VM(ev.Key, ev.Value); ok {
 		if ev.Key == st.eg.key {
-			st.eg.enlist.found(ev.Value, ev.Lease)
+			st.eg.listing.found(ev.Value, ev.Lease)
 		}
 		if err != nil {
 			st.unreadable(ev, err)
@@ -94,7 +100,7 @@
 		}
 		delete(st.gone, ev.Key)
 		was := st.vms[ev.Key]
-		st.vms[ev.Key] = listed{vm: vm, capacity: capacity}
+		st.vms[ev.Key] = listed{vm: vm, capacity: capacity, lease: ev.Lease, revision: ev.Revision}
 		return false, was != st.vms[ev.Key]
 	}
 	if tb, ok, err := dec.Routes(ev.Key, ev.Value); ok {
@@ -162,7 +168,7 @@
 	if _, ok := st.vms[key]; ok {
 		st.gone[key] = now + vmForget
 		if key == st.eg.key {
-			st.eg.enlist.again()
+			st.eg.listing.again()
 		}
 	}
 	return false
@@ -196,12 +202,32 @@
 		vms = append(vms, li.vm)
 		capacity[li.vm.Addr] = li.capacity
 	}
+	st.setLeases()
 	st.view = st.view.WithFleet(vms, capacity)
 	st.eg.follow.SetPeers(vms)
 	some, self := st.view.Large()
 	st.eg.cfg.Log.Info().Int("vms", st.view.FleetSize()).Bool("someLarge", some).Bool("large", self).Msg("fleet")
 }
 
+// setLeases tells under which leases entries are written, and how many share that of
+// this VM's.
+func (st *state) setLeases() {
+	byPlace := make(map[string][]uint64)
+	sharing := make(map[uint64]int)
+	for _, li := range st.vms {
+		byPlace[li.vm.DataCentre] = append(byPlace[li.vm.DataCentre], li.lease)
+		sharing[li.lease]++
+	}
+	leases := make(map[string]uint64, len(byPlace))
+	for place, all := range byPlace {
+		if lease := enlist.LeaseOf(all); lease != 0 {
+			leases[place] = lease
+		}
+	}
+	st.eg.leases.Store(&leases)
+	st.eg.listing.sharing.Store(int64(sharing[st.vms[st.eg.key].lease]))
+}
+
 // publish puts the view in force.
 func (st *state) publish() {
 	st.eg.view.Store(st.view)
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -61,7 +61,7 @@
 	defer cancel()
 	ended, done := context.WithTimeout(ctx, endTime)
 	defer done()
-	eg.enlist.end(ended)
+	eg.listing.end(ended)
 	// What a listener says at its end changes nothing any more.
 	_ = eg.entry.Shutdown(ctx)
 	eg.cancel()
--- a/io/follow/boot.go
+++ b/io/follow/boot.go
@@ -56,7 +56,32 @@
 func (fo *Follower) bootAsk(ctx context.Context, st feed.Step) (feed.Report, error) {
 	bounded, cancel := context.WithTimeout(ctx, st.Wait)
 	defer cancel()
-	return fo.fromPeer(bounded, st.Addr)
+	rp, err := fo.fromPeer(bounded, st.Addr)
+	if err == nil {
+		fo.gave = st.Addr
+	}
+	return rp, err
+}
+
+// stayTime is how long a VM that knows no other one stays with the VM that gave its
+// first copy. When a fleet starts for the first time, its entries are in the store
+// within half a second; until then each VM would take itself for the only one and watch
+// the store, with as many calls as there are VMs.
+const stayTime = 3 * time.Second
+
+// stay follows the VM that gave the first copy until others are known.
+func (fo *Follower) stay(ctx context.Context) {
+	until := fo.cfg.Clock() + stayTime
+	for fo.gave != "" && ctx.Err() == nil && fo.cfg.Clock() < until {
+		fo.takePeers()
+		if len(fo.places) > 0 {
+			return
+		}
+		if _, err := fo.fromPeer(ctx, fo.gave); err != nil {
+			fo.cfg.Switched(feed.Step{From: feed.FromPeer, Addr: fo.gave}, fo.Age(), err)
+			return
+		}
+	}
 }
 
 // reading is a call to the store that goes on while others are asked.
--- /dev/null
+++ b/io/follow/enlist.go
@@ -0,0 +1,88 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"laburnumvane/core/enlist"
+	"laburnumvane/core/rank"
+	"laburnumvane/io/inner"
+)
+
+// Enlist serves inner.Feed: it has the caller's entry written.
+func (fo *Follower) Enlist(ctx context.Context, rq *inner.EnlistRequest) (*inner.EnlistReply, error) {
+	if fo.cfg.Enlist == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this VM writes no entries")
+	}
+	en := enlist.Entry{Key: rq.GetKey(), Value: rq.GetValue(), DataCentre: rq.GetDataCentre()}
+	lease, err := fo.cfg.Enlist(ctx, en)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &inner.EnlistReply{Lease: lease}, nil
+}
+
+// enlistTime bounds another VM's help: it collects entries for 0.2 s and then writes.
+const enlistTime = 1500 * time.Millisecond
+
+// AskEnlist has another VM write this one's entry and returns its lease. An error with
+// the code Unavailable says that the store did not serve that VM.
+func (fo *Follower) AskEnlist(ctx context.Context, addr string, en enlist.Entry) (uint64, error) {
+	bounded, cancel := context.WithTimeout(ctx, enlistTime)
+	defer cancel()
+	fo.cfg.Count("enlist")
+	rp, err := fo.peers.At(addr).Enlist(bounded, &inner.EnlistRequest{
+		Version: inner.Version, Key: en.Key, Value: en.Value, DataCentre: en.DataCentre,
+	})
+	if err != nil {
+		fo.cfg.Count("enlistFailed")
+		return 0, err
+	}
+	return rp.GetLease(), nil
+}
+
+// Leader is the VM of this data centre that this one follows; empty if there is none.
+func (fo *Follower) Leader() string {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.leader
+}
+
+// Leads tells whether this VM has its news from the store or another data centre: then
+// the others of its own follow it.
+func (fo *Follower) Leads() bool {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.replica.Known() && fo.leader == ""
+}
+
+// Note takes in a sign of life of another VM.
+func (fo *Follower) Note(addr string) {
+	now := fo.cfg.Clock()
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	fo.heard[addr] = now
+}
+
+// Heard is when another VM asked this one last, or gave a sign of life; 0 if it never
+// did.
+func (fo *Follower) Heard(addr string) time.Duration {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.heard[addr]
+}
+
+// keepHeard forgets those that are not listed any more. The caller holds the lock.
+func (fo *Follower) keepHeard(vms []rank.VM) {
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.Addr] = true
+	}
+	for addr := range fo.heard {
+		if !listed[addr] {
+			delete(fo.heard, addr)
+		}
+	}
+}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"laburnumvane/core/enlist"
 	"laburnumvane/core/feed"
 	"laburnumvane/core/rank"
 	"laburnumvane/io/inner"
@@ -84,6 +85,8 @@
 	Switched func(to feed.Step, age time.Duration, err error)
 	// Count is told of each step; it may be nil.
 	Count func(event string)
+	// Enlist writes another VM's entry and returns its lease; nil refuses.
+	Enlist func(ctx context.Context, en enlist.Entry) (lease uint64, err error)
 }
 
 // Follower keeps a copy of the store.
@@ -101,6 +104,8 @@
 	tells sync.WaitGroup
 	// asked is when the store was asked last.
 	asked time.Duration
+	// gave is the VM that gave the first copy, if one did; only Run uses it.
+	gave string
 
 	mu      sync.Mutex
 	replica *feed.Replica
@@ -120,6 +125,8 @@
 	// origin is the VM that heard the store for the news that this one has.
 	origin string
 	cut    cutNews
+	// heard is when each VM asked this one last, or gave a sign of life.
+	heard map[string]time.Duration
 }
 
 // asker is a VM that asked this one, and when its news was the store's.
@@ -140,6 +147,7 @@
 		replica: feed.NewReplica(feed.DefaultHistory),
 		asked:   -storePace,
 		changed: make(chan struct{}),
+		heard:   make(map[string]time.Duration),
 	}
 }
 
@@ -199,6 +207,7 @@
 	defer fo.peers.Close()
 	defer fo.tells.Wait()
 	fo.boot(ctx)
+	fo.stay(ctx)
 	last := feed.Step{}
 	for ctx.Err() == nil {
 		fo.takePeers()
@@ -224,6 +233,9 @@
 	fo.mu.Lock()
 	vms := fo.newPeers
 	fo.newPeers = nil
+	if vms != nil {
+		fo.keepHeard(vms)
+	}
 	fo.mu.Unlock()
 	if vms == nil {
 		return
--- a/io/follow/serve.go
+++ b/io/follow/serve.go
@@ -62,6 +62,7 @@
 // noteAsker keeps a caller whose news is newer than this VM's: the store may turn this
 // one away and serve the other.
 func (fo *Follower) noteAsker(rq *inner.FollowRequest) {
+	fo.Note(rq.GetFrom())
 	if rq.GetAgeMs() == 0 {
 		return
 	}
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -114,6 +114,7 @@
 		Platform: {
 			"get", "getFailed", "range", "rangeFailed", "swap", "swapFailed", "watch", "watchFailed", "vmsFailed",
 			"store", "storeFailed", "peer", "peerFailed", "peerEmpty", "tell", "tellFailed", "packFailed", "probe", "probeFailed", "compacted",
+			"enter", "enlist", "enlistFailed", "removeDead",
 		},
 		Change: {"accepted", "conflict", "unknown", "dryRun", "refused"},
 		Config: {
