--- a/cmd/laburnumvane/soak_harm_test.go
+++ b/cmd/laburnumvane/soak_harm_test.go
@@ -12,7 +12,7 @@
 func (so *soak) harm() {
 	vm := so.vms[so.rnd.IntN(len(so.vms))]
 	span := time.Duration(300+so.rnd.IntN(2500)) * time.Millisecond
-	switch so.rnd.IntN(14) {
+	switch so.rnd.IntN(18) {
 	case 0:
 		so.note("%s is killed", vm.name)
 		vm.signal(syscall.SIGKILL)
@@ -51,6 +51,60 @@
 		so.note("configuration with route %d", so.routes)
 		so.site.Configure([]stand.Route{{"name": "added", "host": stand.Host, "path_prefix": fmt.Sprintf("/added-%d/", so.routes),
 			"route_type": "safe", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2, "service": "ledger", "max_attempts": 2}})
+	case 14:
+		so.startAgain()
+	case 15:
+		so.foreign()
+	case 16:
+		so.cutServers(span)
+	case 17:
+		so.note("all VMs lose their power")
+		for _, vm := range so.vms {
+			vm.signal(syscall.SIGKILL)
+			so.after(time.Duration(so.rnd.IntN(500))*time.Millisecond, func() { vm.again() })
+		}
+	}
+}
+
+// startAgain has a server start again under its id: its counts begin anew, and what came
+// over its connections is lost.
+func (so *soak) startAgain() {
+	servers := so.site.Servers()
+	sv := servers[so.rnd.IntN(len(servers))]
+	li, there := so.serverLinks[sv]
+	if !there {
+		return
+	}
+	so.note("%s starts again", sv.ID)
+	li.reset()
+	so.site.EnterBorn(sv, li.addr(), "ready", 1, time.Now().UnixMilli())
+}
+
+// foreign has another writer write under the servers' keys: one of its own, and over a
+// server's own entry, which the server writes again.
+func (so *soak) foreign() {
+	servers := so.site.Servers()
+	sv := servers[so.rnd.IntN(len(servers))]
+	li, there := so.serverLinks[sv]
+	if !there {
+		return
+	}
+	so.note("foreign entries, one over that of %s", sv.ID)
+	so.site.Store.Put("servers/foreign", []byte("\xff\x00"))
+	so.site.Store.Put("servers/"+sv.ID, []byte(`{"service":7}`))
+	time.Sleep(50 * time.Millisecond)
+	so.site.EnterBorn(sv, li.addr(), "ready", 1, time.Now().UnixMilli())
+}
+
+// cutServers silences all servers of one data centre, and nothing else there.
+func (so *soak) cutServers(span time.Duration) {
+	place := so.site.Servers()[so.rnd.IntN(len(so.site.Servers()))].DataCentre
+	so.note("the servers of %s are cut off for %v", place, span)
+	for sv, li := range so.serverLinks {
+		if sv.DataCentre == place {
+			li.set(linkSilent)
+			so.after(span, func() { li.set(linkPass) })
+		}
 	}
 }
 
