entry, edge: what is still under way when a stop ends is answered, not cut off

Cause: a stop waits for requests as long as it may, and then closes the connections of those that are left. The caller saw the connection end, as in a crash, and could not tell whether its request had run.

Change: 150 ms before its end a stop has all requests answered as if their time were up: with the parts that are there, or with 502 or 504 that say it may have run; what comes after that is refused as not run.

Ruled out: refusing new requests earlier in the stop, for the balancer still sends them.

--- a/cmd/laburnumvane/soak_test.go
+++ b/cmd/laburnumvane/soak_test.go
@@ -52,7 +52,10 @@
 // soakCases are played by every run: one of each kind of luck, and each seed that
 // ever failed, with its cause.
 func soakCases() []soakCase {
-	return []soakCase{{1, "the usual"}, {2, "the usual"}}
+	return []soakCase{
+		{1, "the usual"}, {2, "the usual"},
+		{6016, "servers fall silent while VMs stop: requests outlasted the grace and were cut off"},
+	}
 }
 
 func TestSoak(t *testing.T) {
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -13,12 +13,17 @@
 	// come for 3 s; one that sends on a kept connection is answered, and closes
 	// it then.
 	idleKeep = 4300 * time.Millisecond
+	// answerTime is how long before that the requests still under way are answered with
+	// what there is: those at servers that have fallen silent would outlast the process.
+	answerTime = 150 * time.Millisecond
 	// lastMargin is what is left of the grace for the process to end.
 	lastMargin = 250 * time.Millisecond
 	// endTime bounds the taking away of this VM's entry.
 	endTime = 300 * time.Millisecond
-	// stopPoll is how often a stop looks whether anything is under way.
-	stopPoll = 50 * time.Millisecond
+	// stopPoll is how often a stop looks whether anything is under way, answerPoll the
+	// same in its last moments.
+	stopPoll   = 50 * time.Millisecond
+	answerPoll = 5 * time.Millisecond
 )
 
 var errCut = errors.New("requests were still under way when the grace ended")
@@ -34,9 +39,13 @@
 	eg.follow.Leave()
 	eg.cfg.Log.Info().Int("inFlight", eg.entry.InFlight()).Msg("stop begins")
 	left := func() time.Duration { return eg.set.StopGrace - lastMargin - time.Since(began) }
-	time.Sleep(min(idleKeep, left()))
+	time.Sleep(min(idleKeep, left()-answerTime))
+	for eg.entry.InFlight() > 0 && left() > answerTime {
+		time.Sleep(min(stopPoll, max(0, left()-answerTime)))
+	}
+	eg.entry.End()
 	for eg.entry.InFlight() > 0 && left() > 0 {
-		time.Sleep(min(stopPoll, max(0, left())))
+		time.Sleep(answerPoll)
 	}
 	cut := eg.entry.InFlight()
 	eg.close(max(stopPoll, left()))
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -97,11 +97,15 @@
 	farLost atomic.Int64
 	// movingSince is when Move was turned on.
 	movingSince atomic.Int64
+	// ending ends when no request may go on, and end ends it.
+	ending context.Context //nolint:containedctx // it is the listener's own, and no request's
+	end    context.CancelFunc
 }
 
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Entry {
 	en := &Entry{cfg: cfg, budgets: newBudgets(!cfg.Off.Off(toggle.Reserve)), lead: lead.New(lead.Config{})}
+	en.ending, en.end = context.WithCancel(context.Background())
 	gc := guard.Config{
 		MaxBody:    mostBody,
 		MaxHeader:  mostHeader,
@@ -148,6 +152,11 @@
 // Leave makes each answer close its connection.
 func (en *Entry) Leave() { en.leaving.Store(true) }
 
+// End has every request answered at once with what there is, as if its time were up, and
+// each further one refused: the process ends, and a connection that just ends would not
+// tell the client that its request may have run.
+func (en *Entry) End() { en.end() }
+
 // Move makes each answer close its connection, or ends that, so that clients
 // reach another VM with their next request.
 //
@@ -212,6 +221,9 @@
 
 // answer finds a request's route and answers it, or tells why not.
 func (en *Entry) answer(ctx context.Context, rc *app.RequestContext, rq *request) *refusal {
+	if en.ending.Err() != nil {
+		return refuse(consts.StatusServiceUnavailable, declinedLeaving, "this VM ends")
+	}
 	vw := en.cfg.View()
 	tb := vw.Routes()
 	if tb == nil {
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -147,8 +147,10 @@
 	}
 	al := fl.newAlarm()
 	defer al.stop()
+	ending := fl.en.ending.Done()
 	for {
 		var ev fanout.Event
+		now := clock()
 		select {
 		case jr := <-fl.joins:
 			if an, done = fl.perform(fl.takeJoined(jr)); done {
@@ -162,10 +164,13 @@
 			al.rang()
 			fl.moveOn()
 			ev = fanout.Event{Kind: fanout.EvWake}
+		case <-ending:
+			ending = nil
+			now, ev = fl.hard, fanout.Event{Kind: fanout.EvWake}
 		case <-ctx.Done():
 			ev = fanout.Event{Kind: fanout.EvGone}
 		}
-		if an, done = fl.perform(fl.machine.Step(clock(), ev)); done {
+		if an, done = fl.perform(fl.machine.Step(max(now, clock()), ev)); done {
 			return an
 		}
 		al.set()
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -37,6 +37,9 @@
 // anything, and this VM has to take it itself.
 func (en *Entry) forward(ctx context.Context, homes []*origin.Upstream, rq *request, rt *route.Route) *response {
 	pa := en.pace.of(&route.Route{Name: homeName + rt.Name, Target: rt.Target})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(en.ending, cancel)()
 	began := en.cfg.Clock()
 	rp, addr, err := en.cfg.Homes.Carry(ctx, homes, pa.takes(), en.carryRequest(rq, rt, began))
 	now := en.cfg.Clock()
