--- a/cmd/laburnumvane/soak_harm_test.go
+++ b/cmd/laburnumvane/soak_harm_test.go
@@ -12,7 +12,7 @@
 func (so *soak) harm() {
 	vm := so.vms[so.rnd.IntN(len(so.vms))]
 	span := time.Duration(300+so.rnd.IntN(2500)) * time.Millisecond
-	switch so.rnd.IntN(18) {
+	switch kind := so.rnd.IntN(18); kind {
 	case 0:
 		so.note("%s is killed", vm.name)
 		vm.signal(syscall.SIGKILL)
@@ -51,6 +51,14 @@
 		so.note("configuration with route %d", so.routes)
 		so.site.Configure([]stand.Route{{"name": "added", "host": stand.Host, "path_prefix": fmt.Sprintf("/added-%d/", so.routes),
 			"route_type": "safe", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2, "service": "ledger", "max_attempts": 2}})
+	default:
+		so.harmMany(kind, span)
+	}
+}
+
+// harmMany does what strikes servers' entries, or several processes at once.
+func (so *soak) harmMany(kind int, span time.Duration) {
+	switch kind {
 	case 14:
 		so.startAgain()
 	case 15:
