reach, edge: a VM that starts in a cut-off data centre stays out of the rotation

Change: a VM that has just started is not ready while a neighbour has proof of a cut and it has heard nothing from beyond itself, for two seconds at most.

Ruled out: no check of readiness in a cut without a neighbour's word, which would hold up each boot in a fleet of one data centre.

Test: TestEnters.

--- a/core/reach/told_test.go
+++ b/core/reach/told_test.go
@@ -103,3 +103,27 @@
 		})
 	}
 }
+
+// A VM starts in a data centre that is cut off, while all others there are out of the
+// rotation. As the only one that is ready it got the clients of all for a second and more,
+// until it found the cut itself, and refused them.
+func TestEnters(t *testing.T) {
+	const uptime = 200 * ms
+	cases := []struct {
+		name    string
+		told    bool
+		silence time.Duration
+		waited  time.Duration
+		enters  bool
+	}{
+		{"nobody speaks of a cut", false, uptime, 0, true},
+		{"a neighbour has proof", true, uptime, 0, false},
+		{"and somebody beyond was heard", true, 10 * ms, 0, true},
+		{"and the judge had its time", true, uptime, 2 * time.Second, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is.New(t).Equal(reach.Enters(tc.told, tc.silence, uptime, tc.waited), tc.enters)
+		})
+	}
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -295,6 +295,10 @@
 		eg.knownSince = now
 	}
 	cold, waited := eg.pool.Cold(), now-eg.knownSince
+	silence := min(eg.follow.Silence(), now-eg.entry.Traffic().FarHeard)
+	if !eg.set.Off.Off(toggle.Cuts) && !reach.Enters(eg.follow.ToldCut(), silence, now, waited) {
+		return
+	}
 	mostly := cold*mostlyShare <= vw.Upstreams().Len() && waited >= mostlyTime
 	if cold > 0 && !mostly && waited < warmTime {
 		return
