--- a/core/toggle/toggle.go
+++ b/core/toggle/toggle.go
@@ -26,8 +26,6 @@
 const (
 	// Hedges asks a second server when the first is late.
 	Hedges Mechanism = iota
-	// Reserve keeps tokens for attempts without which a request fails.
-	Reserve
 	// Windows bounds the requests of this VM at each server by its queue.
 	Windows
 	// Moves takes what waits here for one server to another.
@@ -66,7 +64,7 @@
 
 // names are those of settings, logs and metrics, by mechanism.
 var names = [count]string{ //nolint:gochecknoglobals // a constant list
-	"hedges", "reserve", "windows", "moves", "newest", "valve", "homes", "joins",
+	"hedges", "windows", "moves", "newest", "valve", "homes", "joins",
 	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "warnings", "absence",
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -104,7 +104,7 @@
 
 // New makes the listener; Serve starts it.
 func New(cfg Config) *Entry {
-	en := &Entry{cfg: cfg, budgets: newBudgets(!cfg.Off.Off(toggle.Reserve)), lead: lead.New(lead.Config{})}
+	en := &Entry{cfg: cfg, budgets: newBudgets(), lead: lead.New(lead.Config{})}
 	en.ending, en.end = context.WithCancel(context.Background())
 	gc := guard.Config{
 		MaxBody:    mostBody,
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -122,7 +122,7 @@
 
 // Spend takes a token for one more attempt at a shard's service.
 func (fl *flight) Spend(shard int, needed bool) bool {
-	ok := fl.en.budgets.spend(fl.en.cfg.Clock(), fl.services[shard], needed)
+	ok := fl.en.budgets.spend(fl.en.cfg.Clock(), fl.services[shard])
 	fl.short = fl.short || needed && !ok
 	return ok
 }
--- a/io/entry/flight_test.go
+++ b/io/entry/flight_test.go
@@ -16,7 +16,7 @@
 // would reach the client after its target, and be worth next to nothing.
 func TestCarriedAnswersLeaveSooner(t *testing.T) {
 	is := is.New(t)
-	en := &Entry{cfg: Config{Names: Names{RequestID: "Id"}}, budgets: newBudgets(true), lead: lead.New(lead.Config{})}
+	en := &Entry{cfg: Config{Names: Names{RequestID: "Id"}}, budgets: newBudgets(), lead: lead.New(lead.Config{})}
 	rt := &route.Route{Name: "all", Timeout: time.Second, Target: 80 * time.Millisecond, Gather: &route.Gather{Shards: []string{"s"}}}
 	vw := plan.New(plan.Config{})
 	own := en.launch(&request{id: "a"}, rt, vw)
--- a/io/entry/pace.go
+++ b/io/entry/pace.go
@@ -110,23 +110,17 @@
 // budgets holds one budget for each service.
 type budgets struct {
 	mu    sync.RWMutex
-	extra Extra
-	// reserve is set if tokens are kept for attempts that are needed.
-	reserve   bool
+	extra     Extra
 	byService map[string]*serviceBudget
 }
 
 type serviceBudget struct {
 	*budget.Budget
-	// kept is the number of tokens for attempts that are needed.
-	kept int
 	// credited is when time was last made up for.
 	credited atomic.Int64
 }
 
-func newBudgets(reserve bool) *budgets {
-	return &budgets{reserve: reserve, byService: make(map[string]*serviceBudget)}
-}
+func newBudgets() *budgets { return &budgets{byService: make(map[string]*serviceBudget)} }
 
 // set takes new bounds. Budgets are made anew, each with no more tokens than it
 // had.
@@ -155,11 +149,7 @@
 	if over := bu.Tokens() - tokens; over > 0 {
 		bu.Charge(over)
 	}
-	kept := 0
-	if bs.reserve {
-		kept = int(depth / 3)
-	}
-	return &serviceBudget{Budget: bu, kept: kept}
+	return &serviceBudget{Budget: bu}
 }
 
 func (bs *budgets) of(now time.Duration, service string) *serviceBudget {
@@ -192,12 +182,5 @@
 	bu.Earn(1)
 }
 
-// spend takes a token. A third of the depth is kept for attempts without which
-// a request would fail.
-func (bs *budgets) spend(now time.Duration, service string, needed bool) bool {
-	bu := bs.of(now, service)
-	if !needed && bu.Tokens() <= bu.kept {
-		return false
-	}
-	return bu.Spend()
-}
+// spend takes a token.
+func (bs *budgets) spend(now time.Duration, service string) bool { return bs.of(now, service).Spend() }
