--- a/io/entry/pace.go
+++ b/io/entry/pace.go
@@ -109,7 +109,7 @@
 
 // budgets holds one budget for each service.
 type budgets struct {
-	mu    sync.RWMutex
+	mu        sync.RWMutex
 	extra     Extra
 	byService map[string]*serviceBudget
 }
