--- a/core/enlist/book.go
+++ b/core/enlist/book.go
@@ -1,6 +1,6 @@
 package enlist
 
-// TxnMost is how many entries one transaction of the store takes.
+// TxnMost is how many entries one transaction may change, as the platform's store allows.
 const TxnMost = 32
 
 // Entry is what a VM has written of itself.
--- a/core/enlist/lease.go
+++ b/core/enlist/lease.go
@@ -1,6 +1,7 @@
 package enlist
 
-// Rounds is how many times a lease is due for renewal within its time.
+// Rounds is how many times a lease is due for renewal within its time: two calls may fail
+// before it ends.
 const Rounds = 3
 
 // renewers is how many VMs renew a lease in each round, on average, where more share
--- a/core/feed/boot.go
+++ b/core/feed/boot.go
@@ -28,8 +28,9 @@
 	readersEvery = 8
 	// slowLink is the rate in Mbit/s below which a VM asks the store who the others are
 	// before it reads it whole: with a large configuration that is 450 kB, and 36 ms at
-	// 100 Mbit/s. listMost is how long it leaves the store alone then, and readerMost
-	// bounds the wait for one of those that were named, who have much to give.
+	// 100 Mbit/s. listMost is how long it leaves the store alone then: a copy from another
+	// VM takes a third of it. readerMost bounds the wait for one of those that were named:
+	// with no power it never answers, and a copy comes within 40 ms.
 	slowLink   = 100.0
 	listMost   = 300 * time.Millisecond
 	readerMost = 60 * time.Millisecond
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -11,7 +11,6 @@
 
 	"github.com/cloudwego/hertz/pkg/app/server"
 
-	"laburnumvane/core/enlist"
 	"laburnumvane/core/feed"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
@@ -119,6 +118,8 @@
 	}
 	eg.workers = workers
 	eg.pool = eg.newPool()
+	eg.leases.Store(&map[string]uint64{})
+	eg.registrar = newRegistrar(eg)
 	eg.follow = follow.New(follow.Config{
 		Self:       eg.set.Self,
 		Store:      cfg.Store,
@@ -130,11 +131,9 @@
 		Switched:   eg.switched,
 		LinkMbps:   eg.set.LinkMbps,
 		List:       eg.listVMs,
-		Enlist:     func(ctx context.Context, en enlist.Entry) (uint64, error) { return eg.registrar.enter(ctx, en) },
+		Enlist:     eg.registrar.enter,
 		Count:      func(event string) { eg.meter.Count(meter.Platform, event) },
 	})
-	eg.leases.Store(&map[string]uint64{})
-	eg.registrar = newRegistrar(eg)
 	eg.homes = carry.New(carry.Config{Clock: eg.clock, DataCentre: eg.set.Self.DataCentre})
 	ctx, cancel := context.WithCancel(context.Background())
 	eg.cancel = cancel
--- a/io/edge/listing.go
+++ b/io/edge/listing.go
@@ -43,10 +43,12 @@
 	eg *Edge
 	// lease is what the entry goes with; 0 if there is none, as far as is known.
 	lease uint64
-	// tried is set once an entry may have been written by this process or a former one,
-	// alone if the VM that was asked to write it could not, and this one tries next.
-	tried, alone bool
-	lost         chan struct{}
+	// tried is set once an entry may have been written, by this process or a former one.
+	tried bool
+	// alone is set while this VM is to write the entry itself, for the store did not serve
+	// the one that was asked to.
+	alone bool
+	lost  chan struct{}
 	// seen is the lease that this VM's entry has in the copy of the store, and sharing
 	// is how many entries there have that lease.
 	seen    atomic.Uint64
