entry, relay: logs tell a request that comes again, and a server's end from a lost connection

Now `answered` has `broken` and a `fingerprint` of method, host, path, caller and body where a server ended a connection, and `server ended under requests` names a server all of whose connections ended and that refuses a new one, with the requests under way there; counter connection.serverEnded. For that one connection is opened at once where the last one broke under a request; the pool would open it with its next tick.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -182,6 +182,7 @@
 		Go:       eg.workers.run,
 		Count:    func(event string) { eg.meter.Count(meter.Connection, event) },
 		Reached:  func(pr origin.Process, ok bool) { eg.steer.Reached(eg.clock(), pr, ok) },
+		Ended:    eg.serverEnded,
 		Opened:   func() { eg.conns.Add(1) },
 		Closed:   func() { eg.conns.Add(-1) },
 
@@ -189,6 +190,12 @@
 	})
 }
 
+// serverEnded tells of a server that ended under requests.
+func (eg *Edge) serverEnded(pr origin.Process, requests []string) {
+	eg.meter.Count(meter.Connection, "serverEnded")
+	eg.cfg.Log.Warn().Str("server", pr.ID).Str("addr", pr.Addr).Strs("requests", requests).Msg("server ended under requests")
+}
+
 // clock is the monotonic time since the start.
 func (eg *Edge) clock() time.Duration { return time.Since(eg.began) }
 
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -31,6 +31,9 @@
 	if an.Reason != "" {
 		en = en.Str("reason", an.Reason)
 	}
+	if broken := fl.broken(); broken > 0 {
+		en = en.Int("broken", broken).Str("fingerprint", rq.fingerprint().String())
+	}
 	if trouble := fl.trouble(); trouble != "" {
 		en = en.Str("trouble", trouble)
 	}
@@ -57,6 +60,17 @@
 	return n
 }
 
+// broken counts the attempts under which the server ended the connection.
+func (fl *flight) broken() int {
+	n := 0
+	for _, ar := range fl.results {
+		if ar.rs.Err != nil && ar.rs.Err.Broken() {
+			n++
+		}
+	}
+	return n
+}
+
 // mostTrouble bounds the attempts that a line names.
 const mostTrouble = 6
 
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -3,11 +3,13 @@
 import (
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"laburnumvane/core/poison"
 	"laburnumvane/io/guard"
 	"laburnumvane/io/wire"
 )
@@ -37,6 +39,22 @@
 	away time.Duration
 	// carried is set if another VM passed it on.
 	carried bool
+	// print is the fingerprint, once it was asked for.
+	print poison.Fingerprint
+	once  sync.Once
+}
+
+// fingerprint is the same for each arrival of the same request. It is made only where it
+// is needed: for most requests nobody asks.
+func (rq *request) fingerprint() poison.Fingerprint {
+	rq.once.Do(func() {
+		same := poison.Request{Method: rq.method, Host: rq.host, URI: rq.uri, Body: rq.body}
+		for _, fi := range rq.fields {
+			same.Fields = append(same.Fields, poison.Field{Name: fi.name, Value: fi.value})
+		}
+		rq.print = poison.Of(same)
+	})
+	return rq.print
 }
 
 // refusal is an answer to a request that is not passed on.
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -109,7 +109,7 @@
 		Connection: {
 			"opened", "dialFailed", "refused", "stale", "silent", "late", "ping", "pingFailed", "cancelSent",
 			"cancelLeft", "idleClosed", "backoff", "probe", "open", "openFailed", "openReset", "ended", "closing",
-			"cut", "old", "spare", "stray", "unasked",
+			"cut", "old", "spare", "stray", "unasked", "serverEnded",
 		},
 		Platform: {
 			"get", "getFailed", "range", "rangeFailed", "swap", "swapFailed", "watch", "watchFailed", "vmsFailed",
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -216,6 +216,16 @@
 // end closes the connection under a call, or without one. A call may have begun
 // on it after the reader looked: without the second look it would wait for ever.
 func (cn *conn) end(ca *Call, kind Kind, err error) {
+	re := &Error{Op: "relay.read", Kind: kind, Addr: cn.sv.addr, Sent: true, Err: err}
+	cn.mu.Lock()
+	if ca == nil {
+		ca = cn.call
+	}
+	own := cn.closed
+	cn.mu.Unlock()
+	if ca != nil && !own && re.Broken() {
+		cn.sv.noteBroken(ca.rq.ID)
+	}
 	cn.close()
 	if ca == nil {
 		cn.mu.Lock()
@@ -223,7 +233,7 @@
 		cn.mu.Unlock()
 	}
 	if ca != nil {
-		ca.fail("relay.read", kind, true, err)
+		ca.finish(Result{Err: re})
 	}
 }
 
--- a/io/relay/error.go
+++ b/io/relay/error.go
@@ -1,6 +1,12 @@
 package relay
 
-import "fmt"
+import (
+	"fmt"
+	"io"
+	"syscall"
+
+	"github.com/go-faster/errors"
+)
 
 // Kind says at which step an exchange failed.
 type Kind string
@@ -37,6 +43,13 @@
 	Err  error
 }
 
+// Broken tells whether the server ended the connection under the request: it crashed, or
+// closed that connection alone.
+func (e *Error) Broken() bool {
+	return e.Sent && (errors.Is(e.Err, io.EOF) || errors.Is(e.Err, io.ErrUnexpectedEOF) ||
+		errors.Is(e.Err, syscall.ECONNRESET) || errors.Is(e.Err, syscall.EPIPE))
+}
+
 // Error gives operation, kind and server on one line.
 func (e *Error) Error() string {
 	if e.Err == nil {
--- a/io/relay/pool.go
+++ b/io/relay/pool.go
@@ -40,6 +40,10 @@
 	// Reached is told whether a connection to a server could be opened; it may
 	// be nil.
 	Reached func(pr origin.Process, ok bool)
+	// Ended is told when a server has ended: its connections broke under requests, and it
+	// refuses to be connected to again. Requests are the ids of some that broke, the first
+	// ones. It may be nil.
+	Ended func(pr origin.Process, requests []string)
 	// OldestFirst starts the oldest of what waits for a server first, in place of the
 	// newest.
 	OldestFirst bool
@@ -76,6 +80,9 @@
 	if cfg.Reached == nil {
 		cfg.Reached = func(origin.Process, bool) {}
 	}
+	if cfg.Ended == nil {
+		cfg.Ended = func(origin.Process, []string) {}
+	}
 	if cfg.IdleClose <= 0 {
 		cfg.IdleClose = DefaultIdleClose
 	}
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -36,6 +36,9 @@
 	unprovenMost = 2
 	// warmJitter spreads the openings of VMs that lost their connections together.
 	warmJitter = 0.5
+	// brokenFor is how long after a connection broke under a request the refusal of a new
+	// one shows that the server has ended: those of a process end together.
+	brokenFor = time.Second
 	// peakSpan is the time within which connections were in use at once that are worth
 	// keeping open: longer than the gaps between requests, and shorter than the time
 	// after which servers close idle connections.
@@ -72,6 +75,12 @@
 	backoff time.Duration
 	warmAt  time.Duration
 	fails   int
+	// broken is when the server last ended a connection under a request, and doubted is
+	// set until it is known whether it has ended itself.
+	// Under are the ids of requests under which it did.
+	broken  time.Duration
+	doubted bool
+	under   []string
 	// peak is how many connections were busy at once lately.
 	peak peak.Peak
 
@@ -204,6 +213,7 @@
 func (sv *Server) opened(cn *conn) {
 	sv.mu.Lock()
 	sv.fails = 0
+	sv.doubted = false
 	sv.mu.Unlock()
 	sv.put(cn)
 	sv.mu.Lock()
@@ -230,7 +240,11 @@
 	if sv.open == 0 {
 		failed = sv.waiting.Drain()
 	}
+	ended, under := sv.endShown(now, err)
 	sv.mu.Unlock()
+	if ended {
+		sv.cfg.Ended(sv.process, under)
+	}
 	for _, ca := range failed {
 		ca.fail("relay.dial", KindDial, false, err)
 	}
@@ -308,6 +322,7 @@
 		}
 	}
 	sv.dialForWaiting(now)
+	sv.dialIfDoubted(now)
 	var failed []*Call
 	if sv.open == 0 {
 		failed = sv.waiting.Drain()
