entry, fanout, edge: a request that crashes servers is tried at one, blocked, and told to all VMs

Cause: what a request did to servers was known to that arrival alone, and not even used there. Each shard whose server ended had the next one asked, a hedge before that where servers took their time, and the next arrival, at the same VM or another, began anew.

Now a request that no server has answered goes on with one server of one shard (a trial) once a connection broke under it. Any answer clears it, and all shards go on at once. Two servers in a row that end while nothing else of this VM is tried there end the arrival with 502, and block the request: it is refused at once with 503 and the time to come back. The record, by fingerprint, goes to all VMs as an entry of the store under a lease; who ended by whose doing is settled by name, so that two requests that were tried at one server by two VMs are both only suspected.

Why it holds: a server's answer is the only proof of innocence that is used, and it is at once at hand; guilt needs two servers that were drawn and nobody else's. Ruled out: a count of connections that broke, for a rack that ends breaks all ten of a search.

--- a/core/fanout/config.go
+++ b/core/fanout/config.go
@@ -9,6 +9,8 @@
 // Chooser picks a server of a shard, none of tried.
 type Chooser interface {
 	Pick(now time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool)
+	// PickTrial is the same for a trial: rather one at which no other request is tried.
+	PickTrial(now time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool)
 }
 
 // Budget allows or denies an attempt beyond the first that reaches a service.
@@ -38,6 +40,11 @@
 	// LeastTime is what an attempt needs at least; nothing is sent later than
 	// that before Hard.
 	LeastTime time.Duration
-	Chooser   Chooser
-	Budget    Budget
+	// Suspect is set for a request under which servers ended before: it goes to one
+	// server first.
+	Suspect bool
+	// Draw is uniform within 0 to 1; it chooses the shard of a trial.
+	Draw    func() float64
+	Chooser Chooser
+	Budget  Budget
 }
--- a/core/fanout/event.go
+++ b/core/fanout/event.go
@@ -72,6 +72,9 @@
 	Kind    EventKind
 	Attempt int
 	Verdict Verdict
+	// Broken is set with Lost if the server ended the connection: the request may have
+	// crashed it.
+	Broken bool
 }
 
 // Cause says why an attempt is made.
@@ -119,7 +122,9 @@
 	Upstream *origin.Upstream
 	Cause    Cause
 	// After is the verdict on the attempt before, for a retry.
-	After  Verdict
+	After Verdict
+	// Trial is set for an attempt that shows whether the request crashes servers.
+	Trial  bool
 	Answer Answer
 }
 
@@ -162,6 +167,8 @@
 	ReasonAttempts   = "attempts"
 	ReasonOnce       = "mayHaveRun"
 	ReasonGone       = "clientGone"
+	// ReasonCrashes: servers ended under the request, one after the other.
+	ReasonCrashes = "crashesServers"
 )
 
 // Answer is the final answer.
--- a/core/fanout/joined.go
+++ b/core/fanout/joined.go
@@ -15,8 +15,9 @@
 		if !whole && ev.Verdict == Served {
 			ev.Verdict = Lost
 		}
-		mc.onResult(now, ev)
+		mc.onResult(ev)
 	}
+	mc.proceed(now)
 	mc.settle(now)
 	return mc.actions
 }
--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -20,6 +20,8 @@
 	up      *origin.Upstream
 	started time.Duration
 	verdict Verdict
+	// trial is set for one that shows whether the request crashes servers.
+	trial bool
 }
 
 // shard is the progress on one service.
@@ -28,6 +30,8 @@
 	// open counts attempts without verdict, ran those that may have run, tries
 	// those that arrived or may have. All counts those that never left too.
 	open, ran, tries, all int
+	// broken counts the attempts that its servers broke while none had answered.
+	broken int
 	// reached is set once an attempt may have arrived at the service, so that
 	// further ones draw on the budget.
 	reached bool
@@ -38,6 +42,10 @@
 	dead bool
 	// hedgeAt is when a further server is asked; 0 if never.
 	hedgeAt time.Duration
+	// due is set while it waits for the outcome of a trial, and after is the verdict on
+	// its attempt before; 0 if there was none.
+	due   bool
+	after Verdict
 }
 
 // Machine takes one request from Start to its answer.
@@ -56,6 +64,7 @@
 	shown    int
 	reason   string
 	answered bool
+	ward     ward
 }
 
 // New makes the machine of one request; it does nothing until Start.
@@ -72,17 +81,34 @@
 	mc.actions = make([]Action, 0, mc.cfg.Shards+1)
 	for i := range mc.shards {
 		mc.shards[i].winner = none
-		if !mc.send(now, i, CauseFirst, 0) {
-			mc.kill(i, mc.reason)
-		}
+	}
+	for i := range mc.shards {
+		mc.begin(now, i)
 	}
 	if mc.hopeless() {
 		mc.recall()
 	}
+	mc.proceed(now)
 	mc.settle(now)
 	return mc.actions
 }
 
+// begin sends a shard's first attempt, or has it wait for a trial.
+func (mc *Machine) begin(now time.Duration, i int) {
+	if mc.cfg.Suspect {
+		mc.ward.careful = true
+		if _, ok := mc.pick(now, i, false); !ok {
+			mc.kill(i, ReasonNoUpstream)
+			return
+		}
+		mc.shards[i].due = true
+		return
+	}
+	if !mc.send(now, i, CauseFirst, 0, false) {
+		mc.kill(i, mc.reason)
+	}
+}
+
 // hopeless tells whether too many shards are given up.
 func (mc *Machine) hopeless() bool { return mc.cfg.Shards-mc.dead < mc.cfg.MinParts }
 
@@ -101,12 +127,13 @@
 	mc.actions = mc.actions[:0]
 	switch ev.Kind {
 	case EvResult:
-		mc.onResult(now, ev)
+		mc.onResult(ev)
 	case EvGone:
 		mc.onGone(now)
 	case EvWake:
 		// settle looks at the time.
 	}
+	mc.proceed(now)
 	mc.settle(now)
 	return mc.actions
 }
@@ -120,12 +147,16 @@
 	if mc.done >= mc.cfg.MinParts {
 		at = min(at, mc.cfg.Target)
 	}
+	if mc.ward.careful {
+		return min(at, mc.nextTrial())
+	}
+	hedge := mc.cfg.Hard
 	for i := range mc.shards {
 		if due := mc.shards[i].hedgeAt; due > 0 {
-			at = min(at, due)
+			hedge = min(hedge, due)
 		}
 	}
-	return at
+	return min(at, max(hedge, mc.ward.hedgeFrom))
 }
 
 // Upstream is the server of an attempt.
@@ -134,7 +165,7 @@
 // Started is when an attempt was sent.
 func (mc *Machine) Started(k int) time.Duration { return mc.attempts[k].started }
 
-func (mc *Machine) onResult(now time.Duration, ev Event) {
+func (mc *Machine) onResult(ev Event) {
 	if ev.Attempt < 0 || ev.Attempt >= len(mc.attempts) {
 		return
 	}
@@ -156,6 +187,7 @@
 	default:
 		sh.reached = true
 	}
+	mc.weigh(at, ev)
 	if mc.answered || sh.winner != none {
 		return
 	}
@@ -172,7 +204,7 @@
 		sh.again = true
 	}
 	if sh.open == 0 {
-		mc.retry(now, at.shard, ev.Verdict)
+		sh.due, sh.after = true, ev.Verdict
 	}
 }
 
@@ -187,9 +219,11 @@
 	}
 }
 
-// retry asks another server, or gives the shard up.
-func (mc *Machine) retry(now time.Duration, i int, after Verdict) {
+// retry asks another server for a shard that is due, or gives it up.
+func (mc *Machine) retry(now time.Duration, i int, trial bool) {
 	sh := &mc.shards[i]
+	after := sh.after
+	sh.due, sh.after = false, 0
 	if sh.ran > 0 && !mc.cfg.Idempotent {
 		mc.kill(i, ReasonOnce)
 		return
@@ -202,33 +236,41 @@
 	if sh.reached {
 		cause = CauseRetry
 	}
-	if !mc.send(now, i, cause, after) {
+	if !mc.send(now, i, cause, after, trial) {
 		mc.kill(i, mc.reason)
 	}
 }
 
 func (mc *Machine) mayTry(sh *shard) bool {
-	return sh.ran+sh.open < mc.cfg.MaxAttempts && sh.tries < mc.cfg.MaxAttempts+SpareTries
+	ran := sh.ran
+	if mc.ward.careful && mc.ward.broken >= surelyEnded {
+		ran -= sh.broken
+	}
+	return ran+sh.open < mc.cfg.MaxAttempts && sh.tries < mc.cfg.MaxAttempts+SpareTries
 }
 
 // pick picks a server that was not asked for the shard. Where there is none, one that
 // refused is asked again, for it did not run the request and may have room by now, or one
 // that is doubted, which may be slow and is better than none.
-func (mc *Machine) pick(now time.Duration, i int) (*origin.Upstream, bool) {
-	up, ok := mc.cfg.Chooser.Pick(now, i, mc.triedOf(i))
+func (mc *Machine) pick(now time.Duration, i int, trial bool) (*origin.Upstream, bool) {
+	choose := mc.cfg.Chooser.Pick
+	if trial {
+		choose = mc.cfg.Chooser.PickTrial
+	}
+	up, ok := choose(now, i, mc.triedOf(i))
 	if !ok && mc.shards[i].again {
-		up, ok = mc.cfg.Chooser.Pick(now, i, mc.spentOf(i))
+		up, ok = choose(now, i, mc.spentOf(i))
 	}
 	return up, ok
 }
 
 // send picks a server and sends; it tells whether it could.
-func (mc *Machine) send(now time.Duration, i int, ca Cause, after Verdict) bool {
+func (mc *Machine) send(now time.Duration, i int, ca Cause, after Verdict, trial bool) bool {
 	if mc.cfg.Hard-now < mc.cfg.LeastTime {
 		mc.reason = ReasonDeadline
 		return false
 	}
-	up, ok := mc.pick(now, i)
+	up, ok := mc.pick(now, i, trial)
 	if !ok {
 		mc.reason = ReasonNoUpstream
 		return false
@@ -237,7 +279,7 @@
 		mc.reason = ReasonBudget
 		return false
 	}
-	mc.attempts = append(mc.attempts, attempt{shard: i, up: up, started: now})
+	mc.attempts = append(mc.attempts, attempt{shard: i, up: up, started: now, trial: trial})
 	sh := &mc.shards[i]
 	sh.open++
 	sh.tries++
@@ -254,6 +296,7 @@
 		Upstream: up,
 		Cause:    ca,
 		After:    after,
+		Trial:    trial,
 	})
 	return true
 }
@@ -318,11 +361,14 @@
 func (mc *Machine) hedge(now time.Duration) {
 	for i := range mc.shards {
 		sh := &mc.shards[i]
-		if sh.hedgeAt == 0 || now < sh.hedgeAt {
+		if sh.hedgeAt == 0 || now < sh.hedgeAt || now < mc.ward.hedgeFrom {
 			continue
 		}
 		sh.hedgeAt = 0
-		if !mc.send(now, i, CauseHedge, 0) && mc.reason == ReasonBudget {
+		switch {
+		case mc.send(now, i, CauseHedge, 0, false):
+			mc.holdHedges(now)
+		case mc.reason == ReasonBudget:
 			// Later requests earn tokens; one may be there by then.
 			sh.hedgeAt = now + mc.cfg.HedgeAfter
 		}
@@ -346,7 +392,7 @@
 		mc.answer(now, OutcomeServed, ReasonTarget)
 	case now >= mc.cfg.Hard:
 		mc.answer(now, mc.failure(), ReasonDeadline)
-	default:
+	case !mc.ward.careful:
 		mc.hedge(now)
 	}
 }
--- a/core/fanout/machine_test.go
+++ b/core/fanout/machine_test.go
@@ -32,6 +32,10 @@
 	return nil, false
 }
 
+func (ss servers) PickTrial(now time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool) {
+	return ss.Pick(now, shard, tried)
+}
+
 // tokens is a budget of so many.
 type tokens struct {
 	left   int
--- /dev/null
+++ b/core/poison/table.go
@@ -0,0 +1,447 @@
+package poison
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"laburnumvane/core/origin"
+)
+
+// State is what is thought of a request.
+type State uint8
+
+// States.
+const (
+	// Clear: nothing speaks against it.
+	Clear State = iota
+	// Suspect: servers ended under it and none answered it; it goes to one server first.
+	Suspect
+	// Blocked: it crashes servers, and is refused.
+	Blocked
+)
+
+// String is the state's name in logs and counters.
+func (st State) String() string {
+	switch st {
+	case Suspect:
+		return "suspect"
+	case Blocked:
+		return "blocked"
+	}
+	return "clear"
+}
+
+const (
+	// blockEnds is how many servers have to end under trials of a request, each alone,
+	// before it is blocked. Others may have been under way at the one server that the
+	// request crashed first, but not at the next ones, which are drawn.
+	blockEnds = 2
+	// BlockFor is how long a blocked request must stay away to be tried again.
+	BlockFor = 10 * time.Minute
+	// keepFor is how long a request is remembered that did not come again.
+	keepFor = 30 * time.Minute
+	// shownFor is how long after an attempt broke its server's end may be shown, and the
+	// other way round.
+	shownFor = 2 * time.Second
+	// expireEvery is how often it is looked for what can be dropped: it takes a look at
+	// all records, and hundreds of attempts may break at once.
+	expireEvery = 250 * time.Millisecond
+	// mostRecords bounds the requests that are remembered; a record takes some 300 bytes.
+	mostRecords = 4096
+	// mostLosses bounds the attempts at one server whose end is not shown yet; a server
+	// works on fewer at once.
+	mostLosses = 64
+	// mostTrialEnds bounds the servers that a record names.
+	mostTrialEnds = 8
+)
+
+// Record is what is known of a request, as VMs tell each other.
+type Record struct {
+	Fingerprint Fingerprint
+	// Trials names the servers' processes that ended under trials.
+	Trials []string
+}
+
+// Update is a record that changed.
+type Update struct {
+	Record
+	State State
+	// Ends counts the servers that this VM saw end under the request.
+	Ends int
+	// Share is set if other VMs should hear of it.
+	Share bool
+	// Cleared is set if the record is gone: a server answered the request.
+	Cleared bool
+}
+
+// record is what this VM knows of a request.
+type record struct {
+	ends   int
+	trials []string
+	// unserved is set once an arrival ended without any server's answer.
+	unserved bool
+	// seen is when it came last, or a server ended under it.
+	seen time.Duration
+	// shared is when other VMs were told, or told this one; ever if they were.
+	shared time.Duration
+	ever   bool
+}
+
+func (re *record) state(now time.Duration) State {
+	switch {
+	case len(re.trials) >= blockEnds && now-re.seen < BlockFor:
+		return Blocked
+	case re.ends > 0 || len(re.trials) > 0 || re.ever:
+		return Suspect
+	}
+	return Clear
+}
+
+// loss is an attempt that broke and whose server may have ended.
+type loss struct {
+	fp    Fingerprint
+	at    time.Duration
+	alone bool
+}
+
+// claim is the request under whose trial a server ended. With two it was neither's doing
+// for certain.
+type claim struct {
+	fp       Fingerprint
+	disputed bool
+	at       time.Duration
+}
+
+// trial is the trials under way at a server.
+type trial struct {
+	open  int
+	mixed bool
+}
+
+// Table holds what is known of requests under which servers ended. It is safe for
+// concurrent use.
+type Table struct {
+	// count is the number of records, so that requests need no lock while there are none.
+	count atomic.Int64
+
+	mu      sync.Mutex
+	records map[Fingerprint]*record
+	losses  map[origin.Process][]loss
+	ended   map[origin.Process]time.Duration
+	claims  map[string]claim
+	trials  map[origin.Process]*trial
+	// expireAt is when it is looked next for what can be dropped.
+	expireAt time.Duration
+}
+
+// New makes an empty table.
+func New() *Table {
+	return &Table{
+		records: make(map[Fingerprint]*record),
+		losses:  make(map[origin.Process][]loss),
+		ended:   make(map[origin.Process]time.Duration),
+		claims:  make(map[string]claim),
+		trials:  make(map[origin.Process]*trial),
+	}
+}
+
+// Empty tells whether nothing is known of any request.
+func (tb *Table) Empty() bool { return tb.count.Load() == 0 }
+
+// Len is the number of requests of which something is known.
+func (tb *Table) Len() int { return int(tb.count.Load()) }
+
+// Arrive tells what is thought of a request that came. Refresh is set if others should be
+// told of it anew, or they would forget while it still comes.
+func (tb *Table) Arrive(now time.Duration, fp Fingerprint) (st State, refresh Update) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	re, ok := tb.records[fp]
+	if !ok {
+		return Clear, Update{}
+	}
+	if now-re.seen >= keepFor {
+		tb.forget(fp)
+		return Clear, Update{}
+	}
+	st = re.state(now)
+	if st == Suspect && len(re.trials) >= blockEnds {
+		// It stayed away for long: one more server decides.
+		tb.trim(re)
+	}
+	re.seen = now
+	if st == Blocked && re.ever && now-re.shared >= BlockFor/2 {
+		re.shared = now
+		refresh = tb.update(now, fp, re)
+		refresh.Share = true
+	}
+	return st, refresh
+}
+
+// BeginTrial notes that a request is tried at a server, and EndTrial that its result is
+// there; alone tells whether no other was tried there meanwhile.
+func (tb *Table) BeginTrial(pr origin.Process) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tr, ok := tb.trials[pr]
+	if !ok {
+		tr = &trial{}
+		tb.trials[pr] = tr
+	}
+	tr.open++
+	tr.mixed = tr.mixed || tr.open > 1
+}
+
+// EndTrial ends what BeginTrial began.
+func (tb *Table) EndTrial(pr origin.Process) (alone bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tr, ok := tb.trials[pr]
+	if !ok {
+		return false
+	}
+	tr.open--
+	if tr.open == 0 {
+		delete(tb.trials, pr)
+	}
+	return !tr.mixed
+}
+
+// OnTrial tells whether a request is being tried at a server.
+func (tb *Table) OnTrial(pr origin.Process) bool {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	_, ok := tb.trials[pr]
+	return ok
+}
+
+// Broken notes that a server ended the connection under a request; alone is set for a
+// trial that was alone there.
+func (tb *Table) Broken(now time.Duration, fp Fingerprint, pr origin.Process, alone bool) []Update {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.expire(now)
+	re := tb.of(now, fp)
+	re.seen = now
+	if _, ok := tb.ended[pr]; ok {
+		return tb.note(now, fp, pr, alone, nil)
+	}
+	if len(tb.losses[pr]) < mostLosses {
+		tb.losses[pr] = append(tb.losses[pr], loss{fp: fp, at: now, alone: alone})
+	}
+	return nil
+}
+
+// Ended notes that a server has ended, so that what broke there was not one connection's
+// doing.
+func (tb *Table) Ended(now time.Duration, pr origin.Process) []Update {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.expire(now)
+	tb.ended[pr] = now
+	var ups []Update
+	for _, lo := range tb.losses[pr] {
+		ups = tb.note(now, lo.fp, pr, lo.alone, ups)
+	}
+	delete(tb.losses, pr)
+	return ups
+}
+
+// note takes one end into a record. The caller holds the lock.
+func (tb *Table) note(now time.Duration, fp Fingerprint, pr origin.Process, alone bool, ups []Update) []Update {
+	re, ok := tb.records[fp]
+	if !ok {
+		// A server answered the request meanwhile.
+		return ups
+	}
+	re.ends++
+	re.seen = now
+	if alone {
+		ups = tb.claim(now, fp, re, nameOf(pr), ups)
+	}
+	up := tb.update(now, fp, re)
+	up.Share = re.unserved || up.State == Blocked
+	if up.Share {
+		re.shared, re.ever = now, true
+	}
+	return append(ups, up)
+}
+
+// claim counts a server's end as one request's doing, unless it is counted as another's:
+// then it is neither's. Both may have been under way there, from different VMs, and only
+// what comes next tells them apart. The caller holds the lock.
+func (tb *Table) claim(now time.Duration, fp Fingerprint, re *record, name string, ups []Update) []Update {
+	cl, claimed := tb.claims[name]
+	switch {
+	case !claimed:
+		if len(re.trials) < mostTrialEnds {
+			tb.claims[name] = claim{fp: fp, at: now}
+			re.trials = append(re.trials, name)
+		}
+		return ups
+	case cl.disputed || cl.fp == fp:
+		return ups
+	}
+	tb.claims[name] = claim{disputed: true, at: now}
+	other, ok := tb.records[cl.fp]
+	if !ok {
+		return ups
+	}
+	other.trials = slices.DeleteFunc(other.trials, func(one string) bool { return one == name })
+	return append(ups, tb.update(now, cl.fp, other))
+}
+
+// Answered notes that a server answered a request: it does not crash servers. The update
+// says so to others if they were told.
+func (tb *Table) Answered(now time.Duration, fp Fingerprint) (up Update, known bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	re, ok := tb.records[fp]
+	if !ok {
+		return Update{}, false
+	}
+	up = tb.update(now, fp, re)
+	up.State, up.Cleared, up.Share = Clear, true, re.ever
+	tb.forget(fp)
+	return up, up.Ends > 0 || up.Share
+}
+
+// Unserved notes that an arrival of a request ended without any server's answer.
+func (tb *Table) Unserved(now time.Duration, fp Fingerprint) []Update {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	re, ok := tb.records[fp]
+	if !ok || re.unserved {
+		return nil
+	}
+	re.unserved = true
+	if re.ends == 0 {
+		return nil
+	}
+	re.shared, re.ever = now, true
+	up := tb.update(now, fp, re)
+	up.Share = true
+	return []Update{up}
+}
+
+// Learn takes what another VM knows.
+func (tb *Table) Learn(now time.Duration, rd Record) []Update {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.expire(now)
+	re := tb.of(now, rd.Fingerprint)
+	re.seen, re.shared, re.ever = now, now, true
+	var ups []Update
+	for _, name := range rd.Trials {
+		ups = tb.claim(now, rd.Fingerprint, re, name, ups)
+	}
+	return append(ups, tb.update(now, rd.Fingerprint, re))
+}
+
+// Release takes back that a request is blocked: an operator took its entry away, or it
+// lapsed. It is tried at one server when it comes again, and one more end blocks it.
+func (tb *Table) Release(now time.Duration, fp Fingerprint) (Update, bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	re, ok := tb.records[fp]
+	if !ok {
+		return Update{}, false
+	}
+	tb.trim(re)
+	re.ever = false
+	re.ends = max(re.ends, 1)
+	re.unserved = false
+	return tb.update(now, fp, re), true
+}
+
+// trim leaves a record one end short of being blocked. The caller holds the lock.
+func (tb *Table) trim(re *record) {
+	for len(re.trials) >= blockEnds {
+		last := len(re.trials) - 1
+		delete(tb.claims, re.trials[last])
+		re.trials = re.trials[:last]
+	}
+}
+
+// of is a request's record, made if there is none. The caller holds the lock.
+func (tb *Table) of(now time.Duration, fp Fingerprint) *record {
+	re, ok := tb.records[fp]
+	if ok {
+		return re
+	}
+	if len(tb.records) >= mostRecords {
+		tb.evict(now)
+	}
+	re = &record{seen: now}
+	tb.records[fp] = re
+	tb.count.Store(int64(len(tb.records)))
+	return re
+}
+
+// evict forgets the request of least concern: one that is not suspected rather than a
+// suspect, a suspect rather than one that is blocked, and of those the one that did not
+// come for longest. The caller holds the lock.
+func (tb *Table) evict(now time.Duration) {
+	var victim Fingerprint
+	least, seen, found := Blocked, time.Duration(0), false
+	for fp, re := range tb.records {
+		st := re.state(now)
+		if !found || st < least || st == least && re.seen < seen {
+			victim, least, seen, found = fp, st, re.seen, true
+		}
+	}
+	tb.forget(victim)
+}
+
+// forget drops a record. The caller holds the lock.
+func (tb *Table) forget(fp Fingerprint) {
+	for _, name := range tb.records[fp].trials {
+		delete(tb.claims, name)
+	}
+	delete(tb.records, fp)
+	tb.count.Store(int64(len(tb.records)))
+}
+
+// expire drops what can show nothing any more. The caller holds the lock.
+func (tb *Table) expire(now time.Duration) {
+	if now < tb.expireAt {
+		return
+	}
+	tb.expireAt = now + expireEvery
+	for pr, los := range tb.losses {
+		if now-los[len(los)-1].at > shownFor {
+			delete(tb.losses, pr)
+		}
+	}
+	for pr, at := range tb.ended {
+		if now-at > shownFor {
+			delete(tb.ended, pr)
+		}
+	}
+	for name, cl := range tb.claims {
+		if cl.disputed && now-cl.at > keepFor {
+			delete(tb.claims, name)
+		}
+	}
+	for fp, re := range tb.records {
+		idle := now - re.seen
+		if idle >= keepFor || re.state(now) == Clear && idle > shownFor {
+			tb.forget(fp)
+		}
+	}
+}
+
+// update is a record as it stands. The caller holds the lock.
+func (tb *Table) update(now time.Duration, fp Fingerprint, re *record) Update {
+	return Update{
+		Record: Record{Fingerprint: fp, Trials: slices.Clone(re.trials)},
+		State:  re.state(now),
+		Ends:   re.ends,
+	}
+}
+
+// nameOf names a server's process to other VMs.
+func nameOf(pr origin.Process) string { return pr.ID + "@" + strconv.FormatInt(pr.Born, 10) }
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -11,6 +11,7 @@
 	"laburnumvane/core/enlist"
 	"laburnumvane/core/feed"
 	"laburnumvane/core/origin"
+	"laburnumvane/core/poison"
 	"laburnumvane/core/rank"
 	"laburnumvane/core/route"
 	"laburnumvane/core/toggle"
@@ -102,6 +103,12 @@
 	VMPrefix() string
 	// VMEntry is this VM's own.
 	VMEntry(name string, vm rank.VM, capacity float64) (key string, value []byte)
+	// Poison reads what a VM wrote of a request under which servers ended.
+	Poison(key string, value []byte) (rd poison.Record, ok bool, err error)
+	// PoisonID is the request that a key belongs to.
+	PoisonID(key string) (fp poison.Fingerprint, ok bool)
+	// PoisonEntry is the entry of such a request.
+	PoisonEntry(rd poison.Record) (key string, value []byte)
 }
 
 // Config sets a VM. All fields but Dial are required.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -14,6 +14,7 @@
 	"laburnumvane/core/feed"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
+	"laburnumvane/core/poison"
 	"laburnumvane/core/reach"
 	"laburnumvane/core/route"
 	"laburnumvane/core/steer"
@@ -64,12 +65,15 @@
 	registrar *registrar
 	leases    atomic.Pointer[map[string]uint64]
 	homes     *carry.Client
-	checks    *server.Hertz
-	metrics   *server.Hertz
-	inner     *http.Server
-	view      atomic.Pointer[plan.View]
-	extra     atomic.Pointer[entry.Extra]
-	conns     atomic.Int64
+	// poison holds the requests under which servers ended, and sharer tells other VMs.
+	poison  *poison.Table
+	sharer  *sharer
+	checks  *server.Hertz
+	metrics *server.Hertz
+	inner   *http.Server
+	view    atomic.Pointer[plan.View]
+	extra   atomic.Pointer[entry.Extra]
+	conns   atomic.Int64
 
 	leaving atomic.Bool
 	ready   atomic.Bool
@@ -103,6 +107,7 @@
 		meter:   meter.New(),
 		steer:   steer.New(steer.Config{DataCentre: cfg.Settings.Self.DataCentre, Off: cfg.Settings.Off}),
 		cut:     reach.New(reach.Config{}),
+		poison:  poison.New(),
 		changes: make(chan follow.Change),
 		taken:   make(chan struct{}),
 		ended:   make(chan struct{}),
@@ -120,6 +125,7 @@
 	eg.pool = eg.newPool()
 	eg.leases.Store(&map[string]uint64{})
 	eg.registrar = newRegistrar(eg)
+	eg.sharer = newSharer(eg)
 	eg.follow = follow.New(follow.Config{
 		Self:       eg.set.Self,
 		Store:      cfg.Store,
@@ -149,6 +155,7 @@
 	eg.task(func() { eg.follow.Run(ctx) })
 	eg.task(func() { eg.listing.run(listed) })
 	eg.task(func() { eg.registrar.run(ctx) })
+	eg.task(func() { eg.sharer.run(ctx) })
 	cfg.Log.Info().Str("vm", eg.set.Name).Str("dataCentre", eg.set.Self.DataCentre).
 		Str("clients", eg.set.ClientAddr).Str("inner", eg.set.InnerAddr).
 		Strs("off", eg.set.Off.Names()).Msg("started")
@@ -194,6 +201,7 @@
 func (eg *Edge) serverEnded(pr origin.Process, requests []string) {
 	eg.meter.Count(meter.Connection, "serverEnded")
 	eg.cfg.Log.Warn().Str("server", pr.ID).Str("addr", pr.Addr).Strs("requests", requests).Msg("server ended under requests")
+	eg.entry.ServerEnded(pr)
 }
 
 // clock is the monotonic time since the start.
@@ -348,6 +356,8 @@
 		Relay:      eg.pool,
 		Steer:      eg.steer,
 		Homes:      eg.homes,
+		Poison:     eg.poison,
+		Share:      eg.sharer.add,
 		Meter:      eg.meter,
 		Log:        eg.cfg.Log,
 		Off:        eg.set.Off,
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -103,6 +103,14 @@
 		st.vms[ev.Key] = listed{vm: vm, capacity: capacity, lease: ev.Lease, revision: ev.Revision}
 		return false, was != st.vms[ev.Key]
 	}
+	if rd, ok, err := dec.Poison(ev.Key, ev.Value); ok {
+		if err != nil {
+			st.unreadable(ev, err)
+			return false, false
+		}
+		st.eg.entry.LearnPoison(rd)
+		return false, false
+	}
 	if tb, ok, err := dec.Routes(ev.Key, ev.Value); ok {
 		if err != nil {
 			st.unreadable(ev, err)
@@ -165,6 +173,10 @@
 		st.eg.cfg.Log.Info().Str("server", id).Bool("dropped", changed).Msg("server entry gone")
 		return changed
 	}
+	if fp, ok := st.eg.cfg.Decoder.PoisonID(key); ok {
+		st.eg.entry.ReleasePoison(fp)
+		return false
+	}
 	if _, ok := st.vms[key]; ok {
 		st.gone[key] = now + vmForget
 		if key == st.eg.key {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -16,6 +16,7 @@
 	"laburnumvane/core/lead"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
+	"laburnumvane/core/poison"
 	"laburnumvane/core/route"
 	"laburnumvane/core/steer"
 	"laburnumvane/core/toggle"
@@ -67,8 +68,11 @@
 	Steer      *steer.Table
 	// Homes has other VMs take gathers.
 	Homes Homes
-	Meter *meter.Meter
-	Log   *log.Logger
+	// Poison holds the requests under which servers ended, and Share tells other VMs of one.
+	Poison *poison.Table
+	Share  func(up poison.Update)
+	Meter  *meter.Meter
+	Log    *log.Logger
 	// Off are the mechanisms that are switched off; it may be empty.
 	Off toggle.Set
 }
@@ -233,6 +237,10 @@
 	if !ok {
 		return refuse(consts.StatusNotFound, guard.ReasonNoRoute, "there is no such route")
 	}
+	if en.suspicion(rq) == poison.Blocked {
+		en.block(rq).write(rc)
+		return nil
+	}
 	if en.moving.Load() && !vw.ServesNear(rt) {
 		en.cutOff(rq).write(rc)
 		return nil
@@ -261,6 +269,7 @@
 	}
 	fl := en.launch(rq, rt, vw)
 	an := fl.run(ctx)
+	fl.conclude()
 	va.Note(fl.short && (an.Outcome != fanout.OutcomeServed || an.At > rq.began+rt.Target))
 	rs := fl.response(an)
 	en.count(an, rq)
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -34,6 +34,8 @@
 	attempt int
 	verdict fanout.Verdict
 	rs      relay.Result
+	// broken is set if the server ended the connection.
+	broken bool
 }
 
 // flight is one request under way.
@@ -108,6 +110,8 @@
 		Hard:        fl.hard,
 		HedgeAfter:  hedgeAfter,
 		LeastTime:   leastTime,
+		Suspect:     rq.suspect,
+		Draw:        rand.Float64,
 		Chooser:     fl,
 		Budget:      fl,
 	})
@@ -198,7 +202,7 @@
 	if ar.verdict == fanout.Served {
 		fl.pace.observe(ar.rs.Took)
 	}
-	return fanout.Event{Kind: fanout.EvResult, Attempt: ar.attempt, Verdict: ar.verdict}
+	return fanout.Event{Kind: fanout.EvResult, Attempt: ar.attempt, Verdict: ar.verdict, Broken: ar.broken}
 }
 
 // perform does what the machine decided.
@@ -243,6 +247,7 @@
 	}
 	usual := fl.pace.takes()
 	en.cfg.Steer.Begin(now, usual, up.Process())
+	fl.beginTrial(ac)
 	box := fl.mailbox
 	gathered := fl.rt.Gather != nil
 	fl.calls[k] = en.cfg.Relay.Send(up, relay.Request{
@@ -253,7 +258,9 @@
 		Fresh:    !fl.rt.Idempotent,
 		Done: func(rs relay.Result) {
 			ar := arrival{attempt: k, verdict: en.judge(rs, gathered), rs: rs}
+			ar.broken = rs.Err != nil && rs.Err.Broken()
 			en.settle(up, ar, now, usual)
+			fl.judged(ac, ar)
 			box <- ar
 		},
 	})
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -6,8 +6,10 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
+	"laburnumvane/core/poison"
 	"laburnumvane/core/route"
 	"laburnumvane/io/carry"
 	"laburnumvane/io/inner"
@@ -118,6 +120,9 @@
 	if !rt.Idempotent {
 		return declined(declinedRoute), nil
 	}
+	if en.suspicion(rq) == poison.Blocked {
+		return en.block(rq).carried(fanout.OutcomeNotRun.String())
+	}
 	rs, outcome := en.take(ctx, rq, rt, vw)
 	return rs.carried(outcome)
 }
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -194,6 +194,7 @@
 func (fl *flight) part(ac fanout.Action, pa *inner.JoinPart, body []byte) arrival {
 	en := fl.en
 	ar := arrival{attempt: ac.Attempt, verdict: verdictOf(pa.GetVerdict())}
+	ar.broken = pa.GetBroken() && ar.verdict == fanout.Lost
 	ar.rs.Took = microseconds(pa.GetTookUs())
 	now := en.cfg.Clock()
 	if ar.verdict == fanout.Unsent && pa.GetDoubted() {
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -145,6 +145,7 @@
 		Priority: int(jo.jr.GetPriority()),
 		Done: func(rs relay.Result) {
 			ar := arrival{attempt: k, verdict: en.judge(rs, true), rs: rs}
+			ar.broken = rs.Err != nil && rs.Err.Broken()
 			en.settle(up, ar, now, jo.usual)
 			jo.box <- ar
 		},
@@ -242,6 +243,7 @@
 	ar := jo.got[k]
 	pa := &inner.JoinPart{Server: uint32(k), Verdict: verdictTo(ar.verdict), TookUs: uint64(ar.rs.Took.Microseconds())}
 	pa.Doubted = jo.doubted[k]
+	pa.Broken = ar.broken
 	if ar.verdict == fanout.Served {
 		pa.Receipt = ar.rs.Reply.Header.Get(jo.en.cfg.Names.Receipt)
 	}
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -64,7 +64,7 @@
 func (fl *flight) broken() int {
 	n := 0
 	for _, ar := range fl.results {
-		if ar.rs.Err != nil && ar.rs.Err.Broken() {
+		if ar.broken {
 			n++
 		}
 	}
--- /dev/null
+++ b/io/entry/poison.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"laburnumvane/core/fanout"
+	"laburnumvane/core/origin"
+	"laburnumvane/core/poison"
+	"laburnumvane/io/meter"
+)
+
+// A request may crash the servers that run it, and comes again, at any VM. What one arrival
+// did is kept, and told to the other VMs, so that the next ones are refused.
+
+// suspicion tells, and notes, what is thought of a request that came.
+func (en *Entry) suspicion(rq *request) poison.State {
+	if en.cfg.Poison.Empty() {
+		return poison.Clear
+	}
+	st, refresh := en.cfg.Poison.Arrive(en.cfg.Clock(), rq.fingerprint())
+	if refresh.Share {
+		en.cfg.Share(refresh)
+	}
+	rq.suspect = st == poison.Suspect
+	return st
+}
+
+// block refuses a request that crashes servers. It did not run, and comes to no server as
+// long as it keeps coming; it is tried again after it stayed away.
+func (en *Entry) block(rq *request) *response {
+	rs := own(consts.StatusServiceUnavailable, fanout.ReasonCrashes, "servers that run this request crash")
+	rs.comeBack(poison.BlockFor)
+	en.cfg.Meter.Count(meter.Refusal, fanout.ReasonCrashes)
+	en.cfg.Log.Info().Str("id", rq.id).Str("host", rq.host).Str("path", rq.path).
+		Str("fingerprint", rq.fingerprint().String()).Int("status", rs.status).
+		Str("reason", fanout.ReasonCrashes).Uint64("version", version(en.cfg.View())).Msg("refused")
+	return rs
+}
+
+// ServerEnded takes in that a server ended under requests.
+func (en *Entry) ServerEnded(pr origin.Process) {
+	en.told(en.cfg.Poison.Ended(en.cfg.Clock(), pr))
+}
+
+// LearnPoison takes in what another VM knows of a request.
+func (en *Entry) LearnPoison(rd poison.Record) {
+	en.told(en.cfg.Poison.Learn(en.cfg.Clock(), rd))
+}
+
+// ReleasePoison takes in that a request's entry was taken away.
+func (en *Entry) ReleasePoison(fp poison.Fingerprint) {
+	if up, ok := en.cfg.Poison.Release(en.cfg.Clock(), fp); ok {
+		en.told([]poison.Update{up})
+	}
+}
+
+// told logs what changed, and has other VMs hear of it.
+func (en *Entry) told(ups []poison.Update) {
+	for _, up := range ups {
+		en.cfg.Meter.Count(meter.Poison, up.State.String())
+		en.cfg.Log.Warn().Str("fingerprint", up.Fingerprint.String()).Str("state", up.State.String()).
+			Int("ends", up.Ends).Strs("trials", up.Trials).Bool("shared", up.Share).Bool("answered", up.Cleared).
+			Msg("request under which servers ended")
+		if up.Share {
+			en.cfg.Share(up)
+		}
+	}
+}
+
+// begin notes that a trial begins.
+func (fl *flight) beginTrial(ac fanout.Action) {
+	if ac.Trial {
+		fl.en.cfg.Meter.Count(meter.Sent, "trial")
+		fl.en.cfg.Poison.BeginTrial(ac.Upstream.Process())
+	}
+}
+
+// judged notes what an attempt shows of the request.
+func (fl *flight) judged(ac fanout.Action, ar arrival) {
+	pr := ac.Upstream.Process()
+	alone := ac.Trial && fl.en.cfg.Poison.EndTrial(pr)
+	if ar.broken {
+		fl.en.told(fl.en.cfg.Poison.Broken(fl.en.cfg.Clock(), fl.rq.fingerprint(), pr, alone))
+	}
+}
+
+// conclude notes what the whole arrival shows of the request.
+func (fl *flight) conclude() {
+	answered, broken := false, false
+	for _, ar := range fl.results {
+		answered = answered || ar.verdict == fanout.Served || ar.verdict == fanout.Failed
+		broken = broken || ar.broken
+	}
+	if !broken && !fl.rq.suspect {
+		return
+	}
+	now, table := fl.en.cfg.Clock(), fl.en.cfg.Poison
+	if !answered {
+		fl.en.told(table.Unserved(now, fl.rq.fingerprint()))
+		return
+	}
+	if up, known := table.Answered(now, fl.rq.fingerprint()); known {
+		fl.en.told([]poison.Update{up})
+	}
+}
+
+// PickTrial is Pick for a trial. A server at which another request is tried is passed over,
+// since its end would not show which of the two it was.
+func (fl *flight) PickTrial(now time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool) {
+	avoid := append([]*origin.Upstream(nil), tried...)
+	for _, up := range fl.vw.Candidates(fl.services[shard]) {
+		if fl.en.cfg.Poison.OnTrial(up.Process()) {
+			avoid = append(avoid, up)
+		}
+	}
+	if up, ok := fl.Pick(now, shard, avoid); ok {
+		return up, true
+	}
+	return fl.Pick(now, shard, tried)
+}
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -39,6 +39,8 @@
 	away time.Duration
 	// carried is set if another VM passed it on.
 	carried bool
+	// suspect is set if servers ended under it before.
+	suspect bool
 	// print is the fingerprint, once it was asked for.
 	print poison.Fingerprint
 	once  sync.Once
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -40,6 +40,9 @@
 	Sign = "sign"
 	// Logged counts what became of log lines.
 	Logged = "logged"
+	// Poison counts what became known of requests under which servers ended, by what is
+	// thought of them then.
+	Poison = "poison"
 	// Off is 1 for each mechanism that is switched off.
 	Off = "off"
 )
@@ -74,11 +77,6 @@
 		"dial", "noConnection", "backoff", "connectionRefused", "write", "timeout", "reset", "silent", "status",
 		"decode", "closed", "join", "workers", "foreignReply", "internal",
 	}
-	tickets := []string{
-		"ticketNeeded", "ticketForged", "ticketOfOtherTeam", "ticketOfOtherRequest", "ticketTableFull",
-		"ticketExpired", "ticketVoid", "ticketUnverified", "ticketRunning", "ticketAnswerForgotten", "ticketIssuerUnreachable",
-		"ticketIssuerSilent",
-	}
 	machine := []string{"deadline", "softDeadline", "cancelled", "noReplica", "retryBudget"}
 	// What both listeners refuse before a handler is asked.
 	border := []string{
@@ -93,19 +91,19 @@
 	own := []string{"noConfig", "unknownSearch", "noUpstreams"}
 	// Of routed requests: why one was not answered whole, what became of
 	// attempts, and what is refused.
-	routed := []string{"target", "noUpstream", "attempts", "mayHaveRun", "clientGone"}
-	unrouted := []string{"noRequestId", "noConfiguration", "noRoom", "cutOff", "homeLost"}
+	routed := []string{"target", "noUpstream", "attempts", "mayHaveRun", "clientGone", "crashesServers"}
+	unrouted := []string{"noRequestId", "noConfiguration", "noRoom", "cutOff", "homeLost", "crashesServers"}
 	verdicts := []string{"failed", "refused", "elsewhere", "lost", "unsent", "doubted"}
 	return map[string][]string{
-		Refusal:    join(border, own, limits, tickets, unrouted, []string{"leaving"}),
+		Refusal:    join(border, own, limits, ticketReasons(), unrouted, []string{"leaving"}),
 		Operator:   join(border, operators),
 		Admitted:   {"urgent", "interactive", "batch"},
 		Outcome:    {"complete", "partial", "notRun", "unknown", "served", "failed", "gone"},
-		Incomplete: join(own, limits, tickets, machine, replies, refusals, failures, routed, []string{"badRequest"}),
+		Incomplete: join(own, limits, ticketReasons(), machine, replies, refusals, failures, routed, []string{"badRequest"}),
 		Retry:      join(replies, refusals, failures, verdicts),
 		Upstream:   join(refusals, failures, verdicts, []string{"moveBudget", "noRoom", "dropped", "garbled"}),
 		Dropped:    {"foreign", "afterAnswer"},
-		Sent:       {"primary", "first", "hedge", "retry", "home", "homeNone", "homeLost", "joined", "warned", "forOthers", "otherRoute"},
+		Sent:       {"primary", "first", "hedge", "retry", "home", "homeNone", "homeLost", "joined", "warned", "forOthers", "otherRoute", "trial"},
 		Connection: {
 			"opened", "dialFailed", "refused", "stale", "silent", "late", "ping", "pingFailed", "cancelSent",
 			"cancelLeft", "idleClosed", "backoff", "probe", "open", "openFailed", "openReset", "ended", "closing",
@@ -114,7 +112,7 @@
 		Platform: {
 			"get", "getFailed", "range", "rangeFailed", "swap", "swapFailed", "watch", "watchFailed", "vmsFailed",
 			"store", "storeFailed", "peer", "peerFailed", "peerEmpty", "tell", "tellFailed", "packFailed", "probe", "probeFailed", "compacted",
-			"enter", "enlist", "enlistFailed", "removeDead",
+			"enter", "enlist", "enlistFailed", "removeDead", "share",
 		},
 		Change: {"accepted", "conflict", "unknown", "dryRun", "refused"},
 		Config: {
@@ -130,10 +128,20 @@
 		ServerState: {"unknown", "cold", "serving", "shedding", "suspect", "draining", "gone"},
 		Sign:        {"leaving", "unreachable", "returned"},
 		Off:         mechanisms(),
+		Poison:      {"clear", "suspect", "blocked", "notShared"},
 		Logged:      {"searches", "sampledOut", "lost"},
 	}
 }
 
+// ticketReasons are why a search with a ticket is refused.
+func ticketReasons() []string {
+	return []string{
+		"ticketNeeded", "ticketForged", "ticketOfOtherTeam", "ticketOfOtherRequest", "ticketTableFull",
+		"ticketExpired", "ticketVoid", "ticketUnverified", "ticketRunning", "ticketAnswerForgotten", "ticketIssuerUnreachable",
+		"ticketIssuerSilent",
+	}
+}
+
 // mechanisms lists those that can be switched off.
 func mechanisms() []string {
 	var all []string
