entry, plan, poison: arrivals of a suspect request meet at one VM, one at a time

What was seen: in virtual time, where a request that crashes servers comes to all VMs of a fleet at once, more than three of its arrivals reached servers later than the window, in three of six fleets (one service of 4, once only, 54 shards): each VM knew it for a suspect and tried it, all at the same moment.

Now a suspect goes to its owner, the VM that ranks first by a hash of the fingerprint and its address among those that take such requests, and is tried there in its turn; who waits goes on or is refused as soon as the one before has shown what it does. No call to the store, no agreement: two VMs that know different fleets try it twice at most.

Ruled out: a count of VMs under whose hands servers ended, for callers that ask for the same all the while are at several VMs when a rack ends.

--- a/core/plan/homes.go
+++ b/core/plan/homes.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"laburnumvane/core/origin"
+	"laburnumvane/core/rank"
 	"laburnumvane/core/route"
 )
 
@@ -90,23 +91,29 @@
 }
 
 func (vw *View) homesOf(shards []string) []*origin.Upstream {
-	beside := vw.beside(shards)
-	self := vw.cfg.Self
-	fits := func(addr, dataCentre string) bool {
-		return (len(vw.large) == 0 || vw.large[addr]) && (len(beside) == 0 || beside[dataCentre])
-	}
-	if fits(self.Addr, self.DataCentre) {
-		return nil
-	}
 	var homes []*origin.Upstream
-	for _, vm := range vw.fleet.all {
-		if fits(vm.Addr, vm.DataCentre) {
-			homes = append(homes, &origin.Upstream{ID: vm.Addr, Addr: vm.Addr, DataCentre: vm.DataCentre})
+	for _, vm := range vw.fitting(shards) {
+		if vm.Addr == vw.cfg.Self.Addr {
+			return nil
 		}
+		homes = append(homes, &origin.Upstream{ID: vm.Addr, Addr: vm.Addr, DataCentre: vm.DataCentre})
 	}
 	return homes
 }
 
+// fitting lists the VMs that take requests over those shards: the large ones, where there
+// are such, and beside the shards' servers, where there are such.
+func (vw *View) fitting(shards []string) []rank.VM {
+	beside := vw.beside(shards)
+	var vms []rank.VM
+	for _, vm := range vw.fleet.all {
+		if (len(vw.large) == 0 || vw.large[vm.Addr]) && (len(beside) == 0 || beside[vm.DataCentre]) {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
 // Joiners lists the VMs of another data centre that may send a request to servers
 // there in place of this one. The caller must not change the list.
 func (vw *View) Joiners(dataCentre string) []*origin.Upstream { return vw.joiners[dataCentre] }
--- a/core/poison/fingerprint.go
+++ b/core/poison/fingerprint.go
@@ -77,6 +77,9 @@
 // String is the fingerprint in hexadecimal digits.
 func (fp Fingerprint) String() string { return hex.EncodeToString(fp[:]) }
 
+// Key is a number that spreads fingerprints evenly.
+func (fp Fingerprint) Key() uint64 { return binary.BigEndian.Uint64(fp[:8]) }
+
 // Parse reads what String wrote.
 func Parse(text string) (Fingerprint, error) {
 	var fp Fingerprint
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -46,6 +46,10 @@
 	// shownFor is how long after an attempt broke its server's end may be shown, and the
 	// other way round.
 	shownFor = 2 * time.Second
+	// hintFor is how long another VM's word makes a request a suspect, and clearFor how long
+	// a server's answer outweighs such words: those who sent them have not heard of it.
+	hintFor  = 10 * time.Second
+	clearFor = 5 * time.Second
 	// expireEvery is how often it is looked for what can be dropped: it takes a look at
 	// all records, and hundreds of attempts may break at once.
 	expireEvery = 250 * time.Millisecond
@@ -85,6 +89,8 @@
 	unserved bool
 	// seen is when it came last, or a server ended under it.
 	seen time.Duration
+	// hinted is until when another VM's word alone makes it a suspect.
+	hinted time.Duration
 	// shared is when other VMs were told, or told this one; ever if they were.
 	shared time.Duration
 	ever   bool
@@ -94,7 +100,7 @@
 	switch {
 	case len(re.trials) >= blockEnds && now-re.seen < BlockFor:
 		return Blocked
-	case re.ends > 0 || len(re.trials) > 0 || re.ever:
+	case re.ends > 0 || len(re.trials) > 0 || re.ever || now < re.hinted:
 		return Suspect
 	}
 	return Clear
@@ -133,6 +139,8 @@
 	ended   map[origin.Process]time.Duration
 	claims  map[string]claim
 	trials  map[origin.Process]*trial
+	// cleared holds when a server answered a request that was suspected.
+	cleared map[Fingerprint]time.Duration
 	// expireAt is when it is looked next for what can be dropped.
 	expireAt time.Duration
 }
@@ -145,6 +153,7 @@
 		ended:   make(map[origin.Process]time.Duration),
 		claims:  make(map[string]claim),
 		trials:  make(map[origin.Process]*trial),
+		cleared: make(map[Fingerprint]time.Duration),
 	}
 }
 
@@ -306,6 +315,9 @@
 	up = tb.update(now, fp, re)
 	up.State, up.Cleared, up.Share = Clear, true, re.ever
 	tb.forget(fp)
+	if len(tb.cleared) < mostRecords {
+		tb.cleared[fp] = now
+	}
 	return up, up.Ends > 0 || up.Share
 }
 
@@ -327,6 +339,19 @@
 	return []Update{up}
 }
 
+// Hint takes another VM's word that servers may have ended under a request. It proves
+// nothing, and is soon forgotten: the request goes to one server first.
+func (tb *Table) Hint(now time.Duration, fp Fingerprint) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.expire(now)
+	if at, ok := tb.cleared[fp]; ok && now-at < clearFor {
+		return
+	}
+	re := tb.of(now, fp)
+	re.seen, re.hinted = now, now+hintFor
+}
+
 // Learn takes what another VM knows.
 func (tb *Table) Learn(now time.Duration, rd Record) []Update {
 	tb.mu.Lock()
@@ -426,6 +451,11 @@
 			delete(tb.claims, name)
 		}
 	}
+	for fp, at := range tb.cleared {
+		if now-at >= clearFor {
+			delete(tb.cleared, fp)
+		}
+	}
 	for fp, re := range tb.records {
 		idle := now - re.seen
 		if idle >= keepFor || re.state(now) == Clear && idle > shownFor {
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -22,6 +22,8 @@
 	reasonNoRoutes = "noConfiguration"
 	reasonNoRoom   = "noRoom"
 	reasonCutOff   = "cutOff"
+	// reasonAwaited: its time ended while it waited for another arrival's trial.
+	reasonAwaited = "awaitedTrial"
 )
 
 const (
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -95,6 +95,8 @@
 	asked, unserved atomic.Int64
 	// pending holds what was left out of joined answers to other VMs.
 	pending pending
+	// turns are taken by arrivals of the same suspect request.
+	turns turns
 	// farHeard is when a server of another data centre answered last.
 	farHeard atomic.Int64
 	// farLost counts the attempts lost there since.
@@ -245,7 +247,12 @@
 		en.cutOff(rq).write(rc)
 		return nil
 	}
-	if homes := vw.Homes(rt); len(homes) > 0 && !en.cfg.Off.Off(toggle.Homes) {
+	if rq.suspect {
+		if rs := en.meet(ctx, rq, rt, vw); rs != nil {
+			rs.write(rc)
+			return nil
+		}
+	} else if homes := vw.Homes(rt); len(homes) > 0 && !en.cfg.Off.Off(toggle.Homes) {
 		if rs := en.forward(ctx, homes, rq, rt); rs != nil {
 			rs.write(rc)
 			return nil
@@ -256,8 +263,16 @@
 	return nil
 }
 
-// take runs a request on this VM.
+// take takes a request on this VM.
 func (en *Entry) take(ctx context.Context, rq *request, rt *route.Route, vw *plan.View) (*response, string) {
+	if rq.suspect {
+		return en.takeSuspect(ctx, rq, rt, vw)
+	}
+	return en.run(ctx, rq, rt, vw)
+}
+
+// run runs a request unless there is too little room.
+func (en *Entry) run(ctx context.Context, rq *request, rt *route.Route, vw *plan.View) (*response, string) {
 	en.asked.Add(1)
 	va := en.valves.of(rt)
 	if !en.cfg.Off.Off(toggle.Valve) && !va.Admit(en.level(vw.Routes(), rt), rand.Float64()) {
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -82,6 +82,7 @@
 		Framed:  rq.framed,
 		SpentUs: uint64(spent.Microseconds()),
 		Route:   rt.Digest(),
+		Suspect: rq.suspect,
 		// This VM writes the answer too.
 		AwayUs: uint64((rq.away + en.lead.Own()).Microseconds()),
 	}
@@ -117,12 +118,15 @@
 		en.noteDeclined(rq, reason)
 		return declined(reason), nil
 	}
-	if !rt.Idempotent {
-		return declined(declinedRoute), nil
+	if cr.GetSuspect() {
+		en.cfg.Poison.Hint(en.cfg.Clock(), rq.fingerprint())
 	}
 	if en.suspicion(rq) == poison.Blocked {
 		return en.block(rq).carried(fanout.OutcomeNotRun.String())
 	}
+	if !rt.Idempotent && !rq.suspect {
+		return declined(declinedRoute), nil
+	}
 	rs, outcome := en.take(ctx, rq, rt, vw)
 	return rs.carried(outcome)
 }
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -92,7 +92,7 @@
 	// Of routed requests: why one was not answered whole, what became of
 	// attempts, and what is refused.
 	routed := []string{"target", "noUpstream", "attempts", "mayHaveRun", "clientGone", "crashesServers"}
-	unrouted := []string{"noRequestId", "noConfiguration", "noRoom", "cutOff", "homeLost", "crashesServers"}
+	unrouted := []string{"noRequestId", "noConfiguration", "noRoom", "cutOff", "homeLost", "crashesServers", "awaitedTrial"}
 	verdicts := []string{"failed", "refused", "elsewhere", "lost", "unsent", "doubted"}
 	return map[string][]string{
 		Refusal:    join(border, own, limits, ticketReasons(), unrouted, []string{"leaving"}),
