follow, feed, entry: other VMs hear at once that servers end under a request

What callers saw: the caller of a request that crashes servers gets its 502 and asks again, at another VM, some milliseconds later. The entry in the store is there after a quarter of a second, so the second arrival ended as many servers as the first.

Now a word of the request's fingerprint goes out as soon as three servers broke under it and none has answered, or an arrival ended without an answer: to those that follow this VM, with their open question for news, and to the one that it follows, which passes it on. A word that is lost does no harm.

Ruled out: a call to each VM, which grows with the fleet; asking the owner at each arrival.

--- a/core/poison/sim_test.go
+++ b/core/poison/sim_test.go
@@ -25,6 +25,9 @@
 	ms = time.Millisecond
 	// shareTime is how long it takes until the other VMs hear of a request.
 	shareTime = 250 * ms
+	// hintTime is the same for a word that it may be one, and hintEnds what it takes.
+	hintTime = 8 * ms
+	hintEnds = 3
 	// returnTime is how long a caller takes to ask again, at another VM.
 	returnTime = 5 * ms
 	// dialTime is how long it takes to find that a server is away.
@@ -108,7 +111,8 @@
 	sent    map[int]*simAttempt
 	seen    bool
 	replied bool
-	broken  bool
+	broken  int
+	hinted  bool
 	over    bool
 }
 
@@ -193,7 +197,7 @@
 		}
 		at.closed = true
 		fl := at.fl
-		fl.broken = true
+		fl.breaks(1)
 		alone := at.trial && fl.vm.table.EndTrial(pr)
 		fl.vm.told(fw, fl.vm.table.Broken(fw.now, fl.fp, pr, alone))
 	}
@@ -206,14 +210,14 @@
 	fw.after(awayTime, sv.begin)
 }
 
-// break1 ends one connection, of a server that lives.
-func (fw *fleet) break1(at *simAttempt, sv *simServer, life int) {
+// breakOne ends one connection, of a server that lives.
+func (fw *fleet) breakOne(at *simAttempt, sv *simServer, life int) {
 	if at.closed || sv.life != life {
 		return
 	}
 	at.closed = true
 	fl, pr := at.fl, sv.up.Process()
-	fl.broken = true
+	fl.breaks(1)
 	alone := at.trial && fl.vm.table.EndTrial(pr)
 	fl.vm.told(fw, fl.vm.table.Broken(fw.now, fl.fp, pr, alone))
 	fl.step(fanout.Event{Kind: fanout.EvResult, Attempt: at.k, Verdict: fanout.Lost, Broken: true})
@@ -434,7 +438,7 @@
 		return
 	}
 	if fw.rnd.Float64() < fw.lost {
-		fw.after(fw.sh.work, func() { fw.break1(at, sv, life) })
+		fw.after(fw.sh.work, func() { fw.breakOne(at, sv, life) })
 		return
 	}
 	took := fw.sh.work/2 + time.Duration(fw.rnd.ExpFloat64()*float64(fw.sh.work)/2)
@@ -457,12 +461,13 @@
 	}
 	fw.tally[kind+an.Outcome.String()]++
 	switch {
-	case !fl.broken && !fl.suspect:
+	case fl.broken == 0 && !fl.suspect:
 	case fl.replied:
 		if up, known := fl.vm.table.Answered(fw.now, fl.fp); known {
 			fl.vm.told(fw, []poison.Update{up})
 		}
 	default:
+		fl.breaks(0)
 		fl.vm.told(fw, fl.vm.table.Unserved(fw.now, fl.fp))
 	}
 	if fl.suspect {
@@ -492,6 +497,20 @@
 	fw.after(0, next)
 }
 
+// breaks counts attempts that servers broke, and gives the others a hint.
+func (fl *simFlight) breaks(n int) {
+	fl.broken += n
+	if fl.hinted || fl.replied || fl.broken < hintEnds && n > 0 || fl.broken == 0 {
+		return
+	}
+	fl.hinted = true
+	fl.fw.after(hintTime, func() {
+		for _, vm := range fl.fw.vms {
+			vm.table.Hint(fl.fw.now, fl.fp)
+		}
+	})
+}
+
 // late counts the arrivals of a request that reached servers later than the window after the
 // third had ended under it.
 func (fw *fleet) late(fp poison.Fingerprint) int {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -126,20 +126,7 @@
 	eg.leases.Store(&map[string]uint64{})
 	eg.registrar = newRegistrar(eg)
 	eg.sharer = newSharer(eg)
-	eg.follow = follow.New(follow.Config{
-		Self:       eg.set.Self,
-		Store:      cfg.Store,
-		Seeds:      eg.set.Seeds,
-		FirstStart: eg.set.FirstStart,
-		Clock:      eg.clock,
-		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Changed:    eg.tell,
-		Switched:   eg.switched,
-		LinkMbps:   eg.set.LinkMbps,
-		List:       eg.listVMs,
-		Enlist:     eg.registrar.enter,
-		Count:      func(event string) { eg.meter.Count(meter.Platform, event) },
-	})
+	eg.follow = eg.newFollower()
 	eg.homes = carry.New(carry.Config{Clock: eg.clock, DataCentre: eg.set.Self.DataCentre})
 	ctx, cancel := context.WithCancel(context.Background())
 	eg.cancel = cancel
@@ -180,6 +167,25 @@
 	return members, nil
 }
 
+// newFollower makes what follows the store.
+func (eg *Edge) newFollower() *follow.Follower {
+	return follow.New(follow.Config{
+		Self:       eg.set.Self,
+		Store:      eg.cfg.Store,
+		Seeds:      eg.set.Seeds,
+		FirstStart: eg.set.FirstStart,
+		Clock:      eg.clock,
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Changed:    eg.tell,
+		Switched:   eg.switched,
+		LinkMbps:   eg.set.LinkMbps,
+		List:       eg.listVMs,
+		Enlist:     eg.registrar.enter,
+		Hinted:     eg.hinted,
+		Count:      func(event string) { eg.meter.Count(meter.Platform, event) },
+	})
+}
+
 // newPool makes the connections to servers.
 func (eg *Edge) newPool() *relay.Pool {
 	return relay.New(relay.Config{
@@ -358,6 +364,7 @@
 		Homes:      eg.homes,
 		Poison:     eg.poison,
 		Share:      eg.sharer.add,
+		Hint:       eg.hint,
 		Meter:      eg.meter,
 		Log:        eg.cfg.Log,
 		Off:        eg.set.Off,
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -71,8 +71,10 @@
 	// Poison holds the requests under which servers ended, and Share tells other VMs of one.
 	Poison *poison.Table
 	Share  func(up poison.Update)
-	Meter  *meter.Meter
-	Log    *log.Logger
+	// Hint tells them at once that servers end under one.
+	Hint  func(fp poison.Fingerprint)
+	Meter *meter.Meter
+	Log   *log.Logger
 	// Off are the mechanisms that are switched off; it may be empty.
 	Off toggle.Set
 }
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -60,6 +60,10 @@
 	joins  chan joinResult
 	ctx    context.Context
 	joined int
+	// ends counts the attempts that servers broke, answers those that they answered, and
+	// hinted is set once other VMs were told.
+	ends, answers int
+	hinted        bool
 	// together is the data centre from which a shard's answer should come joined.
 	together map[int]string
 	// calls has no entry for attempts that another VM sends.
@@ -199,6 +203,7 @@
 // note keeps a result for the answer and the log.
 func (fl *flight) note(ar arrival) fanout.Event {
 	fl.results[ar.attempt] = ar
+	fl.hint(ar, hintEnds)
 	if ar.verdict == fanout.Served {
 		fl.pace.observe(ar.rs.Took)
 	}
--- a/io/entry/poison.go
+++ b/io/entry/poison.go
@@ -86,18 +86,33 @@
 	}
 }
 
+// hintEnds is how many servers must end the connection under a request that none answered
+// for the other VMs to hear of it: more than those of one server that crashes for itself.
+const hintEnds = 3
+
+// hint counts a result, and tells the other VMs once it is likely that servers end under
+// the request. Its caller may be back at one of them before this VM has proof.
+func (fl *flight) hint(ar arrival, least int) {
+	switch {
+	case ar.verdict == fanout.Served || ar.verdict == fanout.Failed:
+		fl.answers++
+	case ar.broken:
+		fl.ends++
+	}
+	if fl.ends >= least && fl.answers == 0 && !fl.hinted {
+		fl.hinted = true
+		fl.en.cfg.Hint(fl.rq.fingerprint())
+	}
+}
+
 // conclude notes what the whole arrival shows of the request.
 func (fl *flight) conclude() {
-	answered, broken := false, false
-	for _, ar := range fl.results {
-		answered = answered || ar.verdict == fanout.Served || ar.verdict == fanout.Failed
-		broken = broken || ar.broken
-	}
-	if !broken && !fl.rq.suspect {
+	if fl.ends == 0 && !fl.rq.suspect {
 		return
 	}
 	now, table := fl.en.cfg.Clock(), fl.en.cfg.Poison
-	if !answered {
+	if fl.answers == 0 {
+		fl.hint(arrival{}, 1)
 		fl.en.told(table.Unserved(now, fl.rq.fingerprint()))
 		return
 	}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -89,6 +89,9 @@
 	// set, List tells which VMs there are.
 	LinkMbps float64
 	List     func(ctx context.Context) ([]feed.Member, error)
+	// Hinted is told of each word that another VM passes on; it must not block. Nil drops
+	// them.
+	Hinted func(word string)
 	// Enlist writes another VM's entry and returns its lease; nil refuses.
 	Enlist func(ctx context.Context, en enlist.Entry) (lease uint64, err error)
 }
@@ -129,6 +132,10 @@
 	// origin is the VM that heard the store for the news that this one has.
 	origin string
 	cut    cutNews
+	// hints are the words that this VM passes on, and hintsSeen is up to where those of
+	// other VMs are known.
+	hints     feed.Hints
+	hintsSeen map[string]uint64
 	// heard is when each VM asked this one last, or gave a sign of life.
 	heard map[string]time.Duration
 }
@@ -144,6 +151,9 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
+	if cfg.Hinted == nil {
+		cfg.Hinted = func(string) {}
+	}
 	return &Follower{
 		cfg:     cfg,
 		guide:   feed.NewGuide(feed.GuideConfig{Self: cfg.Self, Rand: cfg.Rand}),
@@ -152,6 +162,8 @@
 		asked:   -storePace,
 		changed: make(chan struct{}),
 		heard:   make(map[string]time.Duration),
+
+		hintsSeen: make(map[string]uint64),
 	}
 }
 
--- a/io/follow/peers.go
+++ b/io/follow/peers.go
@@ -46,8 +46,8 @@
 	})
 }
 
-// ask asks another VM for what came after a revision.
-func (fo *Follower) ask(ctx context.Context, addr string, after uint64, wait time.Duration) (answer, error) {
+// ask asks another VM for what came after a revision, and passes hints on to it.
+func (fo *Follower) ask(ctx context.Context, addr string, after uint64, wait time.Duration, hints ...string) (answer, error) {
 	rq := &inner.FollowRequest{
 		Version: inner.Version,
 		After:   after,
@@ -56,7 +56,11 @@
 		Packs:   true,
 		AgeMs:   uint64(min(fo.Age(), never).Milliseconds()) + 1,
 	}
+	for _, word := range hints {
+		rq.Hints = append(rq.Hints, []byte(word))
+	}
 	fo.mu.Lock()
+	rq.TakesHints, rq.HintsSeen = true, fo.hintsSeen[addr]
 	rq.CutOff = fo.cut.proven
 	rq.CutKnown = fo.cut.proven || fo.toldCut(fo.cfg.Clock())
 	fo.mu.Unlock()
@@ -64,11 +68,13 @@
 	if err != nil {
 		return answer{}, err
 	}
+	fo.mu.Lock()
 	if rp.GetCutOff() && !fo.isFar(addr) {
-		fo.mu.Lock()
 		fo.noteCut(fo.cfg.Clock())
-		fo.mu.Unlock()
 	}
+	fo.noteHintsSeen(addr, rp.GetHintsUpto())
+	fo.mu.Unlock()
+	fo.takeHints(texts(rp.GetHints()))
 	an := answer{
 		update:  feed.Update{Whole: rp.GetWhole(), AsOf: rp.GetAsOf()},
 		age:     time.Duration(rp.GetAgeMs()) * time.Millisecond,
@@ -92,3 +98,11 @@
 	}
 	return an, nil
 }
+
+func texts(words [][]byte) []string {
+	out := make([]string, len(words))
+	for i, word := range words {
+		out[i] = string(word)
+	}
+	return out
+}
--- a/io/follow/serve.go
+++ b/io/follow/serve.go
@@ -21,6 +21,7 @@
 // the age would grow by a whole wait with each VM that news passes.
 func (fo *Follower) Follow(ctx context.Context, rq *inner.FollowRequest) (*inner.FollowReply, error) {
 	fo.noteAsker(rq)
+	fo.passUp(texts(rq.GetHints()))
 	if others, give := fo.gives(rq); !give {
 		return &inner.FollowReply{Others: others}, nil
 	}
@@ -92,19 +93,8 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	age := fo.age(fo.cfg.Clock())
-	rp := &inner.FollowReply{
-		AgeMs:   uint64(age.Milliseconds()),
-		Leaving: fo.leaving,
-		CutOff:  fo.tellsCut(fo.cfg.Clock()),
-		Origin:  fo.origin,
-		Follows: fo.follows,
-	}
-	if returned := fo.absence.Returned(); returned > 0 {
-		rp.ReturnedMs = uint64((fo.cfg.Clock() - returned).Milliseconds()) + 1
-	}
-	if fo.replica.Known() {
-		rp.AsOf = fo.replica.AsOf()
-	}
+	rp := fo.newReply(age)
+	hinted := fo.addHints(rq, rp)
 	up, news := fo.replica.Since(rq.GetAfter())
 	if news && (up.Whole || len(up.Events) > 0) {
 		rp.Whole = up.Whole
@@ -120,7 +110,25 @@
 	cutNews := rp.GetCutOff() && !rq.GetCutKnown()
 	// A caller whose news this is has nothing to wait for here, and should ask the store.
 	own := rq.GetFrom() != "" && (fo.origin == rq.GetFrom() || fo.follows == rq.GetFrom())
-	return rp, fo.changed, fo.leaving || cutNews || own || age > feed.StaleAfter
+	return rp, fo.changed, fo.leaving || hinted || cutNews || own || age > feed.StaleAfter
+}
+
+// newReply tells how this VM's news stands, without any. The caller holds the lock.
+func (fo *Follower) newReply(age time.Duration) *inner.FollowReply {
+	rp := &inner.FollowReply{
+		AgeMs:   uint64(age.Milliseconds()),
+		Leaving: fo.leaving,
+		CutOff:  fo.tellsCut(fo.cfg.Clock()),
+		Origin:  fo.origin,
+		Follows: fo.follows,
+	}
+	if returned := fo.absence.Returned(); returned > 0 {
+		rp.ReturnedMs = uint64((fo.cfg.Clock() - returned).Milliseconds()) + 1
+	}
+	if fo.replica.Known() {
+		rp.AsOf = fo.replica.AsOf()
+	}
+	return rp
 }
 
 // packWhole compresses a whole copy; one that cannot be is sent as it is. The caller
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -113,6 +113,7 @@
 			"get", "getFailed", "range", "rangeFailed", "swap", "swapFailed", "watch", "watchFailed", "vmsFailed",
 			"store", "storeFailed", "peer", "peerFailed", "peerEmpty", "tell", "tellFailed", "packFailed", "probe", "probeFailed", "compacted",
 			"enter", "enlist", "enlistFailed", "removeDead", "share",
+			"hint", "hintFailed", "hintUnreadable",
 		},
 		Change: {"accepted", "conflict", "unknown", "dryRun", "refused"},
 		Config: {
@@ -128,7 +129,7 @@
 		ServerState: {"unknown", "cold", "serving", "shedding", "suspect", "draining", "gone"},
 		Sign:        {"leaving", "unreachable", "returned"},
 		Off:         mechanisms(),
-		Poison:      {"clear", "suspect", "blocked", "notShared"},
+		Poison:      {"clear", "suspect", "blocked", "notShared", "hinted"},
 		Logged:      {"searches", "sampledOut", "lost"},
 	}
 }
