--- a/cmd/laburnumvane/soak_client_test.go
+++ b/cmd/laburnumvane/soak_client_test.go
@@ -87,6 +87,9 @@
 // judge holds an answer to what it claims.
 func (sc *soakClient) judge(path, id string, rs *http.Response, body []byte) {
 	ran := sc.timesRun(id)
+	if blames(body) {
+		sc.so.broken("%s %s was refused for crashing servers", path, id)
+	}
 	switch {
 	case path == stand.PathOnce && ran > 1:
 		sc.so.broken("%s ran %d times", id, ran)
--- a/cmd/laburnumvane/soak_test.go
+++ b/cmd/laburnumvane/soak_test.go
@@ -27,6 +27,7 @@
 var (
 	soakSeeds   = flag.Int("soakSeeds", 0, "play so many seeds in place of the usual ones")
 	soakFrom    = flag.Uint64("soakFrom", 1, "the first of them")
+	soakCrash   = flag.Bool("soakCrash", false, "have servers end under a request in all of them")
 	soakSeconds = flag.Int("soakSeconds", 6, "how long faults go on for each")
 )
 
@@ -47,14 +48,17 @@
 type soakCase struct {
 	seed  uint64
 	cause string
+	// crash is set where servers end under a request that comes again.
+	crash bool
 }
 
 // soakCases are played by every run: one of each kind of luck, and each seed that
 // ever failed, with its cause.
 func soakCases() []soakCase {
 	return []soakCase{
-		{1, "the usual"}, {2, "the usual"},
-		{6016, "servers fall silent while VMs stop: requests outlasted the grace and were cut off"},
+		{1, "the usual", false}, {2, "the usual", false},
+		{6016, "servers fall silent while VMs stop: requests outlasted the grace and were cut off", false},
+		{3, "a request crashes servers", true},
 	}
 }
 
@@ -64,11 +68,11 @@
 	if *soakSeeds > 0 {
 		cases = nil
 		for i := range *soakSeeds {
-			cases = append(cases, soakCase{*soakFrom + uint64(i), "by hand"})
+			cases = append(cases, soakCase{*soakFrom + uint64(i), "by hand", *soakCrash})
 		}
 	}
 	for _, tc := range cases {
-		t.Run(fmt.Sprintf("%d %s", tc.seed, tc.cause), func(t *testing.T) { newSoak(t, tc.seed).play() })
+		t.Run(fmt.Sprintf("%d %s", tc.seed, tc.cause), func(t *testing.T) { newSoak(t, tc).play() })
 	}
 }
 
@@ -87,6 +91,8 @@
 	asked       atomic.Int64
 	served      atomic.Int64
 	routes      int
+	// crash is set if servers end under a request.
+	crash *stand.Crash
 
 	mu    sync.Mutex
 	story []string
@@ -109,13 +115,13 @@
 	harmed   time.Time
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
+func newSoak(t *testing.T, tc soakCase) *soak {
 	is := is.New(t)
 	places := []string{"east", "west", "south"}
 	site, err := stand.New(stand.Config{DataCentres: places, Shards: soakShards, Apart: true})
 	is.NoErr(err)
 	t.Cleanup(site.Close)
-	so := &soak{t: t, rnd: rand.New(rand.NewPCG(seed, seed)), site: site, serverLinks: map[*stand.Server]*link{}, began: time.Now()}
+	so := &soak{t: t, rnd: rand.New(rand.NewPCG(tc.seed, tc.seed)), site: site, serverLinks: map[*stand.Server]*link{}, began: time.Now()}
 	for _, sv := range site.Servers() {
 		li := newLink(t, sv.Addr())
 		so.serverLinks[sv] = li
@@ -134,6 +140,9 @@
 		is.NoErr(os.WriteFile(vm.settings, []byte(text), 0o600))
 		so.vms = append(so.vms, vm)
 	}
+	if tc.crash {
+		so.crashes()
+	}
 	return so
 }
 
@@ -163,12 +172,23 @@
 			(&soakClient{so: so, rnd: rand.New(rand.NewPCG(uint64(i), 5)), http: &http.Client{Timeout: soakPatience, Transport: &http.Transport{}}}).run()
 		}()
 	}
+	if so.crash != nil {
+		rnd := rand.New(rand.NewPCG(uint64(so.rnd.IntN(1000)), 7))
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			so.keepCrashing(func() time.Duration { return time.Duration(200+rnd.IntN(1000)) * time.Millisecond })
+		}()
+	}
 	for end := time.Now().Add(time.Duration(*soakSeconds) * time.Second); time.Now().Before(end); {
 		so.harm()
 		time.Sleep(time.Duration(100+so.rnd.IntN(500)) * time.Millisecond)
 	}
 	so.mend()
 	so.within("all serve again", soakHeal, func() bool { return so.all((*soakVM).serves) })
+	if so.crash != nil {
+		so.crashesEnd()
+	}
 	so.done.Store(true)
 	clients.Wait()
 	so.report()
