--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -168,14 +168,11 @@
 func (tb *Table) Arrive(now time.Duration, fp Fingerprint) (st State, refresh Update) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
+	tb.expire(now)
 	re, ok := tb.records[fp]
 	if !ok {
 		return Clear, Update{}
 	}
-	if now-re.seen >= keepFor {
-		tb.forget(fp)
-		return Clear, Update{}
-	}
 	st = re.state(now)
 	if st == Suspect && len(re.trials) >= blockEnds {
 		// It stayed away for long: one more server decides.
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -162,6 +162,25 @@
 	is.Equal(end(tb, now, fp, "c", true)[0].State, poison.Blocked)
 }
 
+// Another VM's word makes a request a suspect for a while, unless a server answered it just
+// now: who sent the word had not heard of that.
+func TestHints(t *testing.T) {
+	is := is.New(t)
+	tb := poison.New()
+	fp := numbered(1)
+	tb.Hint(second, fp)
+	is.Equal(state(tb, 2*second, fp), poison.Suspect)
+	is.Equal(state(tb, 12*second, fp), poison.Clear)
+	is.Equal(state(tb, 15*second, fp), poison.Clear)
+	is.True(tb.Empty()) // nothing is left to look at for each request
+	tb.Hint(20*second, fp)
+	tb.Answered(21*second, fp)
+	tb.Hint(22*second, fp)
+	is.Equal(state(tb, 22*second, fp), poison.Clear)
+	tb.Hint(30*second, fp)
+	is.Equal(state(tb, 30*second, fp), poison.Suspect)
+}
+
 // Thousands of requests in turn, each with a server's end: what is remembered is bounded,
 // and what is blocked stays, however many others come.
 func TestMemoryIsBounded(t *testing.T) {
