entry: a suspect request that waits for its turn is answered when a stop ends

Without it such a request would outlast the grace, as any that waits for another's trial: the stop answers all that is under way at its end, and this one was not under way yet.

--- a/io/entry/turns.go
+++ b/io/entry/turns.go
@@ -82,6 +82,8 @@
 			return nil, en.awaited(rq)
 		case <-ctx.Done():
 			return nil, en.awaited(rq)
+		case <-en.ending.Done():
+			return nil, en.awaited(rq)
 		}
 		switch en.suspicion(rq) {
 		case poison.Blocked:
