follow: the late-news test counts the copy's age from when it was taken

Red once beside a second run of the checks: not true: ch.Age >= lateBy. The stand-in's time began when it made the copy, the follower's age when it took it; a delay between the two makes the age too small.

--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -17,20 +17,22 @@
 
 var errAway = errors.New("away")
 
-// store answers its second watch late: after calls that failed, or after none.
+// store answers a watch late: after calls that failed, or after none.
 type store struct {
-	fails   bool
-	began   time.Time
-	watches int
+	fails bool
+	// began is when the first watch came: the copy is taken by then, from which its age
+	// counts.
+	began time.Time
 }
 
 func (st *store) Range(context.Context, string) (feed.Update, error) {
-	st.began = time.Now()
 	return feed.Update{Whole: true, AsOf: 1, Events: []feed.Event{{Item: feed.Item{Key: "a", Revision: 1}}}}, nil
 }
 
 func (st *store) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) (feed.Update, error) {
-	st.watches++
+	if st.began.IsZero() {
+		st.began = time.Now()
+	}
 	if after > 1 {
 		<-ctx.Done()
 		return feed.Update{}, ctx.Err()
