--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -203,13 +203,6 @@
 	})
 }
 
-// serverEnded tells of a server that ended under requests.
-func (eg *Edge) serverEnded(pr origin.Process, requests []string) {
-	eg.meter.Count(meter.Connection, "serverEnded")
-	eg.cfg.Log.Warn().Str("server", pr.ID).Str("addr", pr.Addr).Strs("requests", requests).Msg("server ended under requests")
-	eg.entry.ServerEnded(pr)
-}
-
 // clock is the monotonic time since the start.
 func (eg *Edge) clock() time.Duration { return time.Since(eg.began) }
 
--- a/io/edge/sharer.go
+++ b/io/edge/sharer.go
@@ -170,21 +170,3 @@
 	}
 	return err
 }
-
-// hint has the other VMs hear at once of a request under which servers end: its caller may
-// be at one of them a few milliseconds later.
-func (eg *Edge) hint(fp poison.Fingerprint) {
-	eg.workers.run(func() { eg.follow.TellHint(context.Background(), string(fp[:])) })
-}
-
-// hinted takes in such a word.
-func (eg *Edge) hinted(word string) {
-	var fp poison.Fingerprint
-	if copy(fp[:], word) != len(word) || len(word) != len(fp) {
-		eg.meter.Count(meter.Platform, "hintUnreadable")
-		return
-	}
-	eg.poison.Hint(eg.clock(), fp)
-	eg.meter.Count(meter.Poison, "hinted")
-	eg.cfg.Log.Info().Str("fingerprint", fp.String()).Msg("servers end under a request at another VM")
-}
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -61,9 +61,9 @@
 	ctx    context.Context
 	joined int
 	// ends counts the attempts that servers broke, answers those that they answered, and
-	// hinted is set once other VMs were told.
+	// warned is set once other VMs were told.
 	ends, answers int
-	hinted        bool
+	warned        bool
 	// together is the data centre from which a shard's answer should come joined.
 	together map[int]string
 	// calls has no entry for attempts that another VM sends.
@@ -203,7 +203,8 @@
 // note keeps a result for the answer and the log.
 func (fl *flight) note(ar arrival) fanout.Event {
 	fl.results[ar.attempt] = ar
-	fl.hint(ar, hintEnds)
+	fl.tally(ar)
+	fl.warn(warnEnds)
 	if ar.verdict == fanout.Served {
 		fl.pace.observe(ar.rs.Took)
 	}
--- a/io/entry/poison.go
+++ b/io/entry/poison.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// begin notes that a trial begins.
+// beginTrial notes that an attempt is a trial, if it is one.
 func (fl *flight) beginTrial(ac fanout.Action) {
 	if ac.Trial {
 		fl.en.cfg.Meter.Count(meter.Sent, "trial")
@@ -86,21 +86,25 @@
 	}
 }
 
-// hintEnds is how many servers must end the connection under a request that none answered
-// for the other VMs to hear of it: more than those of one server that crashes for itself.
-const hintEnds = 3
+// warnEnds is how many servers must end the connection under a request that none answered
+// for the other VMs to hear of it while it is under way.
+const warnEnds = 3
 
-// hint counts a result, and tells the other VMs once it is likely that servers end under
-// the request. Its caller may be back at one of them before this VM has proof.
-func (fl *flight) hint(ar arrival, least int) {
+// tally counts what a result shows of the request.
+func (fl *flight) tally(ar arrival) {
 	switch {
 	case ar.verdict == fanout.Served || ar.verdict == fanout.Failed:
 		fl.answers++
 	case ar.broken:
 		fl.ends++
 	}
-	if fl.ends >= least && fl.answers == 0 && !fl.hinted {
-		fl.hinted = true
+}
+
+// warn tells the other VMs, once, if so many servers ended under a request that none
+// answered. Its caller may be back at one of them before this VM has proof.
+func (fl *flight) warn(least int) {
+	if fl.ends >= least && fl.answers == 0 && !fl.warned {
+		fl.warned = true
 		fl.en.cfg.Hint(fl.rq.fingerprint())
 	}
 }
@@ -112,7 +116,7 @@
 	}
 	now, table := fl.en.cfg.Clock(), fl.en.cfg.Poison
 	if fl.answers == 0 {
-		fl.hint(arrival{}, 1)
+		fl.warn(1)
 		fl.en.told(table.Unserved(now, fl.rq.fingerprint()))
 		return
 	}
