poison, entry, fanout: words name the trials, and a trial's end is awaited before the next

What was seen in virtual time: where a request came back within milliseconds, the VM that it came to knew it for a suspect and not what its trials had shown, so it was tried twice there too. A blocked request was known as such to the others only by the store's entry, after a quarter of a second.

Now the word says which processes ended under trials, and goes out again when that changes; an end that this VM's own trial shows counts with them, 5 ms later, before the next trial goes out. A request that is blocked by then is given up.

Small; that blocking reaches every VM in some milliseconds is what it is for. Where the caller is faster than the word (5 ms against 8 in the simulation) all four servers of one service still end.

--- a/core/fanout/config.go
+++ b/core/fanout/config.go
@@ -43,6 +43,10 @@
 	// Suspect is set for a request under which servers ended before: it goes to one
 	// server first.
 	Suspect bool
+	// TrialGap is how long it takes until it is known what a trial showed, and Blocked tells
+	// whether the request is known to crash servers by now. Nil is never.
+	TrialGap time.Duration
+	Blocked  func() bool
 	// Draw is uniform within 0 to 1; it chooses the shard of a trial.
 	Draw    func() float64
 	Chooser Chooser
--- a/core/fanout/joined.go
+++ b/core/fanout/joined.go
@@ -15,7 +15,7 @@
 		if !whole && ev.Verdict == Served {
 			ev.Verdict = Lost
 		}
-		mc.onResult(ev)
+		mc.onResult(now, ev)
 	}
 	mc.proceed(now)
 	mc.settle(now)
--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -127,7 +127,7 @@
 	mc.actions = mc.actions[:0]
 	switch ev.Kind {
 	case EvResult:
-		mc.onResult(ev)
+		mc.onResult(now, ev)
 	case EvGone:
 		mc.onGone(now)
 	case EvWake:
@@ -165,7 +165,7 @@
 // Started is when an attempt was sent.
 func (mc *Machine) Started(k int) time.Duration { return mc.attempts[k].started }
 
-func (mc *Machine) onResult(ev Event) {
+func (mc *Machine) onResult(now time.Duration, ev Event) {
 	if ev.Attempt < 0 || ev.Attempt >= len(mc.attempts) {
 		return
 	}
@@ -187,7 +187,7 @@
 	default:
 		sh.reached = true
 	}
-	mc.weigh(at, ev)
+	mc.weigh(now, at, ev)
 	if mc.answered || sh.winner != none {
 		return
 	}
--- a/core/fanout/ward.go
+++ b/core/fanout/ward.go
@@ -28,12 +28,12 @@
 	careful, proved bool
 	// broken counts the attempts that servers broke, and ends the trials among them.
 	broken, ends int
-	// hedgeFrom is when a further hedge may go out.
-	hedgeFrom time.Duration
+	// hedgeFrom is when a further hedge may go out, trialFrom the same for a trial.
+	hedgeFrom, trialFrom time.Duration
 }
 
 // weigh takes in what a result shows of the request itself.
-func (mc *Machine) weigh(at *attempt, ev Event) {
+func (mc *Machine) weigh(now time.Duration, at *attempt, ev Event) {
 	switch {
 	case ev.Verdict == Served || ev.Verdict == Failed:
 		mc.ward.proved, mc.ward.careful, mc.ward.hedgeFrom = true, false, 0
@@ -43,6 +43,7 @@
 		mc.shards[at.shard].broken++
 		if at.trial {
 			mc.ward.ends++
+			mc.ward.trialFrom = now + mc.cfg.TrialGap
 		}
 	}
 }
@@ -66,7 +67,7 @@
 				mc.retry(now, i, false)
 			}
 		}
-	case mc.ward.ends >= mostTrials:
+	case mc.ward.ends >= mostTrials || mc.cfg.Blocked != nil && mc.cfg.Blocked():
 		mc.giveUp()
 	default:
 		for mc.countDue() > 0 && now >= mc.nextTrial() {
@@ -91,7 +92,7 @@
 	if mc.countDue() == 0 {
 		return mc.cfg.Hard
 	}
-	at, trials := time.Duration(0), mc.ward.ends
+	at, trials := mc.ward.trialFrom, mc.ward.ends
 	for k := range mc.attempts {
 		if mc.attempts[k].verdict != 0 {
 			continue
--- a/core/fanout/ward_test.go
+++ b/core/fanout/ward_test.go
@@ -178,6 +178,28 @@
 	}
 }
 
+// A trial's server ends, and with what other VMs saw the request is known by that: the next
+// trial waits until this can be known, and no further server gets it.
+func TestBlockedMeanwhileIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	blocked := false
+	cfg := config(10, 8)
+	cfg.Suspect, cfg.TrialGap, cfg.Blocked = true, 5*ms, func() bool { return blocked }
+	mc := fanout.New(cfg)
+	mc.Start(0)
+	sent, _ := trials(mc.Step(30*ms, broke(0)))
+	is.Equal(sent, 0)
+	is.Equal(mc.Wake(), 35*ms)
+	blocked = true
+	acts := mc.Step(35*ms, fanout.Event{Kind: fanout.EvWake})
+	sent, _ = trials(acts)
+	is.Equal(sent, 0)
+	an, ok := answerOf(acts)
+	is.True(ok)
+	is.Equal(an.Reason, fanout.ReasonCrashes)
+	is.Equal(an.Outcome, fanout.OutcomeFailed)
+}
+
 // A suspect for which too many shards have no server is refused as not run, with nothing
 // sent.
 func TestSuspectWithoutServers(t *testing.T) {
--- a/core/poison/sim_test.go
+++ b/core/poison/sim_test.go
@@ -229,6 +229,13 @@
 		if !up.Share {
 			continue
 		}
+		if !up.Cleared {
+			fw.after(hintTime, func() {
+				for _, other := range fw.vms {
+					other.table.Hint(fw.now, up.Record)
+				}
+			})
+		}
 		fw.after(shareTime, func() {
 			for _, other := range fw.vms {
 				if other == vm {
@@ -263,7 +270,7 @@
 	}
 	began := fw.now
 	fw.after(hopTime, func() {
-		owner.table.Hint(fw.now, fp)
+		owner.table.Hint(fw.now, poison.Record{Fingerprint: fp})
 		fw.take(owner, fp, crashes, tries, began)
 	})
 }
@@ -319,7 +326,7 @@
 	fl.mc = fanout.New(fanout.Config{
 		Shards: fw.sh.shards, MinParts: fw.sh.shards - fw.sh.shards/5, Idempotent: fw.sh.idempotent, MaxAttempts: 2,
 		Target: fw.now + hard/4, Hard: fw.now + hard, HedgeAfter: 3 * fw.sh.work, LeastTime: 3 * ms,
-		Suspect: fl.suspect, Draw: fw.rnd.Float64, Chooser: fl, Budget: fl,
+		Suspect: fl.suspect, TrialGap: 5 * ms, Blocked: func() bool { return vm.table.Blocked(fw.now, fp) }, Draw: fw.rnd.Float64, Chooser: fl, Budget: fl,
 	})
 	fl.perform(fl.mc.Start(fw.now))
 }
@@ -506,7 +513,7 @@
 	fl.hinted = true
 	fl.fw.after(hintTime, func() {
 		for _, vm := range fl.fw.vms {
-			vm.table.Hint(fl.fw.now, fl.fp)
+			vm.table.Hint(fl.fw.now, poison.Record{Fingerprint: fl.fp})
 		}
 	})
 }
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -336,17 +336,35 @@
 	return []Update{up}
 }
 
-// Hint takes another VM's word that servers may have ended under a request. It proves
-// nothing, and is soon forgotten: the request goes to one server first.
-func (tb *Table) Hint(now time.Duration, fp Fingerprint) {
+// Hint takes another VM's word that servers may have ended under a request. It is soon
+// forgotten, but for the trials that it names: the request goes to one server first.
+func (tb *Table) Hint(now time.Duration, rd Record) []Update {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.expire(now)
-	if at, ok := tb.cleared[fp]; ok && now-at < clearFor {
-		return
+	if at, ok := tb.cleared[rd.Fingerprint]; ok && now-at < clearFor {
+		return nil
 	}
-	re := tb.of(now, fp)
+	re := tb.of(now, rd.Fingerprint)
 	re.seen, re.hinted = now, now+hintFor
+	return append(tb.claimAll(now, rd, re), tb.update(now, rd.Fingerprint, re))
+}
+
+// Blocked tells whether a request is known to crash servers.
+func (tb *Table) Blocked(now time.Duration, fp Fingerprint) bool {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	re, ok := tb.records[fp]
+	return ok && re.state(now) == Blocked
+}
+
+// claimAll takes the trials that another VM names. The caller holds the lock.
+func (tb *Table) claimAll(now time.Duration, rd Record, re *record) []Update {
+	var ups []Update
+	for _, name := range rd.Trials {
+		ups = tb.claim(now, rd.Fingerprint, re, name, ups)
+	}
+	return ups
 }
 
 // Learn takes what another VM knows.
@@ -356,11 +374,7 @@
 	tb.expire(now)
 	re := tb.of(now, rd.Fingerprint)
 	re.seen, re.shared, re.ever = now, now, true
-	var ups []Update
-	for _, name := range rd.Trials {
-		ups = tb.claim(now, rd.Fingerprint, re, name, ups)
-	}
-	return append(ups, tb.update(now, rd.Fingerprint, re))
+	return append(tb.claimAll(now, rd, re), tb.update(now, rd.Fingerprint, re))
 }
 
 // Release takes back that a request is blocked: an operator took its entry away, or it
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -77,6 +77,12 @@
 		{"a suspicion of another VM", []step{func(tb *poison.Table) {
 			tb.Learn(second, poison.Record{Fingerprint: fp})
 		}}, poison.Suspect},
+		{"a word that names two trials", []step{func(tb *poison.Table) {
+			tb.Hint(second, poison.Record{Fingerprint: fp, Trials: []string{"a@0", "b@0"}})
+		}}, poison.Blocked},
+		{"one trial here, and a word of another", []step{alone("a"), func(tb *poison.Table) {
+			tb.Hint(second, poison.Record{Fingerprint: fp, Trials: []string{"b@0"}})
+		}}, poison.Blocked},
 		{"an answer", []step{alone("a"), alone("b"), func(tb *poison.Table) { tb.Answered(second, fp) }}, poison.Clear},
 		{"an entry that was taken away", []step{alone("a"), alone("b"), func(tb *poison.Table) { tb.Release(second, fp) }}, poison.Suspect},
 		{"and one more end", []step{alone("a"), alone("b"), func(tb *poison.Table) { tb.Release(second, fp) }, alone("c")}, poison.Blocked},
@@ -168,16 +174,16 @@
 	is := is.New(t)
 	tb := poison.New()
 	fp := numbered(1)
-	tb.Hint(second, fp)
+	tb.Hint(second, poison.Record{Fingerprint: fp})
 	is.Equal(state(tb, 2*second, fp), poison.Suspect)
 	is.Equal(state(tb, 12*second, fp), poison.Clear)
 	is.Equal(state(tb, 15*second, fp), poison.Clear)
 	is.True(tb.Empty()) // nothing is left to look at for each request
-	tb.Hint(20*second, fp)
+	tb.Hint(20*second, poison.Record{Fingerprint: fp})
 	tb.Answered(21*second, fp)
-	tb.Hint(22*second, fp)
+	tb.Hint(22*second, poison.Record{Fingerprint: fp})
 	is.Equal(state(tb, 22*second, fp), poison.Clear)
-	tb.Hint(30*second, fp)
+	tb.Hint(30*second, poison.Record{Fingerprint: fp})
 	is.Equal(state(tb, 30*second, fp), poison.Suspect)
 }
 
--- a/io/edge/poison.go
+++ b/io/edge/poison.go
@@ -17,18 +17,18 @@
 
 // hint has the other VMs hear at once of a request under which servers end: its caller may
 // be at one of them a few milliseconds later.
-func (eg *Edge) hint(fp poison.Fingerprint) {
-	eg.workers.run(func() { eg.follow.TellHint(context.Background(), string(fp[:])) })
+func (eg *Edge) hint(rd poison.Record) {
+	eg.workers.run(func() { eg.follow.TellHint(context.Background(), rd.Word()) })
 }
 
 // hinted takes in such a word.
 func (eg *Edge) hinted(word string) {
-	var fp poison.Fingerprint
-	if copy(fp[:], word) != len(word) || len(word) != len(fp) {
+	rd, err := poison.ParseWord(word)
+	if err != nil {
 		eg.meter.Count(meter.Platform, "hintUnreadable")
+		eg.cfg.Log.Warn().Err(err).Msg("another VM's word cannot be read")
 		return
 	}
-	eg.poison.Hint(eg.clock(), fp)
 	eg.meter.Count(meter.Poison, "hinted")
-	eg.cfg.Log.Info().Str("fingerprint", fp.String()).Msg("servers end under a request at another VM")
+	eg.entry.HintPoison(rd)
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -72,7 +72,7 @@
 	Poison *poison.Table
 	Share  func(up poison.Update)
 	// Hint tells them at once that servers end under one.
-	Hint  func(fp poison.Fingerprint)
+	Hint  func(rd poison.Record)
 	Meter *meter.Meter
 	Log   *log.Logger
 	// Off are the mechanisms that are switched off; it may be empty.
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -24,6 +24,9 @@
 	// loserTime is how long an attempt whose answer is not needed may go on, so
 	// that its connection can be used again.
 	loserTime = 3 * time.Second
+	// trialGap is how long it takes after a trial until it is known whether its server has
+	// ended: an opening, there and back.
+	trialGap = 5 * time.Millisecond
 	// goneTime is the same after the client left: its servers shall stop within
 	// half a second, and most attempts end by themselves sooner.
 	goneTime = 250 * time.Millisecond
@@ -115,6 +118,8 @@
 		HedgeAfter:  hedgeAfter,
 		LeastTime:   leastTime,
 		Suspect:     rq.suspect,
+		TrialGap:    trialGap,
+		Blocked:     fl.blocked,
 		Draw:        rand.Float64,
 		Chooser:     fl,
 		Budget:      fl,
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -119,7 +119,7 @@
 		return declined(reason), nil
 	}
 	if cr.GetSuspect() {
-		en.cfg.Poison.Hint(en.cfg.Clock(), rq.fingerprint())
+		en.HintPoison(poison.Record{Fingerprint: rq.fingerprint()})
 	}
 	if en.suspicion(rq) == poison.Blocked {
 		return en.block(rq).carried(fanout.OutcomeNotRun.String())
--- a/io/entry/poison.go
+++ b/io/entry/poison.go
@@ -44,6 +44,11 @@
 	en.told(en.cfg.Poison.Ended(en.cfg.Clock(), pr))
 }
 
+// HintPoison takes in another VM's word, before its entry is there.
+func (en *Entry) HintPoison(rd poison.Record) {
+	en.told(en.cfg.Poison.Hint(en.cfg.Clock(), rd))
+}
+
 // LearnPoison takes in what another VM knows of a request.
 func (en *Entry) LearnPoison(rd poison.Record) {
 	en.told(en.cfg.Poison.Learn(en.cfg.Clock(), rd))
@@ -66,6 +71,9 @@
 		if up.Share {
 			en.cfg.Share(up)
 		}
+		if up.Share && !up.Cleared {
+			en.cfg.Hint(up.Record)
+		}
 	}
 }
 
@@ -105,10 +113,16 @@
 func (fl *flight) warn(least int) {
 	if fl.ends >= least && fl.answers == 0 && !fl.warned {
 		fl.warned = true
-		fl.en.cfg.Hint(fl.rq.fingerprint())
+		fl.en.cfg.Hint(poison.Record{Fingerprint: fl.rq.fingerprint()})
 	}
 }
 
+// blocked tells whether the request is known to crash servers by now, from what its own
+// trials showed or from another VM.
+func (fl *flight) blocked() bool {
+	return fl.en.cfg.Poison.Blocked(fl.en.cfg.Clock(), fl.rq.fingerprint())
+}
+
 // conclude notes what the whole arrival shows of the request.
 func (fl *flight) conclude() {
 	if fl.ends == 0 && !fl.rq.suspect {
