--- a/core/fanout/doc.go
+++ b/core/fanout/doc.go
@@ -20,6 +20,11 @@
 // provably did not run: nothing left this VM, or the server itself said so. A
 // connection that broke proves nothing.
 //
+// # What is sent on with care
+//
+// A server may end because of the request. Once one ended the connection, and none has
+// answered, a further server is asked alone, as a trial; see ward.go.
+//
 // # What is answered
 //
 // OutcomeServed needs an answer of every shard, or of enough of them once the
