soak, stand: servers that ended and were replaced are still known to the checks

The stand-in's list of servers held only those that are up: a server that answered a part and was replaced before the client had read the whole answer was taken for none. A receipt has the process's name and the request's id, so that the answer is that server's. The check stays as it is, and is stricter besides: what a replaced server ran counts again for what may run once.

--- a/cmd/laburnumvane/soak_client_test.go
+++ b/cmd/laburnumvane/soak_client_test.go
@@ -117,7 +117,7 @@
 
 func (sc *soakClient) timesRun(id string) int {
 	n := 0
-	for _, sv := range sc.so.site.Servers() {
+	for _, sv := range sc.so.site.Ever() {
 		for _, ran := range sv.Ran() {
 			if ran == id {
 				n++
@@ -128,7 +128,7 @@
 }
 
 func (sc *soakClient) signed(id, service, receipt string) bool {
-	for _, sv := range sc.so.site.Servers() {
+	for _, sv := range sc.so.site.Ever() {
 		if sv.Service == service && sv.Receipt(id) == receipt {
 			return true
 		}
