poison, entry: one job a file; the result of an attempt is made in one place

That a server broke the connection was worked out twice, for the VM's own attempts and for those that it joins; it is once now.

--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -1,8 +1,6 @@
 package poison
 
 import (
-	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,30 +8,6 @@
 	"laburnumvane/core/origin"
 )
 
-// State is what is thought of a request.
-type State uint8
-
-// States.
-const (
-	// Clear: nothing speaks against it.
-	Clear State = iota
-	// Suspect: servers ended under it and none answered it; it goes to one server first.
-	Suspect
-	// Blocked: it crashes servers, and is refused.
-	Blocked
-)
-
-// String is the state's name in logs and counters.
-func (st State) String() string {
-	switch st {
-	case Suspect:
-		return "suspect"
-	case Blocked:
-		return "blocked"
-	}
-	return "clear"
-}
-
 const (
 	// blockEnds is how many servers have to end under trials of a request, each alone,
 	// before it is blocked. Others may have been under way at the one server that the
@@ -62,50 +36,6 @@
 	mostTrialEnds = 8
 )
 
-// Record is what is known of a request, as VMs tell each other.
-type Record struct {
-	Fingerprint Fingerprint
-	// Trials names the servers' processes that ended under trials.
-	Trials []string
-}
-
-// Update is a record that changed.
-type Update struct {
-	Record
-	State State
-	// Ends counts the servers that this VM saw end under the request.
-	Ends int
-	// Share is set if other VMs should hear of it.
-	Share bool
-	// Cleared is set if the record is gone: a server answered the request.
-	Cleared bool
-}
-
-// record is what this VM knows of a request.
-type record struct {
-	ends   int
-	trials []string
-	// unserved is set once an arrival ended without any server's answer.
-	unserved bool
-	// seen is when it came last, or a server ended under it.
-	seen time.Duration
-	// hinted is until when another VM's word alone makes it a suspect.
-	hinted time.Duration
-	// shared is when other VMs were told, or told this one; ever if they were.
-	shared time.Duration
-	ever   bool
-}
-
-func (re *record) state(now time.Duration) State {
-	switch {
-	case len(re.trials) >= blockEnds && now-re.seen < BlockFor:
-		return Blocked
-	case re.ends > 0 || len(re.trials) > 0 || re.ever || now < re.hinted:
-		return Suspect
-	}
-	return Clear
-}
-
 // loss is an attempt that broke and whose server may have ended.
 type loss struct {
 	fp    Fingerprint
@@ -113,20 +43,6 @@
 	alone bool
 }
 
-// claim is the request under whose trial a server ended. With two it was neither's doing
-// for certain.
-type claim struct {
-	fp       Fingerprint
-	disputed bool
-	at       time.Duration
-}
-
-// trial is the trials under way at a server.
-type trial struct {
-	open  int
-	mixed bool
-}
-
 // Table holds what is known of requests under which servers ended. It is safe for
 // concurrent use.
 type Table struct {
@@ -187,43 +103,6 @@
 	return st, refresh
 }
 
-// BeginTrial notes that a request is tried at a server, and EndTrial that its result is
-// there; alone tells whether no other was tried there meanwhile.
-func (tb *Table) BeginTrial(pr origin.Process) {
-	tb.mu.Lock()
-	defer tb.mu.Unlock()
-	tr, ok := tb.trials[pr]
-	if !ok {
-		tr = &trial{}
-		tb.trials[pr] = tr
-	}
-	tr.open++
-	tr.mixed = tr.mixed || tr.open > 1
-}
-
-// EndTrial ends what BeginTrial began.
-func (tb *Table) EndTrial(pr origin.Process) (alone bool) {
-	tb.mu.Lock()
-	defer tb.mu.Unlock()
-	tr, ok := tb.trials[pr]
-	if !ok {
-		return false
-	}
-	tr.open--
-	if tr.open == 0 {
-		delete(tb.trials, pr)
-	}
-	return !tr.mixed
-}
-
-// OnTrial tells whether a request is being tried at a server.
-func (tb *Table) OnTrial(pr origin.Process) bool {
-	tb.mu.Lock()
-	defer tb.mu.Unlock()
-	_, ok := tb.trials[pr]
-	return ok
-}
-
 // Broken notes that a server ended the connection under a request; alone is set for a
 // trial that was alone there.
 func (tb *Table) Broken(now time.Duration, fp Fingerprint, pr origin.Process, alone bool) []Update {
@@ -276,30 +155,6 @@
 	return append(ups, up)
 }
 
-// claim counts a server's end as one request's doing, unless it is counted as another's:
-// then it is neither's. Both may have been under way there, from different VMs, and only
-// what comes next tells them apart. The caller holds the lock.
-func (tb *Table) claim(now time.Duration, fp Fingerprint, re *record, name string, ups []Update) []Update {
-	cl, claimed := tb.claims[name]
-	switch {
-	case !claimed:
-		if len(re.trials) < mostTrialEnds {
-			tb.claims[name] = claim{fp: fp, at: now}
-			re.trials = append(re.trials, name)
-		}
-		return ups
-	case cl.disputed || cl.fp == fp:
-		return ups
-	}
-	tb.claims[name] = claim{disputed: true, at: now}
-	other, ok := tb.records[cl.fp]
-	if !ok {
-		return ups
-	}
-	other.trials = slices.DeleteFunc(other.trials, func(one string) bool { return one == name })
-	return append(ups, tb.update(now, cl.fp, other))
-}
-
 // Answered notes that a server answered a request: it does not crash servers. The update
 // says so to others if they were told.
 func (tb *Table) Answered(now time.Duration, fp Fingerprint) (up Update, known bool) {
@@ -358,15 +213,6 @@
 	return ok && re.state(now) == Blocked
 }
 
-// claimAll takes the trials that another VM names. The caller holds the lock.
-func (tb *Table) claimAll(now time.Duration, rd Record, re *record) []Update {
-	var ups []Update
-	for _, name := range rd.Trials {
-		ups = tb.claim(now, rd.Fingerprint, re, name, ups)
-	}
-	return ups
-}
-
 // Learn takes what another VM knows.
 func (tb *Table) Learn(now time.Duration, rd Record) []Update {
 	tb.mu.Lock()
@@ -392,97 +238,3 @@
 	re.unserved = false
 	return tb.update(now, fp, re), true
 }
-
-// trim leaves a record one end short of being blocked. The caller holds the lock.
-func (tb *Table) trim(re *record) {
-	for len(re.trials) >= blockEnds {
-		last := len(re.trials) - 1
-		delete(tb.claims, re.trials[last])
-		re.trials = re.trials[:last]
-	}
-}
-
-// of is a request's record, made if there is none. The caller holds the lock.
-func (tb *Table) of(now time.Duration, fp Fingerprint) *record {
-	re, ok := tb.records[fp]
-	if ok {
-		return re
-	}
-	if len(tb.records) >= mostRecords {
-		tb.evict(now)
-	}
-	re = &record{seen: now}
-	tb.records[fp] = re
-	tb.count.Store(int64(len(tb.records)))
-	return re
-}
-
-// evict forgets the request of least concern: one that is not suspected rather than a
-// suspect, a suspect rather than one that is blocked, and of those the one that did not
-// come for longest. The caller holds the lock.
-func (tb *Table) evict(now time.Duration) {
-	var victim Fingerprint
-	least, seen, found := Blocked, time.Duration(0), false
-	for fp, re := range tb.records {
-		st := re.state(now)
-		if !found || st < least || st == least && re.seen < seen {
-			victim, least, seen, found = fp, st, re.seen, true
-		}
-	}
-	tb.forget(victim)
-}
-
-// forget drops a record. The caller holds the lock.
-func (tb *Table) forget(fp Fingerprint) {
-	for _, name := range tb.records[fp].trials {
-		delete(tb.claims, name)
-	}
-	delete(tb.records, fp)
-	tb.count.Store(int64(len(tb.records)))
-}
-
-// expire drops what can show nothing any more. The caller holds the lock.
-func (tb *Table) expire(now time.Duration) {
-	if now < tb.expireAt {
-		return
-	}
-	tb.expireAt = now + expireEvery
-	for pr, los := range tb.losses {
-		if now-los[len(los)-1].at > shownFor {
-			delete(tb.losses, pr)
-		}
-	}
-	for pr, at := range tb.ended {
-		if now-at > shownFor {
-			delete(tb.ended, pr)
-		}
-	}
-	for name, cl := range tb.claims {
-		if cl.disputed && now-cl.at > keepFor {
-			delete(tb.claims, name)
-		}
-	}
-	for fp, at := range tb.cleared {
-		if now-at >= clearFor {
-			delete(tb.cleared, fp)
-		}
-	}
-	for fp, re := range tb.records {
-		idle := now - re.seen
-		if idle >= keepFor || re.state(now) == Clear && idle > shownFor {
-			tb.forget(fp)
-		}
-	}
-}
-
-// update is a record as it stands. The caller holds the lock.
-func (tb *Table) update(now time.Duration, fp Fingerprint, re *record) Update {
-	return Update{
-		Record: Record{Fingerprint: fp, Trials: slices.Clone(re.trials)},
-		State:  re.state(now),
-		Ends:   re.ends,
-	}
-}
-
-// nameOf names a server's process to other VMs.
-func nameOf(pr origin.Process) string { return pr.ID + "@" + strconv.FormatInt(pr.Born, 10) }
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -268,8 +268,7 @@
 		Priority: fl.rt.Priority,
 		Fresh:    !fl.rt.Idempotent,
 		Done: func(rs relay.Result) {
-			ar := arrival{attempt: k, verdict: en.judge(rs, gathered), rs: rs}
-			ar.broken = rs.Err != nil && rs.Err.Broken()
+			ar := en.arrived(k, rs, gathered)
 			en.settle(up, ar, now, usual)
 			fl.judged(ac, ar)
 			box <- ar
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -144,8 +144,7 @@
 		Wire:     en.message(jo.head, jo.rq, up, jo.hard-now),
 		Priority: int(jo.jr.GetPriority()),
 		Done: func(rs relay.Result) {
-			ar := arrival{attempt: k, verdict: en.judge(rs, true), rs: rs}
-			ar.broken = rs.Err != nil && rs.Err.Broken()
+			ar := en.arrived(k, rs, true)
 			en.settle(up, ar, now, jo.usual)
 			jo.box <- ar
 		},
--- a/io/entry/message.go
+++ b/io/entry/message.go
@@ -56,6 +56,12 @@
 	return append(out, rq.body...)
 }
 
+// arrived is the result of an attempt that this VM sent.
+func (en *Entry) arrived(k int, rs relay.Result, gathered bool) arrival {
+	broken := rs.Err != nil && rs.Err.Broken()
+	return arrival{attempt: k, verdict: en.judge(rs, gathered), rs: rs, broken: broken}
+}
+
 // judge says what an exchange came to. A server's word that it did not run a
 // request is the only one that is believed; whatever else went wrong after a
 // byte was sent may have run.
