poison: a request under which servers end again and again is blocked, whoever else was there

Cause: an end that two requests claim counts for neither. Twenty that come back every few seconds go on claiming each other's ends, so that some never have two of their own.

Change: a request is blocked too once two servers ended under trials of it, each a second or more after the end before, whoever else was tried there. An answer clears it, as before. The record that VMs tell each other carries both counts.

Ruled out: three ends of any kind, the last under a trial a second later (one such end sufficed): callers who ask for the same every 1.5 s were refused, as the simulation shows since it has six such callers. With two they are not.

--- a/core/poison/sim_server_test.go
+++ b/core/poison/sim_server_test.go
@@ -5,6 +5,7 @@
 
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
+	"laburnumvane/core/poison"
 )
 
 type simServer struct {
@@ -36,8 +37,7 @@
 		at.closed = true
 		fl := at.fl
 		fl.breaks(1)
-		alone := at.trial && fl.vm.table.EndTrial(pr)
-		fl.vm.told(fw, fl.vm.table.Broken(fw.now, fl.fp, pr, alone))
+		fl.vm.told(fw, fl.vm.table.Broken(fw.now, fl.fp, pr, at.ends(pr)))
 	}
 	for _, vm := range fw.vms {
 		fw.after(dialTime, func() { vm.told(fw, vm.table.Ended(fw.now, pr)) })
@@ -56,7 +56,14 @@
 	at.closed = true
 	fl, pr := at.fl, sv.up.Process()
 	fl.breaks(1)
-	alone := at.trial && fl.vm.table.EndTrial(pr)
-	fl.vm.told(fw, fl.vm.table.Broken(fw.now, fl.fp, pr, alone))
+	fl.vm.told(fw, fl.vm.table.Broken(fw.now, fl.fp, pr, at.ends(pr)))
 	fl.step(fanout.Event{Kind: fanout.EvResult, Attempt: at.k, Verdict: fanout.Lost, Broken: true})
 }
+
+// ends ends an attempt, and tells how it stood at its server.
+func (at *simAttempt) ends(pr origin.Process) poison.Place {
+	if !at.trial {
+		return poison.Among
+	}
+	return at.fl.vm.table.EndTrial(pr)
+}
--- a/core/poison/sim_test.go
+++ b/core/poison/sim_test.go
@@ -92,6 +92,7 @@
 						end = 20 * time.Second
 					}
 					fw.load(end)
+					fw.poll(end)
 					fw.crash(ha, end)
 					if ha.strike != nil {
 						fw.after(time.Second, func() { ha.strike(fw) })
--- a/core/poison/sim_world_test.go
+++ b/core/poison/sim_world_test.go
@@ -151,6 +151,27 @@
 	fw.after(0, next)
 }
 
+// pollEvery is how often, on average, each of some callers asks for the same again.
+const (
+	pollEvery = 1500 * ms
+	pollers   = 6
+)
+
+// poll has callers ask for the same again and again: they are at several VMs when servers
+// end, and at later ends too.
+func (fw *fleet) poll(until time.Duration) {
+	for n := range pollers {
+		var next func()
+		next = func() {
+			fw.arrive(fw.vms[fw.rnd.IntN(len(fw.vms))], numbered(2_000_000+n), false, 1)
+			if fw.now < until {
+				fw.after(time.Duration(fw.rnd.ExpFloat64()*float64(pollEvery)), next)
+			}
+		}
+		fw.after(0, next)
+	}
+}
+
 // late counts the arrivals of a request that reached servers later than the window after the
 // third had ended under it.
 func (fw *fleet) late(fp poison.Fingerprint) int {
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -13,6 +13,12 @@
 	// before it is blocked. Others may have been under way at the one server that the
 	// request crashed first, but not at the next ones, which are drawn.
 	blockEnds = 2
+	// blockRepeats blocks a request too, whoever else was under way where servers ended: so
+	// many ended under a trial of it, each repeatAfter or more after the last. Many such
+	// requests at once claim each other's ends, so that trials alone would block none; a
+	// request that merely was beside them is answered meanwhile.
+	blockRepeats = 2
+	repeatAfter  = time.Second
 	// BlockFor is how long a blocked request must stay away to be tried again.
 	BlockFor = 10 * time.Minute
 	// keepFor is how long a request is remembered that did not come again.
@@ -38,9 +44,9 @@
 
 // loss is an attempt that broke and whose server may have ended.
 type loss struct {
-	fp    Fingerprint
-	at    time.Duration
-	alone bool
+	fp  Fingerprint
+	at  time.Duration
+	how Place
 }
 
 // Table holds what is known of requests under which servers ended. It is safe for
@@ -90,7 +96,7 @@
 		return Clear, Update{}
 	}
 	st = re.state(now)
-	if st == Suspect && len(re.trials) >= blockEnds {
+	if st == Suspect && re.crashes() {
 		// It stayed away for long: one more server decides.
 		tb.trim(re)
 	}
@@ -103,19 +109,18 @@
 	return st, refresh
 }
 
-// Broken notes that a server ended the connection under a request; alone is set for a
-// trial that was alone there.
-func (tb *Table) Broken(now time.Duration, fp Fingerprint, pr origin.Process, alone bool) []Update {
+// Broken notes that a server ended the connection under a request.
+func (tb *Table) Broken(now time.Duration, fp Fingerprint, pr origin.Process, how Place) []Update {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.expire(now)
 	re := tb.of(now, fp)
 	re.seen = now
 	if _, ok := tb.ended[pr]; ok {
-		return tb.note(now, fp, pr, alone, nil)
+		return tb.note(now, fp, pr, how, nil)
 	}
 	if len(tb.losses[pr]) < mostLosses {
-		tb.losses[pr] = append(tb.losses[pr], loss{fp: fp, at: now, alone: alone})
+		tb.losses[pr] = append(tb.losses[pr], loss{fp: fp, at: now, how: how})
 	}
 	return nil
 }
@@ -129,22 +134,22 @@
 	tb.ended[pr] = now
 	var ups []Update
 	for _, lo := range tb.losses[pr] {
-		ups = tb.note(now, lo.fp, pr, lo.alone, ups)
+		ups = tb.note(now, lo.fp, pr, lo.how, ups)
 	}
 	delete(tb.losses, pr)
 	return ups
 }
 
 // note takes one end into a record. The caller holds the lock.
-func (tb *Table) note(now time.Duration, fp Fingerprint, pr origin.Process, alone bool, ups []Update) []Update {
+func (tb *Table) note(now time.Duration, fp Fingerprint, pr origin.Process, how Place, ups []Update) []Update {
 	re, ok := tb.records[fp]
 	if !ok {
 		// A server answered the request meanwhile.
 		return ups
 	}
-	re.ends++
+	re.count(now, how)
 	re.seen = now
-	if alone {
+	if how == Alone {
 		ups = tb.claim(now, fp, re, nameOf(pr), ups)
 	}
 	up := tb.update(now, fp, re)
@@ -220,6 +225,7 @@
 	tb.expire(now)
 	re := tb.of(now, rd.Fingerprint)
 	re.seen, re.shared, re.ever = now, now, true
+	re.learn(now, rd)
 	return append(tb.claimAll(now, rd, re), tb.update(now, rd.Fingerprint, re))
 }
 
@@ -234,7 +240,6 @@
 	}
 	tb.trim(re)
 	re.ever = false
-	re.ends = max(re.ends, 1)
 	re.unserved = false
 	return tb.update(now, fp, re), true
 }
--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -22,8 +22,21 @@
 	mixed bool
 }
 
+// Place is how a request stood at a server.
+type Place uint8
+
+// Places.
+const (
+	// Among: as any request, beside others.
+	Among Place = iota
+	// Beside: tried, while another request was tried there too.
+	Beside
+	// Alone: tried, and no other meanwhile.
+	Alone
+)
+
 // BeginTrial notes that a request is tried at a server, and EndTrial that its result is
-// there; alone tells whether no other was tried there meanwhile.
+// there.
 func (tb *Table) BeginTrial(pr origin.Process) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -36,19 +49,22 @@
 	tr.mixed = tr.mixed || tr.open > 1
 }
 
-// EndTrial ends what BeginTrial began.
-func (tb *Table) EndTrial(pr origin.Process) (alone bool) {
+// EndTrial ends what BeginTrial began, and tells how the request stood there.
+func (tb *Table) EndTrial(pr origin.Process) Place {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tr, ok := tb.trials[pr]
 	if !ok {
-		return false
+		return Among
 	}
 	tr.open--
 	if tr.open == 0 {
 		delete(tb.trials, pr)
 	}
-	return !tr.mixed
+	if tr.mixed {
+		return Beside
+	}
+	return Alone
 }
 
 // OnTrial tells whether a request is being tried at a server.
@@ -94,6 +110,7 @@
 
 // trim leaves a record one end short of being blocked. The caller holds the lock.
 func (tb *Table) trim(re *record) {
+	re.ends, re.repeats = max(re.ends, 1), min(re.repeats, blockRepeats-1)
 	for len(re.trials) >= blockEnds {
 		last := len(re.trials) - 1
 		delete(tb.claims, re.trials[last])
--- a/io/entry/poison.go
+++ b/io/entry/poison.go
@@ -87,10 +87,12 @@
 
 // judged notes what an attempt shows of the request.
 func (fl *flight) judged(ac fanout.Action, ar arrival) {
-	pr := ac.Upstream.Process()
-	alone := ac.Trial && fl.en.cfg.Poison.EndTrial(pr)
+	pr, how := ac.Upstream.Process(), poison.Among
+	if ac.Trial {
+		how = fl.en.cfg.Poison.EndTrial(pr)
+	}
 	if ar.broken {
-		fl.en.told(fl.en.cfg.Poison.Broken(fl.en.cfg.Clock(), fl.rq.fingerprint(), pr, alone))
+		fl.en.told(fl.en.cfg.Poison.Broken(fl.en.cfg.Clock(), fl.rq.fingerprint(), pr, how))
 	}
 }
 
