origin, edge, relay: servers of a data centre that is evacuated get nothing more

Cause: no part read op/evacuate/.

Change: the key is decoded, and its data centre's servers take no requests while it stands (origin.Table.Evacuate), so that choice, joined answers and homes pass them over. What was chosen before, waits here for a connection or comes again from an older view is stopped at the last place that all requests pass, the connections (relay.Limits.Halted): it comes back as not sent, costs no token and goes elsewhere. The same gate now holds for servers that are leaving. What is under way goes on.

--- a/core/origin/doc.go
+++ b/core/origin/doc.go
@@ -29,6 +29,11 @@
 // the former one said and wherever it stood, and an entry of a former one changes
 // nothing, however late it comes.
 //
+// # Evacuation
+//
+// An operator may have a data centre evacuated: Table.Evacuate has all of its servers get
+// nothing new, whatever their own entries say, until Table.Return.
+//
 // # Entries that lapse
 //
 // Entries can lapse while the platform's store is away, though their servers
--- a/core/origin/table.go
+++ b/core/origin/table.go
@@ -32,9 +32,11 @@
 	// suspect time.
 	lapsed map[string]time.Duration
 	// past holds what is gone or leaving.
-	past    map[string]trace
-	suspect bool
-	until   time.Duration
+	past map[string]trace
+	// evacuated are the data centres whose servers are to get nothing.
+	evacuated map[string]struct{}
+	suspect   bool
+	until     time.Duration
 }
 
 // NewTable makes an empty table.
@@ -44,9 +46,26 @@
 		live:   make(map[string]*Upstream),
 		lapsed: make(map[string]time.Duration),
 		past:   make(map[string]trace),
+
+		evacuated: make(map[string]struct{}),
 	}
 }
 
+// Evacuate has the servers of a data centre get nothing until Return, those that are entered
+// later too, and tells whether that is new.
+func (tb *Table) Evacuate(dataCentre string) bool {
+	_, was := tb.evacuated[dataCentre]
+	tb.evacuated[dataCentre] = struct{}{}
+	return !was
+}
+
+// Return ends that, and tells whether it was in force.
+func (tb *Table) Return(dataCentre string) bool {
+	_, was := tb.evacuated[dataCentre]
+	delete(tb.evacuated, dataCentre)
+	return was
+}
+
 // Put takes a server's entry and tells whether the directory changed. An entry
 // that is older than what is known changes nothing.
 func (tb *Table) Put(now time.Duration, up *Upstream) bool {
@@ -163,6 +182,9 @@
 func (tb *Table) Directory() *Directory {
 	ups := make([]*Upstream, 0, len(tb.live))
 	for _, up := range tb.live {
+		if _, evacuated := tb.evacuated[up.DataCentre]; evacuated {
+			up = up.WithEvacuated()
+		}
 		ups = append(ups, up)
 	}
 	sort.Slice(ups, func(i, j int) bool { return ups[i].ID < ups[j].ID })
--- a/core/origin/table_test.go
+++ b/core/origin/table_test.go
@@ -206,3 +206,29 @@
 	is.True(tb.Put(3, up("a", 5)))
 	is.True(takes(tb, "a"))
 }
+
+// A data centre is evacuated. Its servers get nothing, those that are entered meanwhile too,
+// and whatever their own entries say; servers elsewhere are not touched, and after the return
+// all are used again but those that left.
+func TestEvacuated(t *testing.T) {
+	is := is.New(t)
+	tb := newTable()
+	tb.Put(0, up("a", 1))
+	west := up("b", 1)
+	west.DataCentre = "west"
+	tb.Put(0, west)
+	is.True(tb.Evacuate("east"))
+	is.True(!tb.Evacuate("east"))
+	is.True(!takes(tb, "a"))
+	is.True(takes(tb, "b"))
+	tb.Put(1, up("a", 2))
+	tb.Put(1, up("c", 1))
+	is.True(!takes(tb, "a"))
+	is.True(!takes(tb, "c"))
+	tb.Put(2, up("c", 2).WithLeaving())
+	is.True(tb.Evacuate("nowhere"))
+	is.True(tb.Return("east"))
+	is.True(!tb.Return("east"))
+	is.True(takes(tb, "a"))
+	is.True(!takes(tb, "c"))
+}
--- a/core/origin/upstream.go
+++ b/core/origin/upstream.go
@@ -28,6 +28,8 @@
 	Slots int
 	// Leaving is set once the server said that it will exit.
 	Leaving bool
+	// Evacuated is set while the operator has its data centre evacuated.
+	Evacuated bool
 	// WarmFor is how much longer it is slow after its start, counted from the
 	// entry's writing.
 	WarmFor time.Duration
@@ -54,8 +56,15 @@
 	return &changed
 }
 
+// WithEvacuated is the same server in a data centre that is evacuated.
+func (up *Upstream) WithEvacuated() *Upstream {
+	changed := *up
+	changed.Evacuated = true
+	return &changed
+}
+
 // Takes tells whether the server may get new requests.
-func (up *Upstream) Takes() bool { return !up.Leaving }
+func (up *Upstream) Takes() bool { return !up.Leaving && !up.Evacuated }
 
 // Directory is all servers at one moment.
 type Directory struct {
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -97,6 +97,8 @@
 	Upstream(key string, value []byte) (up *origin.Upstream, ok bool, err error)
 	// UpstreamID is the server that a key belongs to.
 	UpstreamID(key string) (id string, ok bool)
+	// Evacuation is the data centre that a key has evacuated while it stands.
+	Evacuation(key string) (dataCentre string, ok bool)
 	// VM reads another VM's entry.
 	VM(key string, value []byte) (vm rank.VM, capacity float64, ok bool, err error)
 	// VMPrefix begins the keys of all VMs' entries.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -323,6 +323,10 @@
 
 func (st *state) limits(up *upstream) relay.Limits {
 	li := st.view.Limits(up)
+	if !up.Takes() {
+		// Those in use end with their requests.
+		return relay.Limits{Most: li.Most, Halted: true}
+	}
 	return relay.Limits{Warm: li.Warm, Most: li.Most}
 }
 
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -90,6 +90,9 @@
 	if up, ok, err := dec.Upstream(ev.Key, ev.Value); ok {
 		return st.putServer(now, ev, up, err), false
 	}
+	if dc, ok := dec.Evacuation(ev.Key); ok {
+		return st.evacuate(ev, dc), false
+	}
 	if vm, capacity, ok, err := dec.VM(ev.Key, ev.Value); ok {
 		if ev.Key == st.eg.key {
 			st.eg.listing.found(ev.Value, ev.Lease)
@@ -138,6 +141,29 @@
 	return true
 }
 
+// evacuate has the servers of a data centre get nothing, as the operator wants, and tells
+// whether that is new.
+func (st *state) evacuate(ev feed.Event, dataCentre string) bool {
+	if !st.servers.Evacuate(dataCentre) {
+		return false
+	}
+	st.eg.meter.Count(meter.Evacuation, "begun")
+	st.eg.cfg.Log.Warn().Str("dataCentre", dataCentre).Uint64("revision", ev.Revision).
+		Int64("ageMs", st.eg.follow.Age().Milliseconds()).Msg("data centre evacuated: its servers get nothing more")
+	return true
+}
+
+// returned ends that.
+func (st *state) returned(dataCentre string) bool {
+	if !st.servers.Return(dataCentre) {
+		return false
+	}
+	st.eg.meter.Count(meter.Evacuation, "ended")
+	st.eg.cfg.Log.Warn().Str("dataCentre", dataCentre).Int64("ageMs", st.eg.follow.Age().Milliseconds()).
+		Msg("evacuation ended: its servers are used again")
+	return true
+}
+
 // setRoutes takes a configuration unless a newer one is in force: a VM never
 // goes back.
 func (st *state) setRoutes(tb *routeTable, revision uint64) {
@@ -173,6 +199,9 @@
 		st.eg.cfg.Log.Info().Str("server", id).Bool("dropped", changed).Msg("server entry gone")
 		return changed
 	}
+	if dc, ok := st.eg.cfg.Decoder.Evacuation(key); ok {
+		return st.returned(dc)
+	}
 	if fp, ok := st.eg.cfg.Decoder.PoisonID(key); ok {
 		st.eg.entry.ReleasePoison(fp)
 		return false
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -43,6 +43,8 @@
 	// Poison counts what became known of requests under which servers ended, by what is
 	// thought of them then.
 	Poison = "poison"
+	// Evacuation counts data centres that the operator had evacuated and took back.
+	Evacuation = "evacuation"
 	// Off is 1 for each mechanism that is switched off.
 	Off = "off"
 )
@@ -129,6 +131,7 @@
 		ServerState: {"unknown", "cold", "serving", "shedding", "suspect", "draining", "gone"},
 		Sign:        {"leaving", "unreachable", "returned"},
 		Off:         mechanisms(),
+		Evacuation:  {"begun", "ended"},
 		Poison:      {"clear", "suspect", "blocked", "notShared", "hinted"},
 		Logged:      {"searches", "sampledOut", "lost"},
 	}
--- a/io/relay/pool.go
+++ b/io/relay/pool.go
@@ -103,6 +103,7 @@
 			delete(po.servers, pr)
 		}
 	}
+	var halted []*Call
 	dir.All(func(up *origin.Upstream) {
 		sv, ok := po.servers[up.Process()]
 		if !ok {
@@ -110,9 +111,12 @@
 			sv.waiting.OldestFirst = po.cfg.OldestFirst
 			po.servers[up.Process()] = sv
 		}
-		sv.setLimits(plan(up))
+		halted = append(halted, sv.setLimits(plan(up))...)
 	})
 	po.mu.Unlock()
+	for _, ca := range halted {
+		ca.fail("relay.Sync", KindClosed, false, nil)
+	}
 	for _, sv := range gone {
 		sv.close()
 	}
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -51,6 +51,8 @@
 	Warm int
 	// Most is how many there may be.
 	Most int
+	// Halted is set while the server may get no request: none is begun, and none waits.
+	Halted bool
 }
 
 // Server is one upstream with the connections to it.
@@ -99,7 +101,7 @@
 	now := sv.cfg.Clock()
 	sv.mu.Lock()
 	sv.used = now
-	if sv.hasRoom() {
+	if sv.hasRoom() && !sv.limits.Halted {
 		if cn := sv.takeIdle(now, &ca.rq); cn != nil {
 			sv.begin(now)
 			sv.mu.Unlock()
@@ -125,7 +127,7 @@
 // enqueue lets a call wait, or tells why it may not.
 func (sv *Server) enqueue(now time.Duration, ca *Call) Kind {
 	switch {
-	case sv.shut:
+	case sv.shut || sv.limits.Halted:
 		return KindClosed
 	case sv.waiting.Len() >= maxWaiting:
 		return KindNoRoom
@@ -373,11 +375,16 @@
 	return opens
 }
 
-// setLimits sets the plan's limits.
-func (sv *Server) setLimits(li Limits) {
+// setLimits sets the plan's limits and returns the calls that have to go elsewhere, where no
+// request may be begun any more.
+func (sv *Server) setLimits(li Limits) []*Call {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	sv.limits = li
+	if !li.Halted {
+		return nil
+	}
+	return sv.waiting.Drain()
 }
 
 // close gives the server up: idle connections end, calls under way go on.
