ramp, plan, entry: a server that warms up gets what it bears, through one VM

Cause: warmup_left_ms was parsed and never used, and warmup_per_s not read.

Change: an entry that says how long its server is cold makes it cold on this VM's clock (origin.Upstream.Cold), a data centre that is taken back makes all its servers cold for their service's time. Where the service names a bound, a cold server gets a request only if no warm server of the service is left, as the first attempt, and through its owner: the one VM that ranks first for it by what the VMs' entries say, beside it and large if there is such (plan.Warming). Others have the owner send it, over the way of joined answers; it counts (ramp.Gate), and only while its own entry and its news have been in order for long enough that any other VM which could take itself for the owner knows of it. Servers are chosen from what is known now, no longer from what was known when the request came. The Retry-After of what only cold servers could take says when one will be warm. Where no bound is named nothing changes.

Ruled out: asking servers (the answers tell nothing of it, the status check would be a priced call for each VM); entries suffice, for a server writes at once when it starts or turns cold.

--- a/core/fanout/config.go
+++ b/core/fanout/config.go
@@ -6,11 +6,21 @@
 	"laburnumvane/core/origin"
 )
 
-// Chooser picks a server of a shard, none of tried.
+// Ask is what a server is picked for.
+type Ask struct {
+	Shard int
+	// Tried are the servers that are no choice.
+	Tried []*origin.Upstream
+	// First is set if nothing of the request has reached the shard's service.
+	First bool
+	// Trial is set for one that shows whether the request crashes servers: rather a server at
+	// which no other request is tried.
+	Trial bool
+}
+
+// Chooser picks a server of a shard.
 type Chooser interface {
-	Pick(now time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool)
-	// PickTrial is the same for a trial: rather one at which no other request is tried.
-	PickTrial(now time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool)
+	Pick(now time.Duration, ask Ask) (*origin.Upstream, bool)
 }
 
 // Budget allows or denies an attempt beyond the first that reaches a service.
--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -97,7 +97,7 @@
 func (mc *Machine) begin(now time.Duration, i int) {
 	if mc.cfg.Suspect {
 		mc.ward.careful = true
-		if _, ok := mc.pick(now, i, false); !ok {
+		if _, ok := mc.pick(now, i, false, true); !ok {
 			mc.kill(i, ReasonNoUpstream)
 			return
 		}
@@ -252,14 +252,12 @@
 // pick picks a server that was not asked for the shard. Where there is none, one that
 // refused is asked again, for it did not run the request and may have room by now, or one
 // that is doubted, which may be slow and is better than none.
-func (mc *Machine) pick(now time.Duration, i int, trial bool) (*origin.Upstream, bool) {
-	choose := mc.cfg.Chooser.Pick
-	if trial {
-		choose = mc.cfg.Chooser.PickTrial
-	}
-	up, ok := choose(now, i, mc.triedOf(i))
+func (mc *Machine) pick(now time.Duration, i int, first, trial bool) (*origin.Upstream, bool) {
+	ask := Ask{Shard: i, Tried: mc.triedOf(i), First: first, Trial: trial}
+	up, ok := mc.cfg.Chooser.Pick(now, ask)
 	if !ok && mc.shards[i].again {
-		up, ok = choose(now, i, mc.spentOf(i))
+		ask.Tried = mc.spentOf(i)
+		up, ok = mc.cfg.Chooser.Pick(now, ask)
 	}
 	return up, ok
 }
@@ -270,7 +268,7 @@
 		mc.reason = ReasonDeadline
 		return false
 	}
-	up, ok := mc.pick(now, i, trial)
+	up, ok := mc.pick(now, i, ca == CauseFirst && !mc.shards[i].again, trial)
 	if !ok {
 		mc.reason = ReasonNoUpstream
 		return false
--- a/core/fanout/machine_test.go
+++ b/core/fanout/machine_test.go
@@ -19,10 +19,10 @@
 // servers picks the first server of a shard that was not tried.
 type servers map[int][]string
 
-func (ss servers) Pick(_ time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool) {
-	for _, id := range ss[shard] {
+func (ss servers) Pick(_ time.Duration, ask fanout.Ask) (*origin.Upstream, bool) {
+	for _, id := range ss[ask.Shard] {
 		free := true
-		for _, up := range tried {
+		for _, up := range ask.Tried {
 			free = free && up.ID != id
 		}
 		if free {
@@ -32,10 +32,6 @@
 	return nil, false
 }
 
-func (ss servers) PickTrial(now time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool) {
-	return ss.Pick(now, shard, tried)
-}
-
 // tokens is a budget of so many.
 type tokens struct {
 	left   int
--- a/core/origin/table.go
+++ b/core/origin/table.go
@@ -59,11 +59,20 @@
 	return !was
 }
 
-// Return ends that, and tells whether it was in force.
-func (tb *Table) Return(dataCentre string) bool {
+// Return ends that, and tells whether it was in force. The servers are taken to be cold from
+// then on, for as long as warmUp says of their service: entries that say so may come late.
+func (tb *Table) Return(now time.Duration, dataCentre string, warmUp func(service string) time.Duration) bool {
 	_, was := tb.evacuated[dataCentre]
 	delete(tb.evacuated, dataCentre)
-	return was
+	if !was {
+		return false
+	}
+	for id, up := range tb.live {
+		if until := now + warmUp(up.Service); up.DataCentre == dataCentre && until > max(now, up.ColdUntil) {
+			tb.live[id] = up.WithCold(now, until)
+		}
+	}
+	return true
 }
 
 // Put takes a server's entry and tells whether the directory changed. An entry
@@ -90,11 +99,30 @@
 	if up.Leaving {
 		tb.remember(now, up)
 	}
+	if up.WarmFor > 0 {
+		up = up.WithCold(coldFrom(now, was, up), now+up.WarmFor)
+	}
 	delete(tb.lapsed, up.ID)
 	tb.live[up.ID] = up
 	return !known || *was != *up
 }
 
+// turnTime is how long after a server is known to have turned cold VMs may still send to it
+// that have not heard.
+const turnTime = time.Second
+
+// coldFrom is since when all VMs know that a server is cold: one that is new gets nothing from
+// those that do not.
+func coldFrom(now time.Duration, was, up *Upstream) time.Duration {
+	switch {
+	case was == nil || was.Process() != up.Process():
+		return now
+	case was.Cold(now):
+		return was.ColdFrom
+	}
+	return now + turnTime
+}
+
 // Remove takes the end of a server's entry and tells whether the directory
 // changed.
 func (tb *Table) Remove(now time.Duration, id string) bool {
--- a/core/origin/table_test.go
+++ b/core/origin/table_test.go
@@ -20,6 +20,13 @@
 	return &origin.Upstream{ID: id, Service: "s", Addr: id + ":1", DataCentre: "east", Sequence: sequence}
 }
 
+const second = time.Second
+
+func cold(tb *origin.Table, id string, now time.Duration) bool {
+	found, ok := tb.Directory().Find(id)
+	return ok && found.Cold(now)
+}
+
 func takes(tb *origin.Table, id string) bool {
 	found, ok := tb.Directory().Find(id)
 	return ok && found.Takes()
@@ -227,8 +234,42 @@
 	is.True(!takes(tb, "c"))
 	tb.Put(2, up("c", 2).WithLeaving())
 	is.True(tb.Evacuate("nowhere"))
-	is.True(tb.Return("east"))
-	is.True(!tb.Return("east"))
+	warmUp := func(string) time.Duration { return 3 * time.Second }
+	is.True(tb.Return(second, "east", warmUp))
+	is.True(!tb.Return(second, "east", warmUp))
 	is.True(takes(tb, "a"))
 	is.True(!takes(tb, "c"))
+	is.True(cold(tb, "a", 3*second)) // what it says of itself may come late
+	is.True(!cold(tb, "a", 4*second))
+	is.True(!cold(tb, "b", second))
+	tb.Put(2*second, up("a", 3))
+	is.True(!cold(tb, "a", 2*second)) // it says that it is warm
+}
+
+// A server tells how much longer it is cold, anew while it warms up and also after it was warm:
+// then other VMs may still send to it that have not heard.
+func TestColdServers(t *testing.T) {
+	is := is.New(t)
+	tb := newTable()
+	left := func(sequence uint64, wait time.Duration) *origin.Upstream {
+		one := up("a", sequence)
+		one.WarmFor = wait
+		return one
+	}
+	from := func() time.Duration {
+		found, _ := tb.Directory().Find("a")
+		return found.ColdFrom
+	}
+	tb.Put(second, left(1, 3*second))
+	is.True(cold(tb, "a", 4*second-1))
+	is.True(!cold(tb, "a", 4*second))
+	is.Equal(from(), second)
+	tb.Put(2*second, left(2, 1800*time.Millisecond))
+	is.True(!cold(tb, "a", 3800*time.Millisecond))
+	is.Equal(from(), second)
+	tb.Put(4*second, up("a", 3))
+	is.True(!cold(tb, "a", 4*second))
+	tb.Put(6*second, left(4, 3*second))
+	is.True(cold(tb, "a", 9*second-1))
+	is.Equal(from(), 7*second)
 }
--- a/core/origin/upstream.go
+++ b/core/origin/upstream.go
@@ -30,9 +30,12 @@
 	Leaving bool
 	// Evacuated is set while the operator has its data centre evacuated.
 	Evacuated bool
-	// WarmFor is how much longer it is slow after its start, counted from the
-	// entry's writing.
+	// WarmFor is how much longer it is cold, counted from the entry's writing.
 	WarmFor time.Duration
+	// ColdFrom and ColdUntil are the same on the clock of the table that holds it: until
+	// ColdUntil it is cold, and before ColdFrom VMs may still send to it that do not know.
+	// Both are 0 if it is warm.
+	ColdFrom, ColdUntil time.Duration
 	// Sequence rises with every entry that the process writes.
 	Sequence uint64
 }
@@ -63,6 +66,16 @@
 	return &changed
 }
 
+// WithCold is the same server while it warms up.
+func (up *Upstream) WithCold(from, until time.Duration) *Upstream {
+	changed := *up
+	changed.ColdFrom, changed.ColdUntil = from, until
+	return &changed
+}
+
+// Cold tells whether the server still warms up.
+func (up *Upstream) Cold(now time.Duration) bool { return now < up.ColdUntil }
+
 // Takes tells whether the server may get new requests.
 func (up *Upstream) Takes() bool { return !up.Leaving && !up.Evacuated }
 
--- a/core/plan/view.go
+++ b/core/plan/view.go
@@ -5,6 +5,7 @@
 
 	"laburnumvane/core/conns"
 	"laburnumvane/core/origin"
+	"laburnumvane/core/ramp"
 	"laburnumvane/core/rank"
 	"laburnumvane/core/route"
 )
@@ -33,6 +34,8 @@
 	Fleet []rank.VM
 	// Capacity is what each VM can do, by its inner address, in cores.
 	Capacity map[string]float64
+	// WarmUp says what servers bear while they warm up.
+	WarmUp ramp.Bounds
 }
 
 // Limits is this VM's part of a server's connections.
@@ -58,6 +61,9 @@
 	single []*origin.Upstream
 	// joiners are by data centre.
 	joiners map[string][]*origin.Upstream
+	// warming are the servers that warm up and have a bound, by id, and warms their services.
+	warming map[string]Warming
+	warms   map[string]bool
 }
 
 // places is the division of the fleet into data centres.
@@ -81,6 +87,7 @@
 	vw.large = vw.findLarge()
 	vw.findHomes()
 	vw.findJoiners()
+	vw.findWarming()
 	cfg.Upstreams.All(func(up *origin.Upstream) {
 		vw.limits[up.ID] = vw.part(up)
 	})
--- a/core/poison/sim_flight_test.go
+++ b/core/poison/sim_flight_test.go
@@ -33,17 +33,15 @@
 	over    bool
 }
 
-// Pick prefers the replica that stands near, as one data centre's VMs do.
-func (fl *simFlight) Pick(_ time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool) {
-	return fl.pick(shard, tried, false)
-}
-
-// PickTrial passes over servers at which another request is tried.
-func (fl *simFlight) PickTrial(_ time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool) {
-	if up, ok := fl.pick(shard, tried, true); ok {
-		return up, true
+// Pick prefers the replica that stands near, as one data centre's VMs do; for a trial it passes
+// over servers at which another request is tried.
+func (fl *simFlight) Pick(_ time.Duration, ask fanout.Ask) (*origin.Upstream, bool) {
+	if ask.Trial {
+		if up, ok := fl.pick(ask.Shard, ask.Tried, true); ok {
+			return up, true
+		}
 	}
-	return fl.pick(shard, tried, false)
+	return fl.pick(ask.Shard, ask.Tried, false)
 }
 
 func (fl *simFlight) pick(shard int, tried []*origin.Upstream, alone bool) (*origin.Upstream, bool) {
--- /dev/null
+++ b/core/ramp/gate.go
@@ -0,0 +1,143 @@
+package ramp
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"laburnumvane/core/origin"
+)
+
+const (
+	// Window is the span within which requests are counted.
+	Window = time.Second
+	// margin is how much longer a request is counted: the way to the server may take a
+	// little less for a later one.
+	margin = 20 * time.Millisecond
+	// FreshFor is how old the copy of the store may be for this VM to speak for the fleet.
+	FreshFor = 1800 * time.Millisecond
+	// Handover is how long this VM must have stood in such a copy: longer than FreshFor and
+	// the way of news between two VMs.
+	Handover = 2500 * time.Millisecond
+	// deniedFor is how long the owner is not asked again after it had no room.
+	deniedFor = 200 * time.Millisecond
+)
+
+// Bounds say what a server bears while it warms up, beside its own rate.
+type Bounds struct {
+	// Overage is a factor on its rate, and Slack what it bears on top within a second.
+	Overage float64
+	Slack   float64
+}
+
+// Most is how many requests a server may get within a second; perSecond is its rate.
+func (bo Bounds) Most(perSecond float64) int {
+	// What a product falls short of a whole number by rounding still is that number.
+	const tolerance = 1e-9
+	return int(math.Floor(perSecond*bo.Overage + bo.Slack + tolerance))
+}
+
+// Gate counts what this VM sends to servers that warm up. It is safe for concurrent use.
+type Gate struct {
+	mu   sync.Mutex
+	sent map[origin.Process]*count
+	// stands is set while this VM may be an owner, since a time, and until is when that ends
+	// by itself.
+	stands       bool
+	since, until time.Duration
+}
+
+// count is what one server got.
+type count struct {
+	// times are those of the requests of the last Window.
+	times []time.Duration
+	// denied is until when its owner is not asked.
+	denied time.Duration
+}
+
+// New makes a gate that lets nothing through yet.
+func New() *Gate { return &Gate{sent: make(map[origin.Process]*count)} }
+
+// Look takes in how old the copy of the store is, and whether this VM's own entry stands in
+// it.
+func (ga *Gate) Look(now, age time.Duration, listed bool) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if !listed || age > FreshFor || ga.stands && now > ga.until {
+		ga.stands = false
+	}
+	if !listed || age > FreshFor {
+		return
+	}
+	if !ga.stands {
+		ga.stands, ga.since = true, now
+	}
+	ga.until = now - age + FreshFor
+}
+
+// Stands tells whether this VM may send to servers that it owns.
+func (ga *Gate) Stands(now time.Duration) bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.standsAt(now)
+}
+
+func (ga *Gate) standsAt(now time.Duration) bool {
+	return ga.stands && now-ga.since >= Handover && now <= ga.until
+}
+
+// Take tells whether one more request may be sent to a server that this VM owns and that may
+// get so many within Window, and counts it.
+func (ga *Gate) Take(now time.Duration, pr origin.Process, most int) bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if !ga.standsAt(now) {
+		return false
+	}
+	co := ga.of(pr)
+	past := 0
+	for past < len(co.times) && now-co.times[past] > Window+margin {
+		past++
+	}
+	co.times = co.times[past:]
+	if len(co.times) >= most {
+		return false
+	}
+	co.times = append(co.times, now)
+	return true
+}
+
+// Denied notes that a server's owner had no room, or is not there.
+func (ga *Gate) Denied(now time.Duration, pr origin.Process) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.of(pr).denied = now + deniedFor
+}
+
+// MayAsk tells whether a server's owner may have room.
+func (ga *Gate) MayAsk(now time.Duration, pr origin.Process) bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	co, ok := ga.sent[pr]
+	return !ok || now >= co.denied
+}
+
+func (ga *Gate) of(pr origin.Process) *count {
+	co, ok := ga.sent[pr]
+	if !ok {
+		co = &count{}
+		ga.sent[pr] = co
+	}
+	return co
+}
+
+// Keep forgets all servers but those.
+func (ga *Gate) Keep(dir *origin.Directory) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	for pr := range ga.sent {
+		if !dir.Has(pr) {
+			delete(ga.sent, pr)
+		}
+	}
+}
--- /dev/null
+++ b/core/ramp/gate_test.go
@@ -0,0 +1,127 @@
+package ramp_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/core/origin"
+	"laburnumvane/core/ramp"
+)
+
+const (
+	second = time.Second
+	ms     = time.Millisecond
+)
+
+func TestMost(t *testing.T) {
+	bounds := ramp.Bounds{Overage: 1.5, Slack: 5}
+	for _, tc := range []struct {
+		perSecond float64
+		want      int
+	}{{2, 8}, {4, 11}, {30, 50}, {0.5, 5}, {2.2, 8}} {
+		t.Run(fmt.Sprint(tc.perSecond), func(t *testing.T) {
+			is.New(t).Equal(bounds.Most(tc.perSecond), tc.want)
+		})
+	}
+}
+
+// standing is a gate of a VM that has been listed for long.
+func standing(now time.Duration) *ramp.Gate {
+	ga := ramp.New()
+	looks(ga, now-2*ramp.Handover, now, 0)
+	return ga
+}
+
+// A request that leaves a moment later than another one may arrive a moment sooner than that
+// after it: the bound holds in any second at the server.
+func TestTakeInAnySecond(t *testing.T) {
+	is := is.New(t)
+	pr := origin.Process{ID: "a"}
+	ga := standing(10 * second)
+	const most = 8
+	var taken []time.Duration
+	for now := 10 * second; now < 18*second; now += 3 * ms {
+		ga.Look(now, 0, true)
+		if ga.Take(now, pr, most) {
+			taken = append(taken, now)
+		}
+	}
+	for i := range taken {
+		n := 0
+		for _, at := range taken[i:] {
+			if at-taken[i] <= second {
+				n++
+			}
+		}
+		is.True(n <= most)
+	}
+	is.True(len(taken) >= 7*most)
+	is.True(ga.Take(18*second, origin.Process{ID: "b"}, most)) // each server has its own
+}
+
+// looks has a VM look at its copy of the store a few times a second.
+func looks(ga *ramp.Gate, from, to, age time.Duration) {
+	for at := from; at <= to; at += 250 * ms {
+		ga.Look(at, age, true)
+	}
+}
+
+// A VM whose news is old may not know that another one has taken its place, and one that is
+// not listed, or since a moment ago only, is not known to the one before.
+func TestWhoMaySpeakForTheFleet(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		look func(ga *ramp.Gate)
+		want bool
+	}{
+		{"listed for long", func(ga *ramp.Gate) { looks(ga, 0, 10*second, 0) }, true},
+		{"news stopped a while ago", func(ga *ramp.Gate) {
+			looks(ga, 0, 9*second, 0)
+			ga.Look(10*second, second, true)
+		}, true},
+		{"started just now", func(ga *ramp.Gate) { looks(ga, 8*second, 10*second, 0) }, false},
+		{"old news", func(ga *ramp.Gate) {
+			looks(ga, 0, 9*second, 0)
+			ga.Look(10*second, 1900*ms, true)
+		}, false},
+		{"not listed any more", func(ga *ramp.Gate) {
+			looks(ga, 0, 9*second, 0)
+			ga.Look(10*second, 0, false)
+		}, false},
+		{"not listed for a moment", func(ga *ramp.Gate) {
+			looks(ga, 0, 8*second, 0)
+			ga.Look(8*second, 0, false)
+			looks(ga, 8*second, 10*second, 0)
+		}, false},
+		{"old news until just now", func(ga *ramp.Gate) {
+			looks(ga, 0, 8*second, 2*second)
+			looks(ga, 8*second, 10*second, 0)
+		}, false},
+		{"frozen until just now", func(ga *ramp.Gate) {
+			looks(ga, 0, 6*second, 0)
+			ga.Look(10*second, 0, true)
+		}, false},
+		{"frozen since", func(ga *ramp.Gate) { looks(ga, 0, 8*second, 0) }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ga := ramp.New()
+			tc.look(ga)
+			is.New(t).Equal(ga.Take(10*second, origin.Process{ID: "a"}, 1), tc.want)
+		})
+	}
+}
+
+func TestDenied(t *testing.T) {
+	is := is.New(t)
+	ga := ramp.New()
+	pr := origin.Process{ID: "a"}
+	is.True(ga.MayAsk(second, pr))
+	ga.Denied(second, pr)
+	is.True(!ga.MayAsk(second+100*ms, pr))
+	is.True(ga.MayAsk(2*second, pr))
+	ga.Keep(origin.New(nil))
+	is.True(ga.MayAsk(second+100*ms, pr))
+}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -11,6 +11,10 @@
 	// MaxConnections is how many connections one of its servers accepts from
 	// all VMs together; 0 if it is not said.
 	MaxConnections int
+	// WarmUp is how long one of its servers is cold after its start, and WarmUpRate how many
+	// requests a second it bears meanwhile, from all VMs together; 0 is no bound.
+	WarmUp     time.Duration
+	WarmUpRate float64
 }
 
 // Limits bound what a client may send, and how long it may take.
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -12,6 +12,7 @@
 	"laburnumvane/core/feed"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/poison"
+	"laburnumvane/core/ramp"
 	"laburnumvane/core/rank"
 	"laburnumvane/core/route"
 	"laburnumvane/core/toggle"
@@ -65,6 +66,8 @@
 	FirstStart bool
 	// Extra bounds the attempts beyond the first; Part is filled in here.
 	Extra entry.Extra
+	// WarmUp says what servers bear while they warm up.
+	WarmUp ramp.Bounds
 	// StopGrace is the time from the signal to the end of the process.
 	StopGrace time.Duration
 	// Off are the mechanisms that are switched off.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -15,6 +15,7 @@
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
 	"laburnumvane/core/poison"
+	"laburnumvane/core/ramp"
 	"laburnumvane/core/reach"
 	"laburnumvane/core/route"
 	"laburnumvane/core/steer"
@@ -65,6 +66,8 @@
 	registrar *registrar
 	leases    atomic.Pointer[map[string]uint64]
 	homes     *carry.Client
+	// ramp counts what goes to servers that warm up.
+	ramp *ramp.Gate
 	// poison holds the requests under which servers ended, and sharer tells other VMs.
 	poison  *poison.Table
 	sharer  *sharer
@@ -108,6 +111,7 @@
 		steer:   steer.New(steer.Config{DataCentre: cfg.Settings.Self.DataCentre, Off: cfg.Settings.Off}),
 		cut:     reach.New(reach.Config{}),
 		poison:  poison.New(),
+		ramp:    ramp.New(),
 		changes: make(chan follow.Change),
 		taken:   make(chan struct{}),
 		ended:   make(chan struct{}),
@@ -358,6 +362,7 @@
 		View:       eg.view.Load,
 		Relay:      eg.pool,
 		Steer:      eg.steer,
+		Ramp:       eg.ramp,
 		Homes:      eg.homes,
 		Poison:     eg.poison,
 		Share:      eg.sharer.add,
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -55,7 +55,7 @@
 		vms:     make(map[string]listed),
 		gone:    make(map[string]time.Duration),
 		unread:  make(map[string]bool),
-		view:    plan.New(plan.Config{Self: eg.set.Self}),
+		view:    plan.New(plan.Config{Self: eg.set.Self, WarmUp: eg.set.WarmUp}),
 	}
 }
 
@@ -155,7 +155,7 @@
 
 // returned ends that.
 func (st *state) returned(dataCentre string) bool {
-	if !st.servers.Return(dataCentre) {
+	if !st.servers.Return(st.eg.clock(), dataCentre, st.warmUp) {
 		return false
 	}
 	st.eg.meter.Count(meter.Evacuation, "ended")
@@ -164,6 +164,16 @@
 	return true
 }
 
+// warmUp is how long the servers of a service are cold, if they bear fewer requests then.
+func (st *state) warmUp(service string) time.Duration {
+	if tb := st.view.Routes(); tb != nil {
+		if sv, ok := tb.Service(service); ok && sv.WarmUpRate > 0 {
+			return sv.WarmUp
+		}
+	}
+	return 0
+}
+
 // setRoutes takes a configuration unless a newer one is in force: a VM never
 // goes back.
 func (st *state) setRoutes(tb *routeTable, revision uint64) {
@@ -215,9 +225,17 @@
 	return false
 }
 
+// lookListed looks whether this VM is known to all others, and has fresh news itself.
+func (st *state) lookListed(now time.Duration) {
+	_, is := st.vms[st.eg.key]
+	_, lapsed := st.gone[st.eg.key]
+	st.eg.ramp.Look(now, st.eg.follow.Age(), is && !lapsed)
+}
+
 // tick ends what has a time.
 func (st *state) tick() {
 	now := st.eg.clock()
+	st.lookListed(now)
 	changed := false
 	if st.servers.Tick(now, st.eg.follow.Age() > feed.StaleAfter) {
 		st.view = st.view.WithUpstreams(st.servers.Directory())
@@ -274,6 +292,8 @@
 	st.eg.view.Store(st.view)
 	st.eg.pool.Sync(st.view.Upstreams(), st.limits)
 	st.eg.steer.Keep(st.view.Upstreams())
+	st.eg.ramp.Keep(st.view.Upstreams())
+	st.lookListed(st.eg.clock())
 	st.eg.setExtra(st.view.ExtraPart())
 	if !st.eg.ready.Load() {
 		// Each moment until readiness is one without this VM.
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -140,8 +140,11 @@
 // notRun tells that the request did not run, and when to come back.
 func (fl *flight) notRun(an fanout.Answer) *response {
 	back := backLater
-	if an.Full {
+	switch {
+	case an.Full:
 		back = backSoon
+	case fl.cold:
+		back = fl.warmIn(fl.en.cfg.Clock())
 	}
 	rs := own(consts.StatusServiceUnavailable, an.Reason, "the request did not run")
 	rs.comeBack(back)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -17,6 +17,7 @@
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
 	"laburnumvane/core/poison"
+	"laburnumvane/core/ramp"
 	"laburnumvane/core/route"
 	"laburnumvane/core/steer"
 	"laburnumvane/core/toggle"
@@ -66,6 +67,8 @@
 	View       func() *plan.View
 	Relay      Relay
 	Steer      *steer.Table
+	// Ramp counts what this VM sends to servers that warm up.
+	Ramp *ramp.Gate
 	// Homes has other VMs take gathers.
 	Homes Homes
 	// Poison holds the requests under which servers ended, and Share tells other VMs of one.
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -73,7 +73,9 @@
 	calls []*relay.Call
 	// short is set when there was no room: a token that was needed was not to
 	// be had, or an attempt waited here for too long.
-	short   bool
+	short bool
+	// cold is set when all that was left of a shard were servers that warm up.
+	cold    bool
 	results []arrival
 }
 
@@ -127,12 +129,6 @@
 	return fl
 }
 
-// Pick chooses a server of a shard.
-func (fl *flight) Pick(now time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool) {
-	ki := steer.Kind{Usual: fl.pace.takes(), Slack: fl.hedgeAfter, Joined: fl.together[shard]}
-	return fl.en.cfg.Steer.Pick(now, ki, fl.vw.Candidates(fl.services[shard]), tried, rand.Float64)
-}
-
 // Spend takes a token for one more attempt at a shard's service.
 func (fl *flight) Spend(shard int, needed bool) bool {
 	ok := fl.en.budgets.spend(fl.en.cfg.Clock(), fl.services[shard])
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -46,8 +46,9 @@
 		return
 	}
 	var pl cover.Planner
-	for shard, name := range fl.services {
-		if near, places := fl.en.cfg.Steer.SoundPlaces(now, fl.vw.Candidates(name)); !near {
+	for shard := range fl.services {
+		warm, _ := fl.choices(now, shard)
+		if near, places := fl.en.cfg.Steer.SoundPlaces(now, warm); !near {
 			pl.Need(shard, places)
 		}
 	}
@@ -56,6 +57,7 @@
 
 // dispatch sends first attempts of a gather, joined where that is worth it.
 func (fl *flight) dispatch(sends []fanout.Action) {
+	sends = fl.dispatchCold(sends)
 	if fl.rt.Gather == nil || len(sends) < joinLeast || fl.en.cfg.Off.Off(toggle.Joins) {
 		for _, ac := range sends {
 			fl.send(ac)
@@ -203,6 +205,7 @@
 	switch ar.verdict {
 	case fanout.Unsent:
 		en.cfg.Steer.Withdraw(now, ac.Upstream.Process(), 0)
+		fl.denied(now, ac.Upstream)
 		return ar
 	case fanout.Doubted:
 		en.cfg.Steer.Withdraw(now, ac.Upstream.Process(), 0)
@@ -240,7 +243,7 @@
 	for _, ac := range jr.open {
 		fl.machine.Release(ac.Attempt)
 		if jr.unsent {
-			fl.send(ac)
+			fl.sendJoined(ac)
 		}
 	}
 	return fl.machine.StepAll(fl.en.cfg.Clock(), evs)
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -111,6 +111,10 @@
 			jo.got[k].verdict = fanout.Unsent
 			continue
 		}
+		if !en.admitCold(now, up) {
+			jo.got[k].verdict = fanout.Unsent
+			continue
+		}
 		if en.warns(now, up) {
 			jo.got[k].verdict = fanout.Unsent
 			jo.doubted[k] = true
--- a/io/entry/poison.go
+++ b/io/entry/poison.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"time"
-
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"laburnumvane/core/fanout"
@@ -140,18 +138,3 @@
 		fl.en.told([]poison.Update{up})
 	}
 }
-
-// PickTrial is Pick for a trial. A server at which another request is tried is passed over,
-// since its end would not show which of the two it was.
-func (fl *flight) PickTrial(now time.Duration, shard int, tried []*origin.Upstream) (*origin.Upstream, bool) {
-	avoid := append([]*origin.Upstream(nil), tried...)
-	for _, up := range fl.vw.Candidates(fl.services[shard]) {
-		if fl.en.cfg.Poison.OnTrial(up.Process()) {
-			avoid = append(avoid, up)
-		}
-	}
-	if up, ok := fl.Pick(now, shard, avoid); ok {
-		return up, true
-	}
-	return fl.Pick(now, shard, tried)
-}
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -103,9 +103,9 @@
 		Outcome:    {"complete", "partial", "notRun", "unknown", "served", "failed", "gone"},
 		Incomplete: join(own, limits, ticketReasons(), machine, replies, refusals, failures, routed, []string{"badRequest"}),
 		Retry:      join(replies, refusals, failures, verdicts),
-		Upstream:   join(refusals, failures, verdicts, []string{"moveBudget", "noRoom", "dropped", "garbled"}),
+		Upstream:   join(refusals, failures, verdicts, []string{"moveBudget", "noRoom", "dropped", "garbled", "warming"}),
 		Dropped:    {"foreign", "afterAnswer"},
-		Sent:       {"primary", "first", "hedge", "retry", "home", "homeNone", "homeLost", "joined", "warned", "forOthers", "otherRoute", "trial"},
+		Sent:       {"primary", "first", "hedge", "retry", "home", "homeNone", "homeLost", "joined", "warned", "forOthers", "otherRoute", "trial", "warming"},
 		Connection: {
 			"opened", "dialFailed", "refused", "stale", "silent", "late", "ping", "pingFailed", "cancelSent",
 			"cancelLeft", "idleClosed", "backoff", "probe", "open", "openFailed", "openReset", "ended", "closing",
