route, plan, entry: requests of a route stay in its regions

A route may name the regions that its requests must not leave (allowed_regions). Nothing read it: a request could reach a server elsewhere, and its body a VM elsewhere that takes requests of others (HOME). No site of ours has such a route.

Change: Route.Regions bounds the servers that are asked, the VMs that take or join its requests, the owners at which suspects meet and those of servers that warm up. The VM that the client reached may send from wherever it stands. A data centre whose region the settings do not name is none of the route's. Where no server is left in the regions a request is refused as not run.

The line of a server's entry tells how long it is cold.

--- a/core/plan/alone.go
+++ b/core/plan/alone.go
@@ -19,6 +19,9 @@
 // ServesNear tells whether the servers of this VM's own data centre suffice for a
 // route's least answer.
 func (vw *View) ServesNear(rt *route.Route) bool {
+	if !vw.Allows(rt, vw.cfg.Self.DataCentre) {
+		return false
+	}
 	if rt.Gather == nil {
 		for _, sh := range rt.Split {
 			if sh.Weight > 0 && !vw.hasNear(sh.Service) {
--- a/core/plan/homes.go
+++ b/core/plan/homes.go
@@ -38,11 +38,11 @@
 	case !rt.Idempotent:
 		return nil
 	case rt.Gather == nil:
-		return vw.single
+		return vw.Within(rt, vw.single)
 	case len(rt.Gather.Shards) == 0:
 		return nil
 	}
-	return vw.homes[rt.Gather.Shards[0]]
+	return vw.Within(rt, vw.homes[rt.Gather.Shards[0]])
 }
 
 // Large tells whether some VMs of the fleet are large, and whether this one is.
--- a/core/plan/owners.go
+++ b/core/plan/owners.go
@@ -19,6 +19,9 @@
 	weights := make(map[string]uint64, len(vw.fleet.all))
 	var vms []rank.VM
 	for _, vm := range vw.takers(rt) {
+		if vm.Addr != vw.cfg.Self.Addr && !vw.Allows(rt, vm.DataCentre) {
+			continue
+		}
 		weights[vm.Addr] = weight(key, vm.Addr)
 		vms = append(vms, vm)
 	}
--- /dev/null
+++ b/core/plan/region_test.go
@@ -0,0 +1,54 @@
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/core/origin"
+	"laburnumvane/core/plan"
+	"laburnumvane/core/rank"
+	"laburnumvane/core/route"
+)
+
+// The requests of a route must not leave some regions: their servers, and the VMs that take
+// them in place of others, stand there, whichever VM the client reached. One data centre has no
+// region that is known.
+func TestRegions(t *testing.T) {
+	is := is.New(t)
+	regions := map[string]string{"a": "north", "b": "north", "c": "south"}
+	shards := []string{"s0", "s1"}
+	rt := &route.Route{Idempotent: true, Regions: []string{"north"}, Gather: &route.Gather{Shards: shards}}
+	once := &route.Route{Regions: []string{"north"}, Split: []route.Share{{Service: "s0", Weight: 1}}}
+	everywhere := &route.Route{Idempotent: true, Gather: &route.Gather{Shards: shards}}
+	var ups []*origin.Upstream
+	var fleet []rank.VM
+	capacity := map[string]float64{}
+	for _, place := range []string{"a", "b", "c", "d"} {
+		for _, service := range shards {
+			ups = append(ups, &origin.Upstream{ID: service + place, Service: service, DataCentre: place})
+		}
+		for i, size := range mixed(2, 6) {
+			vm := rank.VM{Addr: fmt.Sprintf("%s-%d", place, i), DataCentre: place}
+			fleet, capacity[vm.Addr] = append(fleet, vm), size
+		}
+	}
+	tb := route.New(route.Config{Routes: []route.Route{*rt}})
+	for _, self := range fleet {
+		vw := plan.New(plan.Config{Self: self, Regions: regions, Routes: tb, Upstreams: origin.New(ups)}).WithFleet(fleet, capacity)
+		is.Equal(len(vw.Within(rt, vw.Candidates("s0"))), 2)
+		is.Equal(len(vw.Within(everywhere, vw.Candidates("s0"))), 4)
+		is.Equal(vw.ServesNear(rt), regions[self.DataCentre] == "north")
+		others := append(vw.Homes(rt), vw.Homes(once)...)
+		for key := range uint64(20) {
+			others = append(others, vw.Owners(rt, key, 2)...)
+		}
+		for _, vm := range others {
+			is.Equal(regions[vm.DataCentre], "north")
+		}
+		if capacity[self.Addr] < 0.5 {
+			is.Equal(len(vw.Homes(rt)), 4)
+		}
+	}
+}
--- a/core/plan/view.go
+++ b/core/plan/view.go
@@ -34,6 +34,8 @@
 	Fleet []rank.VM
 	// Capacity is what each VM can do, by its inner address, in cores.
 	Capacity map[string]float64
+	// Regions are those of the data centres.
+	Regions map[string]string
 	// WarmUp says what servers bear while they warm up.
 	WarmUp ramp.Bounds
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,10 +29,18 @@
 	Split []Share
 	// Gather is set where each request goes to all of several services.
 	Gather *Gather
+	// Regions are those that a request must not leave, but for the VM that its client reached;
+	// empty is no bound.
+	Regions []string
 
 	digest uint64
 }
 
+// Allows tells whether requests may go to a region.
+func (rt *Route) Allows(region string) bool {
+	return len(rt.Regions) == 0 || slices.Contains(rt.Regions, region)
+}
+
 // Digest is the same for routes that handle requests in the same way, on all VMs
 // and in all versions. It is 0 for a route that is in no Table.
 func (rt *Route) Digest() uint64 { return rt.digest }
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -48,6 +48,8 @@
 type Settings struct {
 	Name string
 	Self rank.VM
+	// Regions are those of the data centres.
+	Regions map[string]string
 	// Capacity is the processor time of this VM, in cores.
 	Capacity float64
 	// LinkMbps is the rate of this VM's link, in Mbit/s; 0 if it is not known.
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -55,7 +55,7 @@
 		vms:     make(map[string]listed),
 		gone:    make(map[string]time.Duration),
 		unread:  make(map[string]bool),
-		view:    plan.New(plan.Config{Self: eg.set.Self, WarmUp: eg.set.WarmUp}),
+		view:    plan.New(plan.Config{Self: eg.set.Self, Regions: eg.set.Regions, WarmUp: eg.set.WarmUp}),
 	}
 }
 
@@ -137,7 +137,7 @@
 		return false
 	}
 	st.eg.cfg.Log.Info().Str("server", up.ID).Str("service", up.Service).Str("addr", up.Addr).Int64("born", up.Born).
-		Bool("leaving", up.Leaving).Uint64("sequence", up.Sequence).Uint64("revision", ev.Revision).Msg("server entry")
+		Bool("leaving", up.Leaving).Int64("coldMs", up.WarmFor.Milliseconds()).Uint64("sequence", up.Sequence).Uint64("revision", ev.Revision).Msg("server entry")
 	return true
 }
 
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -64,7 +64,8 @@
 // candidates are the servers that could be asked when the request came, as they are known now:
 // one may have announced its end meanwhile, or have turned cold.
 func (fl *flight) candidates(shard int) []*origin.Upstream {
-	ups, vw := fl.vw.Candidates(fl.services[shard]), fl.en.cfg.View()
+	vw := fl.en.cfg.View()
+	ups := fl.vw.Within(fl.rt, fl.vw.Candidates(fl.services[shard]))
 	if vw == fl.vw {
 		return ups
 	}
@@ -91,13 +92,18 @@
 		switch {
 		case wa.Self && fl.en.admitCold(now, up):
 			return up, true
-		case !wa.Self && fl.rt.Gather != nil && fl.en.cfg.Ramp.MayAsk(now, up.Process()):
+		case !wa.Self && fl.mayAsk(now, up, wa.Owner):
 			return up, true
 		}
 		denied = append(denied, up)
 	}
 }
 
+// mayAsk tells whether a server's owner may be asked to send this request.
+func (fl *flight) mayAsk(now time.Duration, up, owner *origin.Upstream) bool {
+	return fl.rt.Gather != nil && fl.vw.Allows(fl.rt, owner.DataCentre) && fl.en.cfg.Ramp.MayAsk(now, up.Process())
+}
+
 // admitCold tells whether a request may be sent to a server that may be warming up, and counts
 // it.
 func (en *Entry) admitCold(now time.Duration, up *origin.Upstream) bool {
