steer, platform: the load that servers tell is read and kept with its age

Servers of some services tell with each answer what they run, what waits, their slots, and how long work takes on their machine at the moment. Nothing decides by it yet. A figure that cannot be read is dropped, counted (upstream.badLoad) and logged once for each server; the answer is passed on. The line of a request tells it for the attempts that did not serve.

ramp: an owner that had no room is asked less and less often (0.2 s, doubled up to 2 s, until it had room again): a request that is denied a shard's only servers has had all other shards work for nothing.

--- a/core/ramp/gate.go
+++ b/core/ramp/gate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumvane/core/origin"
+	"laburnumvane/core/retry"
 )
 
 const (
@@ -19,8 +20,11 @@
 	// Handover is how long this VM must have stood in such a copy: longer than FreshFor and
 	// the way of news between two VMs.
 	Handover = 2500 * time.Millisecond
-	// deniedFor is how long the owner is not asked again after it had no room.
-	deniedFor = 200 * time.Millisecond
+	// askFirst is how long an owner is not asked again after it had no room, and doubles with
+	// each further time up to askMost: a request that is denied a shard's only servers has had
+	// all others work for nothing.
+	askFirst = 200 * time.Millisecond
+	askMost  = 2 * time.Second
 )
 
 // Bounds say what a server bears while it warms up, beside its own rate.
@@ -51,8 +55,10 @@
 type count struct {
 	// times are those of the requests of the last Window.
 	times []time.Duration
-	// denied is until when its owner is not asked.
-	denied time.Duration
+	// askAt is when its owner may be asked again, and denials how many times in a row it had
+	// no room.
+	askAt   time.Duration
+	denials int
 }
 
 // New makes a gate that lets nothing through yet.
@@ -107,11 +113,20 @@
 	return true
 }
 
-// Denied notes that a server's owner had no room, or is not there.
-func (ga *Gate) Denied(now time.Duration, pr origin.Process) {
+// Asked notes whether a server's owner sent a request.
+func (ga *Gate) Asked(now time.Duration, pr origin.Process, sent bool) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.of(pr).denied = now + deniedFor
+	co := ga.of(pr)
+	switch {
+	case sent:
+		co.denials, co.askAt = 0, now
+	case now >= co.askAt:
+		// Of those that were under way at once the first one counts.
+		co.denials++
+		bo := retry.Backoff{First: askFirst, Most: askMost}
+		co.askAt = now + bo.Wait(co.denials, 0)
+	}
 }
 
 // MayAsk tells whether a server's owner may have room.
@@ -119,7 +134,7 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	co, ok := ga.sent[pr]
-	return !ok || now >= co.denied
+	return !ok || now >= co.askAt
 }
 
 func (ga *Gate) of(pr origin.Process) *count {
--- a/core/ramp/gate_test.go
+++ b/core/ramp/gate_test.go
@@ -114,14 +114,25 @@
 	}
 }
 
-func TestDenied(t *testing.T) {
+// An owner that has no room is asked less and less often, until it had room again. Each request
+// that it denies has had the servers of all other shards work for nothing.
+func TestAskingGrowsRare(t *testing.T) {
 	is := is.New(t)
 	ga := ramp.New()
 	pr := origin.Process{ID: "a"}
-	is.True(ga.MayAsk(second, pr))
-	ga.Denied(second, pr)
-	is.True(!ga.MayAsk(second+100*ms, pr))
-	is.True(ga.MayAsk(2*second, pr))
+	asked := 0
+	for now := time.Duration(0); now < 10*second; now += 10 * ms {
+		if ga.MayAsk(now, pr) {
+			asked++
+			ga.Asked(now, pr, false)
+			ga.Asked(now+ms, pr, false) // another one that was under way
+		}
+	}
+	is.True(asked >= 6 && asked <= 9)
+	ga.Asked(10*second, pr, true)
+	is.True(ga.MayAsk(10*second, pr))
+	ga.Asked(10*second, pr, false)
+	is.True(ga.MayAsk(10*second+300*ms, pr))
 	ga.Keep(origin.New(nil))
-	is.True(ga.MayAsk(second+100*ms, pr))
+	is.True(ga.MayAsk(10*second, pr))
 }
--- a/core/steer/memory.go
+++ b/core/steer/memory.go
@@ -31,6 +31,10 @@
 	cutAt  time.Duration
 	// avoidUntil is when the server may get requests again.
 	avoidUntil time.Duration
+	// told is what the server told of itself last, and misread is set once it told what
+	// could not be read.
+	told    told
+	misread bool
 }
 
 // fading is the share of a memory that is left.
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -268,3 +268,21 @@
 		})
 	}
 }
+
+// What a server tells of itself is kept with its age, and is told apart by process.
+func TestTold(t *testing.T) {
+	is := is.New(t)
+	tb := steer.New(steer.Config{DataCentre: "east"})
+	a, b := origin.Process{ID: "a", Born: 1}, origin.Process{ID: "a", Born: 2}
+	_, _, ok := tb.Told(time.Second, a)
+	is.True(!ok)
+	tb.Tell(time.Second, a, steer.Load{Running: 2, Slots: 6, Pace: 1})
+	lo, age, ok := tb.Told(3*time.Second, a)
+	is.True(ok)
+	is.Equal(lo.Running, 2)
+	is.Equal(age, 2*time.Second)
+	_, _, ok = tb.Told(3*time.Second, b)
+	is.True(!ok)
+	is.True(tb.Misread(b))
+	is.True(!tb.Misread(b))
+}
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -15,6 +15,7 @@
 	"laburnumvane/core/ramp"
 	"laburnumvane/core/rank"
 	"laburnumvane/core/route"
+	"laburnumvane/core/steer"
 	"laburnumvane/core/toggle"
 	"laburnumvane/io/entry"
 	"laburnumvane/io/follow"
@@ -110,6 +111,8 @@
 	VMPrefix() string
 	// VMEntry is this VM's own.
 	VMEntry(name string, vm rank.VM, capacity float64) (key string, value []byte)
+	// Load reads what a server tells of how busy it is.
+	Load(text string) (steer.Load, error)
 	// Poison reads what a VM wrote of a request under which servers ended.
 	Poison(key string, value []byte) (rd poison.Record, ok bool, err error)
 	// PoisonID is the request that a key belongs to.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -362,6 +362,7 @@
 		View:       eg.view.Load,
 		Relay:      eg.pool,
 		Steer:      eg.steer,
+		Load:       eg.cfg.Decoder.Load,
 		Ramp:       eg.ramp,
 		Homes:      eg.homes,
 		Poison:     eg.poison,
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -152,14 +152,14 @@
 		fl.send(ac)
 		return
 	}
-	fl.denied(now, ac.Upstream)
+	fl.noteAsked(now, ac.Upstream, false)
 	fl.mailbox <- arrival{attempt: ac.Attempt, verdict: fanout.Unsent}
 }
 
-// denied notes that a server that warms up could not be asked through its owner.
-func (fl *flight) denied(now time.Duration, up *origin.Upstream) {
+// noteAsked notes whether the owner of a server that warms up sent an attempt.
+func (fl *flight) noteAsked(now time.Duration, up *origin.Upstream, sent bool) {
 	if _, bound := fl.en.cfg.View().Warming(now, up); bound {
-		fl.en.cfg.Ramp.Denied(now, up.Process())
+		fl.en.cfg.Ramp.Asked(now, up.Process(), sent)
 	}
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -67,6 +67,8 @@
 	View       func() *plan.View
 	Relay      Relay
 	Steer      *steer.Table
+	// Load reads what a server tells of how busy it is.
+	Load func(text string) (steer.Load, error)
 	// Ramp counts what this VM sends to servers that warm up.
 	Ramp *ramp.Gate
 	// Homes has other VMs take gathers.
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -272,9 +272,29 @@
 	})
 }
 
+// takeLoad takes in how busy a server says that it is. What cannot be read is dropped.
+func (en *Entry) takeLoad(now time.Duration, up *origin.Upstream, rp *relay.Reply) {
+	text := rp.Header.Get(en.cfg.Names.Load)
+	if text == "" {
+		return
+	}
+	lo, err := en.cfg.Load(text)
+	if err == nil {
+		en.cfg.Steer.Tell(now, up.Process(), lo)
+		return
+	}
+	en.cfg.Meter.Count(meter.Upstream, "badLoad")
+	if en.cfg.Steer.Misread(up.Process()) {
+		en.cfg.Log.Warn().Str("server", up.ID).Str("load", text).Err(err).Msg("a server's load cannot be read, dropped")
+	}
+}
+
 // settle tells what an attempt showed of its server.
 func (en *Entry) settle(up *origin.Upstream, ar arrival, sent, usual time.Duration) {
 	now := en.cfg.Clock()
+	if ar.rs.Reply != nil {
+		en.takeLoad(now, up, ar.rs.Reply)
+	}
 	if ar.rs.Reply != nil && up.DataCentre != en.cfg.DataCentre {
 		en.heardFar(now)
 	}
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -205,7 +205,7 @@
 	switch ar.verdict {
 	case fanout.Unsent:
 		en.cfg.Steer.Withdraw(now, ac.Upstream.Process(), 0)
-		fl.denied(now, ac.Upstream)
+		fl.noteAsked(now, ac.Upstream, false)
 		return ar
 	case fanout.Doubted:
 		en.cfg.Steer.Withdraw(now, ac.Upstream.Process(), 0)
@@ -217,6 +217,7 @@
 		ar.rs.Reply = &relay.Reply{Header: http.Header{}, Body: body}
 		ar.rs.Reply.Header.Set(en.cfg.Names.Receipt, pa.GetReceipt())
 	}
+	fl.noteAsked(now, ac.Upstream, true)
 	en.cfg.Steer.End(now, ac.Upstream.Process(), steer.Attempt{Verdict: ar.verdict, Took: ar.rs.Took, Usual: fl.pace.takes()})
 	return ar
 }
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -89,7 +90,18 @@
 		if ar.rs.Err != nil {
 			text += " " + string(ar.rs.Err.Kind)
 		}
+		text += fl.loadOf(k)
 		names = append(names, text)
 	}
 	return strings.Join(names, ", ")
 }
+
+// loadOf is what an attempt's server told last: running, waiting and slots, its pace, and how
+// long ago.
+func (fl *flight) loadOf(k int) string {
+	lo, age, ok := fl.en.cfg.Steer.Told(fl.en.cfg.Clock(), fl.machine.Upstream(k).Process())
+	if !ok {
+		return ""
+	}
+	return fmt.Sprintf(" load %d/%d/%d pace %.2f %dms ago", lo.Running, lo.Waiting, lo.Slots, lo.Pace, age.Milliseconds())
+}
--- a/io/entry/names.go
+++ b/io/entry/names.go
@@ -16,4 +16,6 @@
 	// that are not in it.
 	Parts   string
 	Missing string
+	// Load is how busy a server says that it is.
+	Load string
 }
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -103,7 +103,7 @@
 		Outcome:    {"complete", "partial", "notRun", "unknown", "served", "failed", "gone"},
 		Incomplete: join(own, limits, ticketReasons(), machine, replies, refusals, failures, routed, []string{"badRequest"}),
 		Retry:      join(replies, refusals, failures, verdicts),
-		Upstream:   join(refusals, failures, verdicts, []string{"moveBudget", "noRoom", "dropped", "garbled", "warming"}),
+		Upstream:   join(refusals, failures, verdicts, []string{"moveBudget", "noRoom", "dropped", "garbled", "warming", "badLoad"}),
 		Dropped:    {"foreign", "afterAnswer"},
 		Sent:       {"primary", "first", "hedge", "retry", "home", "homeNone", "homeLost", "joined", "warned", "forOthers", "otherRoute", "trial", "warming"},
 		Connection: {
