ramp, edge, stand: a VM without news sends nothing to servers that may be cold

The VMs that are cut off do not hear of the evacuation, go on, and send together more than a cold server bears; what arrived in the second before a server turned cold counts too.

Tried: any sign of life from another data centre shows that there is no news: three VMs that are cut off together hear each other, and went on.

Change: a VM whose news is older than 1.8 s, and that does not reach three in four of the VMs elsewhere that it asks, sends nothing to servers of services with a bound, refuses what needs them at once with the time to come back, and leaves the rotation. Where the store is away for all, the others answer and everybody serves on. Deployments without a bound are not touched.

--- a/cmd/laburnumvane/soak_crash_test.go
+++ b/cmd/laburnumvane/soak_crash_test.go
@@ -23,9 +23,9 @@
 	soakLate  = 3
 )
 
-// crashes has servers end under one caller's request. They are not behind links, which would
-// go on taking connections.
-func (so *soak) crashes() {
+// withoutLinks takes the links before servers away, which would go on taking connections to
+// those that ended.
+func (so *soak) withoutLinks() {
 	for sv := range so.serverLinks {
 		so.site.Enter(sv, "ready", 3)
 	}
@@ -34,6 +34,10 @@
 	for _, vm := range so.vms {
 		so.links = append(so.links, vm.store)
 	}
+}
+
+// crashes has servers end under one caller's request.
+func (so *soak) crashes() {
 	so.crash = so.site.CrashOn(func(rq *http.Request) bool { return rq.UserAgent() == soakCrasher }, soakCrashRun, soakCrashBack)
 }
 
--- a/cmd/laburnumvane/soak_test.go
+++ b/cmd/laburnumvane/soak_test.go
@@ -28,6 +28,7 @@
 	soakSeeds   = flag.Int("soakSeeds", 0, "play so many seeds in place of the usual ones")
 	soakFrom    = flag.Uint64("soakFrom", 1, "the first of them")
 	soakCrash   = flag.Bool("soakCrash", false, "have servers end under a request in all of them")
+	soakPlaces  = flag.Bool("soakPlaces", false, "have data centres evacuated and servers turn cold in all of them")
 	soakSeconds = flag.Int("soakSeconds", 6, "how long faults go on for each")
 )
 
@@ -48,17 +49,20 @@
 type soakCase struct {
 	seed  uint64
 	cause string
-	// crash is set where servers end under a request that comes again.
-	crash bool
+	// crash is set where servers end under a request that comes again, places where data
+	// centres are evacuated and servers turn cold.
+	crash, places bool
 }
 
 // soakCases are played by every run: one of each kind of luck, and each seed that
 // ever failed, with its cause.
 func soakCases() []soakCase {
 	return []soakCase{
-		{1, "the usual", false}, {2, "the usual", false},
-		{6016, "servers fall silent while VMs stop: requests outlasted the grace and were cut off", false},
-		{3, "a request crashes servers", true},
+		{seed: 1, cause: "the usual"},
+		{seed: 2, cause: "the usual"},
+		{seed: 6016, cause: "servers fall silent while VMs stop: requests outlasted the grace and were cut off"},
+		{seed: 3, cause: "a request crashes servers", crash: true},
+		{seed: 4, cause: "data centres are evacuated and servers turn cold", places: true},
 	}
 }
 
@@ -68,7 +72,7 @@
 	if *soakSeeds > 0 {
 		cases = nil
 		for i := range *soakSeeds {
-			cases = append(cases, soakCase{*soakFrom + uint64(i), "by hand", *soakCrash})
+			cases = append(cases, soakCase{seed: *soakFrom + uint64(i), cause: "by hand", crash: *soakCrash, places: *soakPlaces})
 		}
 	}
 	for _, tc := range cases {
@@ -87,12 +91,15 @@
 	serverLinks map[*stand.Server]*link
 	heal        []func()
 	began       time.Time
-	done        atomic.Bool
-	asked       atomic.Int64
-	served      atomic.Int64
-	routes      int
-	// crash is set if servers end under a request.
-	crash *stand.Crash
+	// healthy is set when no further harm is done, done when all is over.
+	healthy atomic.Bool
+	done    atomic.Bool
+	asked   atomic.Int64
+	served  atomic.Int64
+	routes  int
+	// crash is set if servers end under a request, places if data centres are evacuated.
+	crash  *stand.Crash
+	places bool
 
 	mu    sync.Mutex
 	story []string
@@ -118,7 +125,11 @@
 func newSoak(t *testing.T, tc soakCase) *soak {
 	is := is.New(t)
 	places := []string{"east", "west", "south"}
-	site, err := stand.New(stand.Config{DataCentres: places, Shards: soakShards, Apart: true})
+	cfg := stand.Config{DataCentres: places, Shards: soakShards, Apart: true}
+	if tc.places {
+		cfg.WarmUpPerSecond = soakWarmUp
+	}
+	site, err := stand.New(cfg)
 	is.NoErr(err)
 	t.Cleanup(site.Close)
 	so := &soak{t: t, rnd: rand.New(rand.NewPCG(tc.seed, tc.seed)), site: site, serverLinks: map[*stand.Server]*link{}, began: time.Now()}
@@ -140,6 +151,10 @@
 		is.NoErr(os.WriteFile(vm.settings, []byte(text), 0o600))
 		so.vms = append(so.vms, vm)
 	}
+	so.places = tc.places
+	if tc.crash || tc.places {
+		so.withoutLinks()
+	}
 	if tc.crash {
 		so.crashes()
 	}
@@ -180,10 +195,17 @@
 			so.keepCrashing(func() time.Duration { return time.Duration(200+rnd.IntN(1000)) * time.Millisecond })
 		}()
 	}
+	var emptied sync.WaitGroup
+	if so.places {
+		rnd := rand.New(rand.NewPCG(uint64(so.rnd.IntN(1000)), 9))
+		emptied.Go(func() { so.empties(rnd) })
+	}
 	for end := time.Now().Add(time.Duration(*soakSeconds) * time.Second); time.Now().Before(end); {
 		so.harm()
 		time.Sleep(time.Duration(100+so.rnd.IntN(500)) * time.Millisecond)
 	}
+	so.healthy.Store(true)
+	emptied.Wait()
 	so.mend()
 	so.within("all serve again", soakHeal, func() bool { return so.all((*soakVM).serves) })
 	if so.crash != nil {
--- a/core/plan/warming.go
+++ b/core/plan/warming.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"laburnumvane/core/origin"
 	"laburnumvane/core/rank"
+	"laburnumvane/core/route"
 )
 
 // Warming is what is to be known of a server that warms up and bears few requests meanwhile.
@@ -32,6 +34,27 @@
 	return wa, ok
 }
 
+// Bounds tells whether a service's servers bear few requests while they warm up.
+func (vw *View) Bounds(service string) bool {
+	if vw.cfg.Routes == nil {
+		return false
+	}
+	sv, ok := vw.cfg.Routes.Service(service)
+	return ok && sv.WarmUpRate > 0
+}
+
+// BlindServes tells whether a VM may take requests of a route that does not know which servers
+// are cold: none of their services bounds what those get.
+func (vw *View) BlindServes(rt *route.Route) bool {
+	return !slices.ContainsFunc(rt.Services(), vw.Bounds)
+}
+
+// BlindMatters tells whether it is of any concern whether this VM knows that: some service
+// has such a bound, and there are VMs of other data centres which may know more.
+func (vw *View) BlindMatters() bool {
+	return vw.cfg.Routes != nil && vw.cfg.Routes.WarmUpBounds() && len(vw.fleet.ranked) > 1
+}
+
 // findWarming finds the servers that warm up and have a bound, and their owners.
 func (vw *View) findWarming() {
 	vw.warms, vw.warming = make(map[string]bool), make(map[string]Warming)
--- a/core/ramp/doc.go
+++ b/core/ramp/doc.go
@@ -24,4 +24,11 @@
 // and its copy of the store was never older than FreshFor meanwhile: whoever else takes itself
 // for the owner has a copy as fresh, and knows of it by then. A VM that has just started, or
 // that hears of nothing, sends nothing.
+//
+// # Without news
+//
+// A VM that is cut off from the store and from all others does not hear that a data centre was
+// evacuated, and that its servers are cold since. What it and others in its place send there
+// cannot be bounded by what they know, so that they send nothing to servers that have a bound:
+// see Gate.Blind.
 package ramp
--- a/core/ramp/gate_test.go
+++ b/core/ramp/gate_test.go
@@ -136,3 +136,34 @@
 	ga.Keep(origin.New(nil))
 	is.True(ga.MayAsk(10*second, pr))
 }
+
+// A VM without news may be cut off with others in its place: some of those that it asks answer.
+// It must not take that for a store that is away for all, or the servers that turned cold
+// meanwhile get from all of them what they got before.
+func TestBlind(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		age  time.Duration
+		// of so many VMs that were asked so many answered.
+		asked, answered int
+		want            bool
+	}{
+		{"news", second, 0, 0, false},
+		{"no news, nobody asked", 2 * second, 0, 0, true},
+		{"no news, all answer", 2 * second, 4, 4, false},
+		{"no news, one died", 2 * second, 4, 3, false},
+		{"no news, others are cut off too", 2 * second, 4, 2, true},
+		{"no news, nobody answers", 2 * second, 4, 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ga := ramp.New()
+			ga.Look(10*second, tc.age, true)
+			for i := range tc.asked {
+				ga.Probed(10*second, i < tc.answered)
+			}
+			is.Equal(ga.Blind(10*second), tc.want)
+			is.True(ga.Blind(13 * second)) // and no word since
+		})
+	}
+}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -46,6 +46,8 @@
 	routes []*Route
 	// best is the best priority of all routes.
 	best int
+	// bounds is set if some service bounds what its servers get while they warm up.
+	bounds bool
 }
 
 // New makes a table. Of two routes with the same host and prefix the first one
@@ -60,6 +62,7 @@
 	}
 	for _, sv := range cfg.Services {
 		tb.services[sv.Name] = sv
+		tb.bounds = tb.bounds || sv.WarmUpRate > 0
 	}
 	for _, rt := range cfg.Routes {
 		tb.add(&rt)
@@ -104,6 +107,9 @@
 // BestPriority is the best priority of all routes.
 func (tb *Table) BestPriority() int { return tb.best }
 
+// WarmUpBounds tells whether some service bounds what its servers get while they warm up.
+func (tb *Table) WarmUpBounds() bool { return tb.bounds }
+
 // Service tells what is known of a service.
 func (tb *Table) Service(name string) (Service, bool) {
 	sv, ok := tb.services[name]
--- a/io/edge/cutoff.go
+++ b/io/edge/cutoff.go
@@ -45,10 +45,11 @@
 		si.Mute = !eg.set.Off.Off(toggle.Proofs) && time.Duration(eg.muteSince.Load()) > now-si.Silence
 		si.Lacking = !vw.ServesAlone()
 	}
-	if si.Silence > probeAfter || eg.isolated.Load() || eg.cut.Doubts(si) {
+	if si.Silence > probeAfter || vw.BlindMatters() && eg.ramp.Doubts(now) || eg.isolated.Load() || eg.cut.Doubts(si) {
 		eg.probe(now)
 	}
-	off := eg.cut.Look(now, si) && vw.FleetSize() > 1 && !eg.set.Off.Off(toggle.Cuts)
+	blind := vw.BlindMatters() && eg.ramp.Blind(now)
+	off := (eg.cut.Look(now, si) && !eg.set.Off.Off(toggle.Cuts) || blind) && vw.FleetSize() > 1
 	if eg.isolated.Swap(off) == off {
 		return
 	}
@@ -58,7 +59,7 @@
 		eg.workers.run(func() { eg.follow.TellCut(ctx) })
 	}
 	eg.cfg.Log.Warn().Bool("cutOff", off).Int64("silenceMs", si.Silence.Milliseconds()).Int("owed", si.Owed).
-		Bool("told", si.Told).Bool("mute", si.Mute).Bool("failing", eg.cut.Failing()).Msg("cut off from servers and other VMs")
+		Bool("told", si.Told).Bool("blind", blind).Bool("mute", si.Mute).Bool("failing", eg.cut.Failing()).Msg("cut off from servers and other VMs")
 }
 
 // probe asks VMs of other data centres whether they hear this one. While the
@@ -76,7 +77,9 @@
 	for _, vm := range vms {
 		eg.workers.run(func() {
 			eg.meter.Count(meter.Platform, "probe")
-			if eg.homes.Lives(vm.Addr, probeTime) {
+			lives := eg.homes.Lives(vm.Addr, probeTime)
+			eg.ramp.Probed(eg.clock(), lives)
+			if lives {
 				eg.follow.Touch()
 				return
 			}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -262,6 +262,7 @@
 			eg.meter.Set(meter.InFlight, int64(eg.entry.InFlight()))
 			eg.summary()
 		case <-look.C:
+			st.lookListed(eg.clock())
 		case <-ctx.Done():
 			return
 		}
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -6,6 +6,7 @@
 
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
+	"laburnumvane/core/plan"
 	"laburnumvane/core/steer"
 	"laburnumvane/io/meter"
 )
@@ -47,6 +48,9 @@
 // few requests meanwhile.
 func (fl *flight) choices(now time.Duration, shard int) (warm, cold []*origin.Upstream) {
 	ups, vw := fl.candidates(shard), fl.en.cfg.View()
+	if fl.en.blindTo(vw, fl.services[shard]) {
+		return nil, nil
+	}
 	if !vw.Warms(fl.services[shard]) {
 		return ups, nil
 	}
@@ -61,6 +65,11 @@
 	return warm, cold
 }
 
+// blindTo tells whether servers of a service may be cold without this VM's knowing.
+func (en *Entry) blindTo(vw *plan.View, service string) bool {
+	return vw.BlindMatters() && en.cfg.Ramp.Blind(en.cfg.Clock()) && vw.Bounds(service)
+}
+
 // candidates are the servers that could be asked when the request came, as they are known now:
 // one may have announced its end meanwhile, or have turned cold.
 func (fl *flight) candidates(shard int) []*origin.Upstream {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -250,7 +250,7 @@
 		en.block(rq).write(rc)
 		return nil
 	}
-	if en.moving.Load() && !vw.ServesNear(rt) {
+	if en.moving.Load() && (!vw.ServesNear(rt) || !vw.BlindServes(rt) && en.cfg.Ramp.Blind(en.cfg.Clock())) {
 		en.cutOff(rq).write(rc)
 		return nil
 	}
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -111,7 +111,7 @@
 			jo.got[k].verdict = fanout.Unsent
 			continue
 		}
-		if !en.admitCold(now, up) {
+		if en.blindTo(vw, up.Service) || !en.admitCold(now, up) {
 			jo.got[k].verdict = fanout.Unsent
 			continue
 		}
