--- a/core/toggle/toggle.go
+++ b/core/toggle/toggle.go
@@ -58,6 +58,8 @@
 	Warnings
 	// Absence keeps servers whose entries lapsed while the store was away.
 	Absence
+	// Asks has the owners of servers that warm up send there for other VMs.
+	Asks
 
 	count
 )
@@ -65,7 +67,7 @@
 // names are those of settings, logs and metrics, by mechanism.
 var names = [count]string{ //nolint:gochecknoglobals // a constant list
 	"hedges", "windows", "moves", "newest", "valve", "homes", "joins",
-	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "warnings", "absence",
+	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "warnings", "absence", "asks",
 }
 
 // String is the mechanism's name.
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -8,6 +8,7 @@
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
 	"laburnumvane/core/steer"
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/meter"
 )
 
@@ -110,6 +111,9 @@
 
 // mayAsk tells whether a server's owner may be asked to send this request.
 func (fl *flight) mayAsk(now time.Duration, up, owner *origin.Upstream) bool {
+	if fl.en.cfg.Off.Off(toggle.Asks) {
+		return false
+	}
 	return fl.rt.Gather != nil && fl.vw.Allows(fl.rt, owner.DataCentre) && fl.en.cfg.Ramp.MayAsk(now, up.Process())
 }
 
