entry, steer: servers that tell their load are asked before a request that may run once

Cause: such a request gets one server, and nobody else may be asked when that one is slow or silent. A VM of 88 sends one each four seconds, and knows nothing of the servers; what they tell with their answers is seconds old by the next.

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -15,6 +15,8 @@
 	// requests a second it bears meanwhile, from all VMs together; 0 is no bound.
 	WarmUp     time.Duration
 	WarmUpRate float64
+	// StatusPath is where one of its servers tells its state; empty if that is not said.
+	StatusPath string
 }
 
 // Limits bound what a client may send, and how long it may take.
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -102,11 +102,13 @@
 	cfg  Config
 	mu   sync.Mutex
 	seen map[origin.Process]*memory
+	// tells are the services whose servers tell their load.
+	tells map[string]bool
 }
 
 // New makes an empty table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, seen: make(map[origin.Process]*memory)}
+	return &Table{cfg: cfg, seen: make(map[origin.Process]*memory), tells: make(map[string]bool)}
 }
 
 // Kind is what is known of a kind of request.
@@ -121,6 +123,8 @@
 	// Joined is the data centre from which the answer would come joined with others;
 	// empty if there is none.
 	Joined string
+	// Told has what servers tell of their load decide too.
+	Told bool
 }
 
 // Pick returns the cheapest of the servers that take requests and are not in
@@ -169,6 +173,10 @@
 		return cost, true
 	}
 	latency := float64(usual) * me.slowness(now)
+	if ki.Told && !tb.cfg.Off.Off(toggle.Loads) {
+		pace := max(me.slowness(now), me.told.pace(now))
+		latency = float64(usual) * pace * (1 + me.told.wait(now))
+	}
 	quiet := me.quiet(now)
 	if now < me.avoidUntil || quiet > float64(darkAfter) {
 		return 0, false
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -273,16 +273,25 @@
 func TestTold(t *testing.T) {
 	is := is.New(t)
 	tb := steer.New(steer.Config{DataCentre: "east"})
-	a, b := origin.Process{ID: "a", Born: 1}, origin.Process{ID: "a", Born: 2}
+	up := &origin.Upstream{ID: "a", Born: 1, Service: "s"}
+	a, b := up.Process(), origin.Process{ID: "a", Born: 2}
+	_, known := tb.Tells("s")
+	is.True(!known)
 	_, _, ok := tb.Told(time.Second, a)
 	is.True(!ok)
-	tb.Tell(time.Second, a, steer.Load{Running: 2, Slots: 6, Pace: 1})
+	tb.Tell(time.Second, up, steer.Load{Running: 2, Slots: 6, Pace: 1}, 0)
 	lo, age, ok := tb.Told(3*time.Second, a)
 	is.True(ok)
 	is.Equal(lo.Running, 2)
 	is.Equal(age, 2*time.Second)
 	_, _, ok = tb.Told(3*time.Second, b)
 	is.True(!ok)
+	tb.TellsNot("s")
+	tells, _ := tb.Tells("s")
+	is.True(tells)
+	tb.TellsNot("t")
+	tells, known = tb.Tells("t")
+	is.True(known && !tells)
 	is.True(tb.Misread(b))
 	is.True(!tb.Misread(b))
 }
--- a/core/toggle/toggle.go
+++ b/core/toggle/toggle.go
@@ -60,6 +60,10 @@
 	Absence
 	// Asks has the owners of servers that warm up send there for other VMs.
 	Asks
+	// Loads takes what servers tell of their load.
+	Loads
+	// Checks asks servers for their state before a request that may run once.
+	Checks
 
 	count
 )
@@ -67,7 +71,7 @@
 // names are those of settings, logs and metrics, by mechanism.
 var names = [count]string{ //nolint:gochecknoglobals // a constant list
 	"hedges", "windows", "moves", "newest", "valve", "homes", "joins",
-	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "warnings", "absence", "asks",
+	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "warnings", "absence", "asks", "loads", "checks",
 }
 
 // String is the mechanism's name.
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -22,6 +22,9 @@
 			return up, true
 		}
 	}
+	if up, ok := fl.pickChecked(now, ask, warm); ok {
+		return up, true
+	}
 	if up, ok := fl.pick(now, ask.Shard, warm, ask.Tried); ok || !ask.First || len(cold) == 0 {
 		return up, ok
 	}
@@ -29,7 +32,7 @@
 }
 
 func (fl *flight) pick(now time.Duration, shard int, ups, tried []*origin.Upstream) (*origin.Upstream, bool) {
-	ki := steer.Kind{Usual: fl.pace.takes(), Slack: fl.hedgeAfter, Joined: fl.together[shard]}
+	ki := steer.Kind{Usual: fl.pace.takes(), Slack: fl.hedgeAfter, Joined: fl.together[shard], Told: !fl.rt.Idempotent}
 	return fl.en.cfg.Steer.Pick(now, ki, ups, tried, rand.Float64)
 }
 
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -74,6 +74,9 @@
 	// short is set when there was no room: a token that was needed was not to
 	// be had, or an attempt waited here for too long.
 	short bool
+	// checked are the servers that told just now that they are ready for a request, and
+	// shunned those that were asked and did not.
+	checked, shunned []*origin.Upstream
 	// cold is set when all that was left of a shard were servers that warm up.
 	cold    bool
 	results []arrival
@@ -147,6 +150,7 @@
 		fl.en.budgets.earn(clock(), name)
 	}
 	fl.planJoins(clock())
+	fl.checkFirst(clock())
 	an, done := fl.perform(fl.machine.Start(clock()))
 	// What follows comes singly.
 	fl.together = nil
@@ -273,14 +277,14 @@
 }
 
 // takeLoad takes in how busy a server says that it is. What cannot be read is dropped.
-func (en *Entry) takeLoad(now time.Duration, up *origin.Upstream, rp *relay.Reply) {
+func (en *Entry) takeLoad(now time.Duration, up *origin.Upstream, rp *relay.Reply, took time.Duration) {
 	text := rp.Header.Get(en.cfg.Names.Load)
 	if text == "" {
 		return
 	}
 	lo, err := en.cfg.Load(text)
 	if err == nil {
-		en.cfg.Steer.Tell(now, up.Process(), lo)
+		en.cfg.Steer.Tell(now, up, lo, took)
 		return
 	}
 	en.cfg.Meter.Count(meter.Upstream, "badLoad")
@@ -293,7 +297,7 @@
 func (en *Entry) settle(up *origin.Upstream, ar arrival, sent, usual time.Duration) {
 	now := en.cfg.Clock()
 	if ar.rs.Reply != nil {
-		en.takeLoad(now, up, ar.rs.Reply)
+		en.takeLoad(now, up, ar.rs.Reply, ar.rs.Took)
 	}
 	if ar.rs.Reply != nil && up.DataCentre != en.cfg.DataCentre {
 		en.heardFar(now)
--- a/io/entry/names.go
+++ b/io/entry/names.go
@@ -18,4 +18,6 @@
 	Missing string
 	// Load is how busy a server says that it is.
 	Load string
+	// Instance names the process that answers a status check.
+	Instance string
 }
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -8,7 +8,8 @@
 
 // Request is one request to one server.
 type Request struct {
-	// ID is echoed by the server; it is used once on each connection.
+	// ID is echoed by the server; it is used once on each connection. It is empty for a
+	// status check.
 	ID     string
 	Method string
 	// Wire is the whole request as it goes out.
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -65,7 +65,7 @@
 		cn.sv.resend(ca)
 		return
 	}
-	if cn.last == ca.rq.ID {
+	if cn.last == ca.rq.ID && ca.rq.ID != "" {
 		// A late second answer to the first could be taken for one to this.
 		cn.mu.Unlock()
 		cn.close()
