ramp, plan, entry: read as a newcomer would

A server's owner is worked out when it is needed, over the VMs of its data centre: made for each cold server with each view it was the product of cold servers and VMs, 34 million ranks at the size to come.

--- a/core/plan/view.go
+++ b/core/plan/view.go
@@ -63,9 +63,8 @@
 	single []*origin.Upstream
 	// joiners are by data centre.
 	joiners map[string][]*origin.Upstream
-	// warming are the servers that warm up and have a bound, by id, and warms their services.
-	warming map[string]Warming
-	warms   map[string]bool
+	// warms are the services of which some server warms up and has a bound.
+	warms map[string]bool
 }
 
 // places is the division of the fleet into data centres.
--- a/core/plan/warming.go
+++ b/core/plan/warming.go
@@ -27,11 +27,21 @@
 
 // Warming tells whether a server warms up and has a bound.
 func (vw *View) Warming(now time.Duration, up *origin.Upstream) (Warming, bool) {
-	if !up.Cold(now) {
+	if !up.Cold(now) || !vw.warms[up.Service] {
 		return Warming{}, false
 	}
-	wa, ok := vw.warming[up.ID]
-	return wa, ok
+	sv, _ := vw.cfg.Routes.Service(up.Service)
+	vm := vw.ownerOf(up)
+	return Warming{
+		Most:  vw.cfg.WarmUp.Most(sv.WarmUpRate),
+		Owner: &origin.Upstream{ID: vm.Addr, Addr: vm.Addr, DataCentre: vm.DataCentre},
+		Self:  vm.Addr == vw.cfg.Self.Addr,
+	}, true
+}
+
+// WarmsUp tells whether a server warms up and has a bound, whoever owns it.
+func (vw *View) WarmsUp(now time.Duration, up *origin.Upstream) bool {
+	return up.Cold(now) && vw.warms[up.Service]
 }
 
 // Bounds tells whether a service's servers bear few requests while they warm up.
@@ -55,65 +65,41 @@
 	return vw.cfg.Routes != nil && vw.cfg.Routes.WarmUpBounds() && len(vw.fleet.ranked) > 1
 }
 
-// findWarming finds the servers that warm up and have a bound, and their owners.
+// findWarming finds the services of which some server warms up and has a bound.
 func (vw *View) findWarming() {
-	vw.warms, vw.warming = make(map[string]bool), make(map[string]Warming)
-	if vw.cfg.Routes == nil {
-		return
-	}
+	vw.warms = make(map[string]bool)
 	vw.cfg.Upstreams.All(func(up *origin.Upstream) {
-		sv, ok := vw.cfg.Routes.Service(up.Service)
-		if !ok || up.ColdUntil == 0 || sv.WarmUpRate == 0 {
-			return
-		}
-		vm := vw.ownerOf(up)
-		vw.warms[up.Service] = true
-		vw.warming[up.ID] = Warming{
-			Most:  vw.cfg.WarmUp.Most(sv.WarmUpRate),
-			Owner: &origin.Upstream{ID: vm.Addr, Addr: vm.Addr, DataCentre: vm.DataCentre},
-			Self:  vm.Addr == vw.cfg.Self.Addr,
+		if up.ColdUntil > 0 && vw.Bounds(up.Service) {
+			vw.warms[up.Service] = true
 		}
 	})
 }
 
-// ownerOf is the VM that ranks first for a server. A VM's rank follows from its own entry
-// alone, so that two VMs that know each other agree which of them ranks before the other.
+// ownerOf is the VM that ranks first for a server: of those beside it, or of all where there is
+// none, the large ones go first, and of equal ones another one for each server. A VM's rank
+// follows from its own entry alone, so that two VMs that know each other agree which of them
+// ranks before the other.
 func (vw *View) ownerOf(up *origin.Upstream) rank.VM {
+	vms := vw.fleet.ranked[up.DataCentre]
+	if len(vms) == 0 {
+		vms = vw.fleet.all
+	}
 	key := xxhash.Sum64String(up.ID)
-	best, most := vw.cfg.Self, vw.ownerRank(vw.cfg.Self, up, key)
-	for _, vm := range vw.fleet.all {
-		if ra := vw.ownerRank(vm, up, key); most.before(ra) {
-			best, most = vm, ra
+	best, size, most := vms[0], vw.sizeOf(vms[0]), weight(key, vms[0].Addr)
+	for _, vm := range vms[1:] {
+		si, we := vw.sizeOf(vm), weight(key, vm.Addr)
+		if si > size || si == size && we > most {
+			best, size, most = vm, si, we
 		}
 	}
 	return best
 }
 
-// ownerRank orders VMs for a server: those beside it first, of them the large ones, and of
-// equal ones another one for each server.
-type ownerRank struct {
-	beside bool
-	size   int
-	weight uint64
-}
-
-func (vw *View) ownerRank(vm rank.VM, up *origin.Upstream, key uint64) ownerRank {
-	ra := ownerRank{beside: vm.DataCentre == up.DataCentre, weight: weight(key, vm.Addr)}
-	if capacity := vw.cfg.Capacity[vm.Addr]; capacity > 0 {
-		ra.size = int(math.Round(math.Log2(capacity)))
-	} else {
-		ra.size = math.MinInt
-	}
-	return ra
-}
-
-// before tells whether another one ranks higher.
-func (ra ownerRank) before(other ownerRank) bool {
-	switch {
-	case ra.beside != other.beside:
-		return other.beside
-	case ra.size != other.size:
-		return ra.size < other.size
+// sizeOf is a VM's capacity as a power of two, so that VMs of about the same size are equal.
+func (vw *View) sizeOf(vm rank.VM) int {
+	capacity := vw.cfg.Capacity[vm.Addr]
+	if capacity <= 0 {
+		return math.MinInt
 	}
-	return ra.weight < other.weight
+	return int(math.Round(math.Log2(capacity)))
 }
--- a/core/ramp/gate.go
+++ b/core/ramp/gate.go
@@ -10,28 +10,16 @@
 )
 
 const (
-	// Window is the span within which requests are counted.
-	Window = time.Second
+	// window is the span within which requests are counted.
+	window = time.Second
 	// margin is how much longer a request is counted: the way to the server may take a
 	// little less for a later one.
 	margin = 20 * time.Millisecond
-	// FreshFor is how old the copy of the store may be for this VM to speak for the fleet.
-	FreshFor = 1800 * time.Millisecond
-	// Handover is how long this VM must have stood in such a copy: longer than FreshFor and
-	// the way of news between two VMs.
-	Handover = 2500 * time.Millisecond
 	// askFirst is how long an owner is not asked again after it had no room, and doubles with
 	// each further time up to askMost: a request that is denied a shard's only servers has had
 	// all others work for nothing.
 	askFirst = 200 * time.Millisecond
 	askMost  = 2 * time.Second
-	// doubtAfter is how old news is before others are asked for a sign of life: older than it
-	// gets while the store is heard. Their answers count for probeFor; probesLeast of them, and
-	// probesShare of those that were asked, show that this VM reaches most others.
-	doubtAfter  = 1100 * time.Millisecond
-	probeFor    = 1500 * time.Millisecond
-	probesLeast = 2
-	probesShare = 0.75
 )
 
 // Bounds say what a server bears while it warms up, beside its own rate.
@@ -62,15 +50,9 @@
 	probes []probe
 }
 
-// probe is one of them.
-type probe struct {
-	at       time.Duration
-	answered bool
-}
-
 // count is what one server got.
 type count struct {
-	// times are those of the requests of the last Window.
+	// times are those of the requests of the last window.
 	times []time.Duration
 	// askAt is when its owner may be asked again, and denials how many times in a row it had
 	// no room.
@@ -81,75 +63,8 @@
 // New makes a gate that lets nothing through yet.
 func New() *Gate { return &Gate{sent: make(map[origin.Process]*count)} }
 
-// Look takes in how old the copy of the store is, and whether this VM's own entry stands in it.
-func (ga *Gate) Look(now, age time.Duration, listed bool) {
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	ga.news = now - age
-	if !listed || age > FreshFor || ga.stands && now > ga.until {
-		ga.stands = false
-	}
-	if !listed || age > FreshFor {
-		return
-	}
-	if !ga.stands {
-		ga.stands, ga.since = true, now
-	}
-	ga.until = now - age + FreshFor
-}
-
-// Stands tells whether this VM may send to servers that it owns.
-func (ga *Gate) Stands(now time.Duration) bool {
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	return ga.standsAt(now)
-}
-
-func (ga *Gate) standsAt(now time.Duration) bool {
-	return ga.stands && now-ga.since >= Handover && now <= ga.until
-}
-
-// Probed takes in whether a VM of another data centre gave a sign of life.
-func (ga *Gate) Probed(now time.Duration, answered bool) {
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	ga.probes = append(ga.probes, probe{at: now, answered: answered})
-	for len(ga.probes) > 0 && now-ga.probes[0].at > probeFor {
-		ga.probes = ga.probes[1:]
-	}
-}
-
-// Doubts tells whether VMs of other data centres should be asked for a sign of life: this VM may
-// soon count as blind.
-func (ga *Gate) Doubts(now time.Duration) bool {
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	return now-ga.news > doubtAfter
-}
-
-// Blind tells whether servers may have turned cold without this VM's knowing: it has had no news
-// for a while, and does not reach most others, which may have some. Those that it reaches would
-// have told it. Where all VMs lack news alike, nobody can have had a data centre evacuated.
-func (ga *Gate) Blind(now time.Duration) bool {
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	if now-ga.news <= FreshFor {
-		return false
-	}
-	asked, answered := 0, 0
-	for _, pr := range ga.probes {
-		if now-pr.at <= probeFor {
-			asked++
-			if pr.answered {
-				answered++
-			}
-		}
-	}
-	return asked < probesLeast || float64(answered) < probesShare*float64(asked)
-}
-
 // Take tells whether one more request may be sent to a server that this VM owns and that may
-// get so many within Window, and counts it.
+// get so many within a second, and counts it.
 func (ga *Gate) Take(now time.Duration, pr origin.Process, most int) bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
@@ -158,7 +73,7 @@
 	}
 	co := ga.of(pr)
 	past := 0
-	for past < len(co.times) && now-co.times[past] > Window+margin {
+	for past < len(co.times) && now-co.times[past] > window+margin {
 		past++
 	}
 	co.times = co.times[past:]
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -60,7 +60,7 @@
 	}
 	warm = make([]*origin.Upstream, 0, len(ups))
 	for _, up := range ups {
-		if _, bound := vw.Warming(now, up); bound {
+		if vw.WarmsUp(now, up) {
 			cold = append(cold, up)
 		} else {
 			warm = append(warm, up)
@@ -164,7 +164,7 @@
 // send comes back as not sent.
 func (fl *flight) sendJoined(ac fanout.Action) {
 	now := fl.en.cfg.Clock()
-	if _, bound := fl.en.cfg.View().Warming(now, ac.Upstream); !bound {
+	if !fl.en.cfg.View().WarmsUp(now, ac.Upstream) {
 		fl.send(ac)
 		return
 	}
@@ -174,7 +174,7 @@
 
 // noteAsked notes whether the owner of a server that warms up sent an attempt.
 func (fl *flight) noteAsked(now time.Duration, up *origin.Upstream, sent bool) {
-	if _, bound := fl.en.cfg.View().Warming(now, up); bound {
+	if fl.en.cfg.View().WarmsUp(now, up) {
 		fl.en.cfg.Ramp.Asked(now, up.Process(), sent)
 	}
 }
--- a/io/entry/status.go
+++ b/io/entry/status.go
@@ -67,7 +67,7 @@
 	if up, ok := fl.pick(now, ask.Shard, fl.checked, ask.Tried); ok && up.Takes() {
 		return up, true
 	}
-	return fl.pick(now, ask.Shard, warm, append(fl.shunned, ask.Tried...))
+	return fl.pick(now, ask.Shard, warm, slices.Concat(fl.shunned, ask.Tried))
 }
 
 // checkedState is what came of one check.
@@ -108,7 +108,7 @@
 
 // stateOf takes in what a server said, and tells whether it may get a request.
 func (en *Entry) stateOf(cs checkedState) bool {
-	if cs.rs.Err != nil || en.judge(cs.rs, false) == fanout.Elsewhere || cs.rs.Reply.Status != consts.StatusOK {
+	if cs.rs.Err != nil || cs.rs.Reply.Status != consts.StatusOK {
 		return false
 	}
 	if id := cs.rs.Reply.Header.Get(en.cfg.Names.Instance); id != "" && id != cs.up.ID {
