relay: keep a connection whose response arrives before the write returns

Change: the reader reports the response, then waits up to 20 ms for the write to return. A server that answers before it has read a long body still loses its connection.

TestConnectionIsKeptIfResponseArrivesBeforeWriteReturns opens 3 connections for 3 requests before the change and 1 after it (5 of 5 with -race). The listed test TestStateIsAskedBeforeRequestsThatMayRunOnce/asked still fails in 2 of 40 runs at a load of 20: there the healthy server's status response was later than 25 ms. It stays listed until that is fixed.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -23,6 +23,10 @@
 	maxStrays = 2
 	// writeTimeout limits the writing of a request to a server that does not read.
 	writeTimeout = 5 * time.Second
+	// writeReturnTime is how long the write of a request may take to return after its response
+	// was read. After it the server has not read the whole request, and the connection cannot be
+	// used for another one.
+	writeReturnTime = 20 * time.Millisecond
 	// idleMargin: an idle connection is closed here before the server closes it, earlier by a
 	// fraction 1/idleMargin of the server's timeout.
 	idleMargin = 4
@@ -46,9 +50,9 @@
 	// current or, while idle, of the previous request.
 	call   *Call
 	lastID string
-	// fullyWritten is set once the request is completely written.
-	fullyWritten bool
-	closed       bool
+	// written is closed once the current request is completely written.
+	written chan struct{}
+	closed  bool
 	// opened is when the connection was opened. lastUsed is when the last response arrived, or
 	// else when it was opened.
 	opened, lastUsed time.Duration
@@ -75,24 +79,23 @@
 		return
 	}
 	cn.call, cn.lastID = ca, ca.rq.ID
-	cn.fullyWritten = false
+	written := make(chan struct{})
+	cn.written = written
 	cn.mu.Unlock()
 	ca.mu.Lock()
 	ca.cn, ca.written, ca.began = cn, true, cn.sv.cfg.Clock()
 	ca.mu.Unlock()
-	cn.write(ca)
+	cn.write(ca, written)
 }
 
-func (cn *conn) write(ca *Call) {
+func (cn *conn) write(ca *Call, written chan struct{}) {
 	err := cn.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n := 0
 	if err == nil {
 		n, err = cn.nc.Write(ca.rq.Raw)
 	}
 	if err == nil {
-		cn.mu.Lock()
-		cn.fullyWritten = true
-		cn.mu.Unlock()
+		close(written)
 		return
 	}
 	ca.fail("relay.write", KindWrite, n > 0, err)
@@ -197,16 +200,17 @@
 
 // deliver reports a response and returns whether the connection can be reused.
 func (cn *conn) deliver(ca *Call, rp *Reply, reuse bool) bool {
+	// Report the result first: what it shows about the server limits which request may start
+	// next.
+	ca.finish(Result{Reply: rp})
+	reuse = reuse && cn.awaitWritten()
 	cn.mu.Lock()
-	reuse = reuse && cn.fullyWritten && cn.br.Buffered() == 0 && !cn.closed
+	reuse = reuse && cn.br.Buffered() == 0 && !cn.closed
 	if reuse {
 		cn.call = nil
 	}
 	cn.lastUsed = cn.sv.cfg.Clock()
 	cn.mu.Unlock()
-	// Report the result first: what it shows about the server limits which request may start
-	// next.
-	ca.finish(Result{Reply: rp})
 	if reuse {
 		cn.sv.release(cn)
 	} else {
@@ -216,6 +220,28 @@
 	return reuse
 }
 
+// awaitWritten waits until the current request is completely written, and returns false if that
+// takes longer than writeReturnTime. A response can be read before the write of its request has
+// returned; closing the connection then would leave a healthy server without connections.
+func (cn *conn) awaitWritten() bool {
+	cn.mu.Lock()
+	written := cn.written
+	cn.mu.Unlock()
+	select {
+	case <-written:
+		return true
+	default:
+	}
+	tm := time.NewTimer(writeReturnTime)
+	defer tm.Stop()
+	select {
+	case <-written:
+		return true
+	case <-tm.C:
+		return false
+	}
+}
+
 // fail closes the connection and fails the call on it, if any. A call may have started after
 // the reader last checked; cn.call is therefore read again, or that call would wait for ever.
 func (cn *conn) fail(ca *Call, kind Kind, err error) {
