acct, inner: client accounts, and the messages for their limits

Other VMs get the digest of a key, never the key.

home.proto gains the account of a forwarded request, the load that a VM reports with its reply, and Allow, by which VMs ask for parts of an account's limit. No VM holds a part yet, so Allow grants nothing.

--- /dev/null
+++ b/core/acct/table_test.go
@@ -0,0 +1,98 @@
+package acct_test
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/core/acct"
+)
+
+func newTable(t *testing.T, accounts ...acct.Account) *acct.Table {
+	t.Helper()
+	tb, err := acct.New(acct.Config{Accounts: accounts})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tb
+}
+
+func TestLookup(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(t, acct.Account{Name: "a", Keys: []string{"k1", "k2"}}, acct.Account{Name: "b"})
+	cr, ok := tb.Lookup("k2")
+	is.True(ok)
+	is.Equal(cr.Account.Name, "a")
+	is.Equal(cr.Digest, acct.DigestOf("k2"))
+	_, ok = tb.Lookup("")
+	is.True(!ok)
+	_, ok = tb.Lookup("k3")
+	is.True(!ok)
+}
+
+// A VM to which a request is forwarded must not run it if the key is gone, or belongs to another
+// account, in its own version of the configuration.
+func TestVerify(t *testing.T) {
+	tb := newTable(t, acct.Account{Name: "a", Keys: []string{"k1"}}, acct.Account{Name: "b", Keys: []string{"k2"}})
+	for _, tc := range []struct {
+		name, key string
+		want      bool
+	}{{"a", "k1", true}, {"a", "k2", false}, {"b", "k2", true}, {"a", "removed", false}, {"", "k1", false}} {
+		is := is.New(t)
+		_, ok := tb.Verify(tc.name, acct.DigestOf(tc.key))
+		is.Equal(ok, tc.want)
+	}
+}
+
+// A faulty account must be refused with the place of the fault and without its keys, which are
+// secret.
+func TestFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		accounts []acct.Account
+		kind     acct.Kind
+		path     string
+	}{
+		{"no name", []acct.Account{{}}, acct.KindMissing, "accounts[0].name"},
+		{"same name", []acct.Account{{Name: "a"}, {Name: "a"}}, acct.KindDuplicate, "accounts[1].name"},
+		{"empty key", []acct.Account{{Name: "a", Keys: []string{"k", ""}}}, acct.KindMissing, "accounts[0].keys[1]"},
+		{"key of another account", []acct.Account{{Name: "a", Keys: []string{"secret"}}, {Name: "b", Keys: []string{"secret"}}}, acct.KindDuplicate, "accounts[1].keys[0]"},
+		{"negative rate", []acct.Account{{Name: "a", Rate: -1}}, acct.KindRange, "accounts[0].rate"},
+		{"burst that is no number", []acct.Account{{Name: "a", Burst: math.NaN()}}, acct.KindRange, "accounts[0].burst"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := acct.New(acct.Config{Accounts: tc.accounts})
+			var ae *acct.Error
+			is.True(errors.As(err, &ae))
+			is.Equal(ae.Kind, tc.kind)
+			is.Equal(ae.Path, tc.path)
+		})
+	}
+}
+
+// The cost of a lookup must not grow with the number of accounts, and it must not allocate: it is
+// made for each request.
+func BenchmarkLookup(b *testing.B) {
+	for _, n := range []int{76, 20_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			accounts := make([]acct.Account, n)
+			for i := range accounts {
+				accounts[i] = acct.Account{Name: fmt.Sprint("account-", i), Keys: []string{fmt.Sprint("key-", i), fmt.Sprint("old-", i)}}
+			}
+			tb, err := acct.New(acct.Config{Accounts: accounts})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := tb.Lookup("old-7"); !ok {
+					b.Fatal("key not found")
+				}
+			}
+		})
+	}
+}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"laburnumvane/core/acct"
 )
 
 // Service is the configuration of a service's servers.
@@ -36,12 +38,15 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Accounts are the client accounts; nil if requests need no key.
+	Accounts *acct.Table
 }
 
 // Table is the immutable set of routes of one version of the configuration.
 type Table struct {
 	version  uint64
 	limits   Limits
+	accounts *acct.Table
 	services map[string]Service
 	// byHost holds the routes by host in lower case and then by prefix.
 	byHost map[string]map[string]*Route
@@ -58,6 +63,7 @@
 	tb := &Table{
 		version:  cfg.Version,
 		limits:   cfg.Limits,
+		accounts: cfg.Accounts,
 		services: make(map[string]Service, len(cfg.Services)),
 		byHost:   make(map[string]map[string]*Route),
 		routes:   make([]*Route, 0, len(cfg.Routes)),
@@ -103,6 +109,9 @@
 // Limits returns the limits on client requests.
 func (tb *Table) Limits() Limits { return tb.limits }
 
+// Accounts returns the client accounts, or nil if requests need no key.
+func (tb *Table) Accounts() *acct.Table { return tb.accounts }
+
 // Routes lists all routes. The caller must not modify them.
 func (tb *Table) Routes() []*Route { return tb.routes }
 
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -48,6 +48,10 @@
 	return &inner.CarryReply{Status: http.StatusOK}, nil
 }
 
+func (vm *fakeVM) Allow(context.Context, *inner.AllowRequest) (*inner.AllowReply, error) {
+	return &inner.AllowReply{}, nil
+}
+
 // Join replies that all servers served.
 func (vm *fakeVM) Join(ctx context.Context, rq *inner.JoinRequest) (*inner.JoinReply, error) {
 	if vm.silent {
