--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -67,9 +67,9 @@
 	// Capacity is the processor time of this VM in cores.
 	Capacity float64
 	Clock    func() time.Duration
-	View       func() *plan.View
-	Relay      Relay
-	Steer      *steer.Table
+	View     func() *plan.View
+	Relay    Relay
+	Steer    *steer.Table
 	// Load parses a server's load report.
 	Load func(text string) (steer.Load, error)
 	// WarmUp limits the requests of this VM to servers that are warming up.
