acct, entry, platform: requests are authenticated by the keys of client accounts

Cause: client accounts need keys on all routes that are not public, and servers need the account's name on every path of a request.

Change: platform parses tenants, public routes and the settings for revocation and quotas. acct.Table.Authenticate decides without I/O; io/entry removes credentials and account headers from client requests, sets the account header among the forwarded fields, and sends the account and the digest of its key to other VMs, which verify both and decline otherwise. A forwarded request of an older build is authenticated by the called VM. The account's priority replaces the route's. acct.New now also rejects a key that one account has twice, and a name with a control character.

The digest of a route that is not public is the same as in the previous build (test with two digests that this build's parent gave).

--- a/core/acct/error.go
+++ b/core/acct/error.go
@@ -11,6 +11,8 @@
 	KindMissing Kind = "missing"
 	// KindDuplicate: a name or a key occurs twice.
 	KindDuplicate Kind = "duplicate"
+	// KindInvalid: a name has a control character.
+	KindInvalid Kind = "invalid"
 	// KindRange: a rate or a burst is negative or not a number.
 	KindRange Kind = "range"
 )
--- a/core/acct/table.go
+++ b/core/acct/table.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"fmt"
 	"math"
+	"strings"
+	"unicode"
 )
 
 // Account is a client account.
@@ -79,6 +81,10 @@
 	if ac.Name == "" {
 		return fault(KindMissing, "name")
 	}
+	if strings.ContainsFunc(ac.Name, unicode.IsControl) {
+		// The name is sent in a header.
+		return fault(KindInvalid, "name")
+	}
 	if _, taken := tb.byName[ac.Name]; taken {
 		return fault(KindDuplicate, "name")
 	}
@@ -94,7 +100,7 @@
 		if key == "" {
 			return fault(KindMissing, fmt.Sprintf("keys[%d]", k))
 		}
-		if other, taken := tb.byKey[key]; taken && other.Account != &ac {
+		if _, taken := tb.byKey[key]; taken {
 			return fault(KindDuplicate, fmt.Sprintf("keys[%d]", k))
 		}
 		dg := DigestOf(key)
--- a/core/acct/table_test.go
+++ b/core/acct/table_test.go
@@ -60,6 +60,8 @@
 		{"same name", []acct.Account{{Name: "a"}, {Name: "a"}}, acct.KindDuplicate, "accounts[1].name"},
 		{"empty key", []acct.Account{{Name: "a", Keys: []string{"k", ""}}}, acct.KindMissing, "accounts[0].keys[1]"},
 		{"key of another account", []acct.Account{{Name: "a", Keys: []string{"secret"}}, {Name: "b", Keys: []string{"secret"}}}, acct.KindDuplicate, "accounts[1].keys[0]"},
+		{"key twice in one account", []acct.Account{{Name: "a", Keys: []string{"secret", "secret"}}}, acct.KindDuplicate, "accounts[0].keys[1]"},
+		{"name with a line break", []acct.Account{{Name: "a\r\nX: y"}}, acct.KindInvalid, "accounts[0].name"},
 		{"negative rate", []acct.Account{{Name: "a", Rate: -1}}, acct.KindRange, "accounts[0].rate"},
 		{"burst that is no number", []acct.Account{{Name: "a", Burst: math.NaN()}}, acct.KindRange, "accounts[0].burst"},
 	} {
--- a/core/poison/fingerprint.go
+++ b/core/poison/fingerprint.go
@@ -24,7 +24,8 @@
 	// URI is the path with its query.
 	URI string
 	// Fields are the header fields that are forwarded to a server. They include the client
-	// account, its credentials and its user agent.
+	// account and its user agent. Credentials are among them only if there are no client
+	// accounts: two keys of an account give the same fingerprint.
 	Fields []Field
 	Body   []byte
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"time"
@@ -34,6 +35,10 @@
 	Regions []string
 
 	digest uint64
+
+	// Public is set if requests need no key although the configuration has client accounts. It is
+	// the last field: see digestOf.
+	Public bool
 }
 
 // Allows reports whether requests may go to a region.
@@ -47,12 +52,17 @@
 
 // digestOf covers everything that decides how a request is handled, not the route's name or
 // its position in the configuration. The formatted text contains the names of the fields, so
-// renaming a field of Route, Share or Gather changes all digests.
+// renaming a field of Route, Share or Gather changes all digests. The digest of a route that is not
+// public is the same as in builds that do not know Public; such builds have another digest for a
+// public route, so that it is run on the VM that its client reached while both builds are in use.
 func digestOf(rt *Route) uint64 {
 	plain := *rt
 	plain.Name = ""
 	plain.Gather = nil
 	text := fmt.Appendf(nil, "%+v", plain)
+	if !rt.Public {
+		text = append(bytes.TrimSuffix(text, []byte(" Public:false}")), '}')
+	}
 	if rt.Gather != nil {
 		text = fmt.Appendf(text, "%+v", *rt.Gather)
 	}
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"laburnumvane/core/acct"
 	"laburnumvane/core/route"
 )
 
@@ -102,6 +104,7 @@
 		{"different service", split(unchanged), split(func(rt *route.Route) { rt.Split = []route.Share{{Service: "b", Weight: 1}} }), false},
 		{"different weight", split(unchanged), split(func(rt *route.Route) { rt.Split = []route.Share{{Service: "a", Weight: 2}} }), false},
 		{"different timeout", split(unchanged), split(func(rt *route.Route) { rt.Timeout = 5 }), false},
+		{"public", split(unchanged), split(func(rt *route.Route) { rt.Public = true }), false},
 		{"idempotent", split(unchanged), split(func(rt *route.Route) { rt.Idempotent = true }), false},
 	}
 	for _, tc := range cases {
@@ -113,6 +116,50 @@
 	}
 }
 
+// VMs of the previous build run beside this one and do not know Public. The digests that they give
+// to routes must stay the same, or no request would be forwarded during the roll-out.
+func TestDigestOfPreviousBuild(t *testing.T) {
+	for _, tc := range []struct {
+		rt   route.Route
+		want uint64
+	}{
+		{route.Route{
+			Name: "search", Host: "a.example", Prefix: "/search/", Idempotent: true, Timeout: 2 * time.Second, Target: 400 * time.Millisecond,
+			Priority: 1, MaxAttempts: 2, Gather: &route.Gather{Shards: []string{"s0", "s1"}, Limit: 5, MinCoverage: 0.75},
+		}, 14602701438216312699},
+		{route.Route{
+			Name: "ledger", Host: "a.example", Prefix: "/ledger/", Timeout: time.Second, Priority: 2, MaxAttempts: 2,
+			Split: []route.Share{{Service: "ledger", Weight: 1}}, Regions: []string{"home"},
+		}, 15901301138794124899},
+	} {
+		is := is.New(t)
+		is.Equal(route.New(route.Config{Routes: []route.Route{tc.rt}}).Routes()[0].Digest(), tc.want)
+	}
+}
+
+// A request must be given the best admission level if its account has the best priority of all, also
+// where no route has it.
+func TestBestPriority(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		accounts []acct.Account
+		want     int
+	}{
+		{"no accounts", nil, 1},
+		{"account without priority", []acct.Account{{Name: "a"}}, 1},
+		{"more urgent account", []acct.Account{{Name: "a", HasPriority: true}}, 0},
+		{"less urgent account", []acct.Account{{Name: "a", HasPriority: true, Priority: 5}}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			accounts, err := acct.New(acct.Config{Accounts: tc.accounts})
+			is.NoErr(err)
+			tb := route.New(route.Config{Routes: []route.Route{{Prefix: "/a/", Priority: 3}, {Prefix: "/b/", Priority: 1}}, Accounts: accounts})
+			is.Equal(tb.BestPriority(), tc.want)
+		})
+	}
+}
+
 func TestDraw(t *testing.T) {
 	is := is.New(t)
 	rt := route.Route{Split: []route.Share{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}}}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -51,7 +51,8 @@
 	// byHost holds the routes by host in lower case and then by prefix.
 	byHost map[string]map[string]*Route
 	routes []*Route
-	// bestPriority is the lowest Priority value, that is the most urgent, of all routes.
+	// bestPriority is the lowest Priority value, that is the most urgent, of all routes and
+	// accounts.
 	bestPriority int
 	// boundsWarmUp is set if some service has a WarmUpRate.
 	boundsWarmUp bool
@@ -75,6 +76,13 @@
 	for _, rt := range cfg.Routes {
 		tb.add(&rt)
 	}
+	if cfg.Accounts != nil {
+		for _, ac := range cfg.Accounts.All() {
+			if ac.HasPriority {
+				tb.bestPriority = min(tb.bestPriority, ac.Priority)
+			}
+		}
+	}
 	return tb
 }
 
@@ -115,8 +123,8 @@
 // Routes lists all routes. The caller must not modify them.
 func (tb *Table) Routes() []*Route { return tb.routes }
 
-// BestPriority returns the lowest Priority value, that is the most urgent, of all routes; 0
-// if there are none.
+// BestPriority returns the lowest Priority value, that is the most urgent, of all routes and of
+// the accounts that have one; 0 if there are no routes.
 func (tb *Table) BestPriority() int { return tb.bestPriority }
 
 // LimitsWarmUp reports whether some service limits the requests to its servers while they
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"laburnumvane/core/acct"
 	"laburnumvane/core/enlist"
 	"laburnumvane/core/mirror"
 	"laburnumvane/core/origin"
@@ -71,6 +72,12 @@
 	Extra entry.ExtraAttempts
 	// WarmUp limits the requests to servers that are warming up.
 	WarmUp warmup.Bounds
+	// Quota bounds how far the limits of client accounts may be exceeded.
+	Quota acct.Bounds
+	// StrictRevocation is set if no key of a client account is accepted while the copy of the
+	// store is older than RevokeAfter; 0 means mirror.StaleAfter.
+	StrictRevocation bool
+	RevokeAfter      time.Duration
 	// StopGrace is the time from the stop signal to the end of the process.
 	StopGrace time.Duration
 	// Off lists the mechanisms that are switched off.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -11,6 +11,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app/server"
 
+	"laburnumvane/core/acct"
 	"laburnumvane/core/mirror"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
@@ -351,6 +352,15 @@
 	eg.cfg.Log.Info().Float64("extraShare", set.Extra.Share).Int("extraBurst", set.Extra.Burst).Msg("settings reloaded")
 }
 
+// keyPolicy returns how long keys of client accounts are accepted without updates.
+func (eg *Edge) keyPolicy() acct.Policy {
+	po := acct.Policy{StaleAfter: mirror.StaleAfter, Strict: eg.set.StrictRevocation, RevokeAfter: eg.set.RevokeAfter}
+	if po.RevokeAfter <= 0 {
+		po.RevokeAfter = mirror.StaleAfter
+	}
+	return po
+}
+
 func (eg *Edge) listen() error {
 	clients, err := net.Listen("tcp", eg.set.ClientAddr)
 	if err != nil {
@@ -373,6 +383,8 @@
 		Meter:       eg.meter,
 		Log:         eg.cfg.Log,
 		Off:         eg.set.Off,
+		CopyAge:     eg.follow.Age,
+		Keys:        eg.keyPolicy(),
 	})
 	innerLn, err := net.Listen("tcp", eg.set.InnerAddr)
 	if err != nil {
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -120,7 +120,7 @@
 			st.noteUnreadable(ev, err)
 			return false, false
 		}
-		st.setRoutes(tb, ev.Revision)
+		st.setRoutes(ev.Key, tb, ev.Revision)
 	}
 	return false, false
 }
@@ -178,13 +178,14 @@
 
 // setRoutes applies a configuration unless it is older than the one in force: a VM never goes
 // back to an older version.
-func (st *state) setRoutes(tb *routeTable, revision uint64) {
+func (st *state) setRoutes(key string, tb *routeTable, revision uint64) {
 	if old := st.view.Routes(); old != nil && tb.Version() <= old.Version() {
 		st.eg.cfg.Log.Warn().Uint64("version", tb.Version()).Uint64("inForce", old.Version()).
 			Uint64("revision", revision).Msg("ignored an older configuration")
 		st.eg.meter.Count(meter.Config, "older")
 		return
 	}
+	delete(st.unreadableKeys, key)
 	st.view = st.view.WithRoutes(tb)
 	st.eg.meter.Count(meter.Config, "applied")
 	st.eg.cfg.Log.Info().Uint64("version", tb.Version()).Uint64("revision", revision).
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -58,6 +58,8 @@
 	// refusal is set if this VM itself refuses the request; nil means that body holds the
 	// response.
 	refusal *wire.ErrorReply
+	// closesConn is set if the client's connection is closed after the response.
+	closesConn bool
 }
 
 func (rs *response) add(name, value string) {
@@ -68,6 +70,9 @@
 	for _, fi := range rs.fields {
 		rc.Response.Header.Add(fi.name, fi.value)
 	}
+	if rs.closesConn {
+		rc.SetConnectionClose()
+	}
 	if rs.refusal != nil {
 		guard.Refuse(rc, rs.status, *rs.refusal)
 		return
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/phuslu/log"
 
+	"laburnumvane/core/acct"
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/lead"
 	"laburnumvane/core/origin"
@@ -82,6 +83,10 @@
 	SendHint func(rd poison.Record)
 	Meter    *meter.Meter
 	Log      *log.Logger
+	// CopyAge returns the age of this VM's copy of the store, and Keys says for how long keys of
+	// client accounts are accepted on its basis.
+	CopyAge func() time.Duration
+	Keys    acct.Policy
 	// Off lists the mechanisms that are switched off; it may be empty.
 	Off toggle.Set
 }
@@ -248,6 +253,10 @@
 	if !ok {
 		return refuse(consts.StatusNotFound, guard.ReasonNoRoute, "there is no such route")
 	}
+	if rs := en.authenticate(tb, rt, rq); rs != nil {
+		rs.write(rc)
+		return nil
+	}
 	if en.checkPoison(rq) == poison.Blocked {
 		en.refuseBlocked(rq).write(rc)
 		return nil
@@ -284,7 +293,7 @@
 func (en *Entry) run(ctx context.Context, rq *request, rt *route.Route, vw *plan.View) (*response, string) {
 	en.routed.Add(1)
 	va := en.valves.forRoute(rt)
-	if !en.cfg.Off.Off(toggle.Valve) && !va.Admit(en.admitLevel(vw.Routes(), rt), rand.Float64()) {
+	if !en.cfg.Off.Off(toggle.Valve) && !va.Admit(en.admitLevel(vw.Routes(), rq.priority(rt)), rand.Float64()) {
 		rs := refusalResponse(consts.StatusServiceUnavailable, reasonNoRoom, "the servers have no room for more")
 		rs.setRetryAfter(retryAfterBusy)
 		en.unserved.Add(1)
@@ -339,7 +348,7 @@
 }
 
 func (en *Entry) logRefused(rq *request, status int, reason string) {
-	en.cfg.Log.Info().Str("id", rq.id).Str("host", rq.host).Str("path", rq.path).
+	en.cfg.Log.Info().Str("id", rq.id).Str("account", rq.accountName()).Str("host", rq.host).Str("path", rq.path).
 		Int("status", status).Str("reason", reason).Uint64("version", configVersion(en.cfg.View())).
 		Msg("refused")
 }
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -267,7 +267,7 @@
 		ID:        fl.rq.id,
 		Method:    fl.rq.method,
 		Raw:       en.message(fl.head, fl.rq, up, fl.hardDeadline-now),
-		Priority:  fl.rt.Priority,
+		Priority:  fl.rq.priority(fl.rt),
 		FreshConn: !fl.rt.Idempotent,
 		Done: func(rs relay.Result) {
 			ar := en.newAttemptResult(k, rs, gathered)
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -49,7 +49,7 @@
 		en.cfg.Meter.Count(meter.Sent, "homeNone")
 		return nil
 	}
-	line := en.cfg.Log.Info().Str("id", rq.id).Str("route", rt.Name).Str("home", addr).
+	line := en.cfg.Log.Info().Str("id", rq.id).Str("account", rq.accountName()).Str("route", rt.Name).Str("home", addr).
 		Float64("ms", float64((now-rq.began).Microseconds())/1000)
 	en.routed.Add(1)
 	if err != nil || rp.GetStatus() >= consts.StatusInternalServerError {
@@ -83,9 +83,13 @@
 		SpentUs: uint64(spent.Microseconds()),
 		Route:   rt.Digest(),
 		Suspect: rq.suspect,
+		Account: rq.accountName(),
 		// The response passes through this VM too.
 		AwayUs: uint64((rq.transitTime + en.lead.LocalTime()).Microseconds()),
 	}
+	if rq.account != nil {
+		cr.KeyDigest = uint64(rq.keyDigest)
+	}
 	if rq.timeout > 0 {
 		cr.LeftUs = uint64(max(1, (rq.timeout - spent).Microseconds()))
 	}
@@ -118,6 +122,12 @@
 		en.noteDeclined(rq, reason)
 		return declined(reason), nil
 	}
+	if reason, rs := en.authenticateForwarded(vw.Routes(), rt, rq, cr); rs != nil {
+		return rs.carryReply(fanout.OutcomeNotRun.String())
+	} else if reason != "" {
+		en.noteDeclined(rq, reason)
+		return declined(reason), nil
+	}
 	if cr.GetSuspect() {
 		en.ReceiveHint(poison.Record{Fingerprint: rq.fingerprint()})
 	}
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -99,7 +99,7 @@
 	rq := &inner.JoinRequest{
 		Request:  en.carryRequest(fl.rq, fl.rt, now),
 		Limit:    uint32(fl.rt.Gather.Limit),
-		Priority: uint32(fl.rt.Priority),
+		Priority: uint32(max(0, fl.rq.priority(fl.rt))),
 		WaitUs:   uint64(joinWaitShare * float64(wait.Microseconds())),
 		UsualUs:  uint64(usual.Microseconds()),
 	}
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -88,7 +88,7 @@
 	}
 	now, vw := en.cfg.Clock(), en.cfg.View()
 	rq := forwardedRequest(jr.GetRequest(), now, en.lead)
-	if _, reason := en.matchForwarded(vw, rq, jr.GetRequest()); reason != "" {
+	if reason := en.matchJoined(vw, rq, jr.GetRequest()); reason != "" {
 		en.noteDeclined(rq, reason)
 		return &inner.JoinReply{Declined: true, Reason: reason}, nil
 	}
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -14,6 +14,7 @@
 	rq := fl.rq
 	en := fl.en.cfg.Log.Info().
 		Str("id", rq.id).
+		Str("account", rq.accountName()).
 		Str("route", fl.rt.Name).
 		Uint64("version", configVersion(fl.vw)).
 		Str("outcome", an.Outcome.String()).
--- a/io/entry/names.go
+++ b/io/entry/names.go
@@ -18,6 +18,8 @@
 	Missing string
 	// Load is a server's load report.
 	Load string
+	// Account is the name of the client account, for servers.
+	Account string
 	// Instance identifies the process that answers a status check.
 	Instance string
 }
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"laburnumvane/core/acct"
 	"laburnumvane/core/poison"
 	"laburnumvane/io/guard"
 	"laburnumvane/io/wire"
@@ -37,6 +38,10 @@
 	// transitTime is how long the client waits outside this VM, before the request arrived and
 	// after the response was sent.
 	transitTime time.Duration
+	// account is the client account that sent the request, and keyDigest the digest of its key;
+	// account is nil if the request has none. The account's header is then among fields.
+	account   *acct.Account
+	keyDigest acct.Digest
 	// forwarded is set if another VM forwarded the request.
 	forwarded bool
 	// suspect is set if servers crashed under this request before.
@@ -46,8 +51,9 @@
 	fingerprintOnce   sync.Once
 }
 
-// fingerprint returns the same value for each arrival of the same request. It is computed on
-// demand, since most requests never need it.
+// fingerprint returns the same value for each arrival of the same request, for whichever key of
+// its account. It is computed on demand, since most requests never need it, but not before the
+// request was authenticated, because it depends on the account.
 func (rq *request) fingerprint() poison.Fingerprint {
 	rq.fingerprintOnce.Do(func() {
 		same := poison.Request{Method: rq.method, Host: rq.host, URI: rq.uri, Body: rq.body}
--- a/io/entry/valves.go
+++ b/io/entry/valves.go
@@ -20,10 +20,9 @@
 	return va.(*valve.Valve)
 }
 
-// admitLevel returns 0 for the routes with the best priority of the configuration and 1 for all
-// others.
-func (en *Entry) admitLevel(tb *route.Table, rt *route.Route) int {
-	if rt.Priority > tb.BestPriority() {
+// admitLevel returns 0 for the best priority of the configuration and 1 for all others.
+func (en *Entry) admitLevel(tb *route.Table, priority int) int {
+	if priority > tb.BestPriority() {
 		return 1
 	}
 	return 0
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -92,9 +92,10 @@
 	// Routed requests: reasons for incomplete answers, for refusals, and results of attempts.
 	routedFailures := []string{"target", "noUpstream", "attempts", "mayHaveRun", "clientGone", "crashesServers"}
 	routedRefusals := []string{"noRequestId", "noConfiguration", "noRoom", "cutOff", "homeLost", "crashesServers", "awaitedTrial"}
+	accountRefusals := []string{"noKey", "malformedKey", "duplicateKey", "unknownKey", "staleAccounts", "mayBeRevoked"}
 	verdicts := []string{"failed", "refused", "elsewhere", "lost", "unsent", "doubted"}
 	return map[string][]string{
-		Refusal:    concat(listenerRefusals, configFailures, limits, ticketReasons(), routedRefusals, []string{"leaving"}),
+		Refusal:    concat(listenerRefusals, configFailures, limits, ticketReasons(), routedRefusals, accountRefusals, []string{"leaving"}),
 		Operator:   concat(listenerRefusals, operators),
 		Admitted:   {"urgent", "interactive", "batch"},
 		Outcome:    {"complete", "partial", "notRun", "unknown", "served", "failed", "gone"},
--- a/io/meter/source_test.go
+++ b/io/meter/source_test.go
@@ -289,7 +289,7 @@
 		case "admit", "share":
 			lc.check(name, meter.Refusal, reason)
 			lc.check(name, meter.Incomplete, reason)
-		case "front":
+		case "front", "acct":
 			lc.check(name, meter.Refusal, reason)
 		case "guard":
 			lc.check(name, meter.Refusal, reason)
