probe, remote: silent forward targets are found by probes and get no requests

Change: core/probe decides from the latencies of each VM when it is probed and when it is silent. An unreachable VM has the other VMs of its data centre probed. Silent VMs are probed in the background and get no requests. After 250 ms without an answer of a VM of the own data centre, a request opens a new connection and sends its body only after the process has answered 100 Continue. Until then nothing has been sent, so the request may go to another VM. A request of which any byte of the body may have been sent is never sent again: TCP_INFO does not show whether unacknowledged bytes arrived.

A VM ten times as slow is avoided by no caller.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -132,7 +132,13 @@
 	eg.registrar = newRegistrar(eg)
 	eg.poisonWriter = newPoisonWriter(eg)
 	eg.follow = eg.newFollower()
-	eg.homeClient = remote.New(remote.Config{Clock: eg.clock, DataCentre: eg.set.Self.DataCentre})
+	eg.homeClient = remote.New(remote.Config{
+		Clock: eg.clock, DataCentre: eg.set.Self.DataCentre,
+		Count: func(event string) { eg.meter.Count(meter.Platform, event) },
+		OnSilent: func(addr string, silent bool) {
+			cfg.Log.Info().Str("vm", addr).Bool("silent", silent).Msg("forward target changed")
+		},
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	eg.cancel = cancel
 	regCtx, endRegistration := context.WithCancel(ctx)
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -113,6 +113,7 @@
 			"store", "storeFailed", "peer", "peerFailed", "peerEmpty", "tell", "tellFailed", "packFailed", "probe", "probeFailed", "compacted",
 			"enter", "enlist", "enlistFailed", "removeDead", "share",
 			"hint", "hintFailed", "hintUnreadable",
+			"vmProbe", "vmProbeFailed", "vmGivenUp",
 		},
 		Change: {"accepted", "conflict", "unknown", "dryRun", "refused"},
 		Config: {
--- a/io/remote/join.go
+++ b/io/remote/join.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"net/http/httptrace"
 	"time"
 
 	"laburnumvane/core/fanout"
@@ -17,21 +15,26 @@
 // VM with Follow.
 func (cl *Client) Join(ctx context.Context, vms []*origin.Upstream, usual time.Duration, rq *inner.JoinRequest) (*inner.JoinReply, *origin.Upstream, error) {
 	began := cl.cfg.Clock()
-	vm, ok := cl.table.Pick(began, steer.RequestKind{UsualLatency: usual}, vms, nil, rand.Float64)
+	vm, ok := cl.pick(vms, nil, usual)
 	if !ok {
 		return nil, nil, &Error{Op: "carry.Join", Kind: KindNone, Err: errNoVM}
 	}
 	cl.table.Begin(began, usual, vm.Process())
-	sent := false
-	rp, err := cl.stubs.Client(vm.Addr).Join(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { sent = true },
-	}), rq)
+	se := &sending{cl: cl, addr: vm.Addr}
+	rp, err := cl.stubs.Client(vm.Addr).Join(se.trace(ctx), rq)
+	sent := se.sent.Load()
 	now := cl.cfg.Clock()
 	if err != nil {
 		cl.table.Withdraw(now, vm.Process(), now-began)
-		if ctx.Err() == nil {
-			cl.table.RecordConnect(now, vm.Process(), false)
+		switch {
+		case ctx.Err() == nil:
+			if sent {
+				cl.peers.Doubt(now, vm.Addr)
+				cl.watch()
+			}
 			cl.stubs.Remove(vm.Addr)
+		case sent:
+			cl.peers.Drop(vm.Addr)
 		}
 		kind := KindNone
 		if sent {
@@ -39,6 +42,7 @@
 		}
 		return nil, vm, &Error{Op: "carry.Join", Kind: kind, Addr: vm.Addr, Err: err}
 	}
+	cl.peers.Answer(now, vm.Addr, now-began)
 	if rp.GetDeclined() {
 		cl.recordDeclined(now, vm.Process(), rp.GetReason())
 		return nil, vm, &Error{Op: "carry.Join", Kind: KindNone, Addr: vm.Addr, Err: errNoVM}
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -19,15 +19,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
+	"laburnumvane/core/probe"
 	"laburnumvane/core/steer"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/stubs"
@@ -37,16 +36,8 @@
 	// maxTries limits the VMs that are asked for one request; each costs a round trip, and a
 	// target is some tens of milliseconds.
 	maxTries = 3
-	// dialTimeout limits the opening of a connection within a region.
-	dialTimeout = 200 * time.Millisecond
 	// idleConnsPerVM is how many idle connections are kept to each VM.
 	idleConnsPerVM = 8
-	// silentAfter is how long a VM may send no response to any request of this VM before it is
-	// probed. probeTimeout limits the probe, and probeInterval is the wait until the next one.
-	// A VM that is cut off from servers is slow with every request, but not dead.
-	silentAfter   = 800 * time.Millisecond
-	probeTimeout  = 300 * time.Millisecond
-	probeInterval = 500 * time.Millisecond
 )
 
 // Kind classifies an Error.
@@ -93,30 +84,41 @@
 	errSilent = errors.New("the VM stopped responding")
 )
 
-// Config configures a client. All fields are required.
+// Config configures a client. Clock and DataCentre are required.
 type Config struct {
 	Clock      func() time.Duration
 	DataCentre string
+	// Count counts probes of VMs, and VMs whose requests were given up.
+	Count func(event string)
+	// OnSilent is called when a VM was found silent, and when it answers again.
+	OnSilent func(addr string, silent bool)
 }
 
 // Client calls other VMs, and chooses among them by their latency.
 type Client struct {
 	cfg   Config
 	table *steer.Table
+	peers *probe.Table
 	stubs *stubs.Pool[inner.Home]
+	// watcher runs the probes that peers asks for.
+	watcher *watcher
 }
 
 // New creates a client without connections.
 func New(cfg Config) *Client {
-	return &Client{
-		cfg:   cfg,
-		table: steer.New(steer.Config{DataCentre: cfg.DataCentre}),
-		stubs: stubs.New(stubs.Config[inner.Home]{
-			NewClient:   func(base string, hc *http.Client) inner.Home { return inner.NewHomeProtobufClient(base, hc) },
-			DialTimeout: dialTimeout,
-			MaxIdle:     idleConnsPerVM,
-		}),
+	cl := &Client{
+		cfg:     cfg,
+		table:   steer.New(steer.Config{DataCentre: cfg.DataCentre}),
+		peers:   probe.New(probe.Config{Limits: probe.DefaultLimits()}),
+		watcher: newWatcher(),
 	}
+	cl.stubs = stubs.New(stubs.Config[inner.Home]{
+		NewClient:       func(base string, hc *http.Client) inner.Home { return inner.NewHomeProtobufClient(base, hc) },
+		Dial:            cl.dial,
+		ContinueTimeout: continueTimeout,
+		MaxIdle:         idleConnsPerVM,
+	})
+	return cl
 }
 
 // Carry forwards a request to one of the VMs and returns its reply and address. usual is the
@@ -124,7 +126,7 @@
 func (cl *Client) Carry(ctx context.Context, vms []*origin.Upstream, usual time.Duration, rq *inner.CarryRequest) (*inner.CarryReply, string, error) {
 	var tried []*origin.Upstream
 	for range maxTries {
-		vm, ok := cl.table.Pick(cl.cfg.Clock(), steer.RequestKind{UsualLatency: usual}, vms, tried, rand.Float64)
+		vm, ok := cl.pick(vms, tried, usual)
 		if !ok {
 			break
 		}
@@ -140,31 +142,59 @@
 	return nil, "", &Error{Op: "carry.Carry", Kind: KindNone, Err: errNoVM}
 }
 
+// pick chooses a VM that is not known to be silent.
+func (cl *Client) pick(vms, tried []*origin.Upstream, usual time.Duration) (*origin.Upstream, bool) {
+	now := cl.cfg.Clock()
+	usable := make([]*origin.Upstream, 0, len(vms))
+	for _, vm := range vms {
+		cl.peers.Want(now, probe.VM{Addr: vm.Addr, DataCentre: vm.DataCentre})
+		if !cl.peers.Avoid(vm.Addr) {
+			usable = append(usable, vm)
+		}
+	}
+	if len(usable) < len(vms) {
+		cl.watch()
+	}
+	return cl.table.Pick(now, steer.RequestKind{UsualLatency: usual}, usable, tried, rand.Float64)
+}
+
 // call sends a request to one VM and reports whether any of it may have been sent.
 func (cl *Client) call(ctx context.Context, vm *origin.Upstream, usual time.Duration, rq *inner.CarryRequest) (*inner.CarryReply, bool, error) {
 	began := cl.cfg.Clock()
 	cl.table.Begin(began, usual, vm.Process())
 	bounded, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := cl.cancelIfSilent(vm, cancel)
-	defer stop()
-	sent := false
-	traced := httptrace.WithClientTrace(bounded, &httptrace.ClientTrace{
-		WroteHeaders: func() { sent = true },
-	})
-	rp, err := cl.stubs.Client(vm.Addr).Carry(traced, rq)
+	defer cl.watcher.await(vm.Addr, &cancel)()
+	se := &sending{cl: cl, addr: vm.Addr, cancel: cancel}
+	defer se.stop()
+	// Between data centres this is done only during a disturbance: it costs traffic.
+	se.asks = (vm.DataCentre == cl.cfg.DataCentre || cl.peers.AnySilent()) && !cl.peers.Fresh(began, vm.Addr)
+	if se.asks {
+		// On an existing connection the request would be lost if the VM has been cut off.
+		cl.stubs.CloseIdle(vm.Addr)
+	}
+	rp, err := cl.stubs.Client(vm.Addr).Carry(se.trace(bounded), rq)
+	sent := se.sent.Load()
 	now := cl.cfg.Clock()
 	switch {
 	case err == nil && rp.GetDeclined():
+		cl.peers.Answer(now, vm.Addr, now-began)
 		cl.recordDeclined(now, vm.Process(), rp.GetReason())
 	case err == nil:
+		cl.peers.Answer(now, vm.Addr, now-began)
 		cl.table.End(now, vm.Process(), steer.Result{Verdict: fanout.Served, Latency: now - began, UsualLatency: usual})
 	case ctx.Err() != nil:
 		// The client disconnected.
 		cl.table.Withdraw(now, vm.Process(), now-began)
+		if sent {
+			cl.peers.Drop(vm.Addr)
+		}
 	default:
 		cl.table.Withdraw(now, vm.Process(), 0)
-		cl.table.RecordConnect(now, vm.Process(), false)
+		if sent {
+			cl.peers.Doubt(now, vm.Addr)
+			cl.watch()
+		}
 		cl.stubs.Remove(vm.Addr)
 	}
 	return rp, sent, err
@@ -179,39 +209,8 @@
 	cl.table.End(now, pr, steer.Result{Verdict: fanout.Refused})
 }
 
-// cancelIfSilent cancels a request if its VM has sent no response for silentAfter and then does
-// not respond to a probe.
-func (cl *Client) cancelIfSilent(vm *origin.Upstream, cancel context.CancelCauseFunc) (stop func()) {
-	done := make(chan struct{})
-	tm := time.NewTimer(silentAfter)
-	go func() {
-		defer tm.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-tm.C:
-			}
-			if cl.table.SilentFor(cl.cfg.Clock(), vm.Process()) >= silentAfter && !cl.Alive(vm.Addr, probeTimeout) {
-				cancel(errSilent)
-				return
-			}
-			tm.Reset(probeInterval)
-		}
-	}()
-	return func() { close(done) }
+// Close closes idle connections and ends the background probes.
+func (cl *Client) Close() {
+	cl.watcher.close()
+	cl.stubs.Close()
 }
-
-// Alive probes a VM and reports whether it responds within wait.
-func (cl *Client) Alive(addr string, wait time.Duration) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
-	// The probe uses its own connection: the existing one may be what no longer works.
-	tr := &http.Transport{DialContext: (&net.Dialer{Timeout: wait}).DialContext, DisableKeepAlives: true}
-	defer tr.CloseIdleConnections()
-	_, err := inner.NewHomeProtobufClient("http://"+addr, &http.Client{Transport: tr}).Carry(ctx, &inner.CarryRequest{})
-	return err == nil
-}
-
-// Close closes idle connections.
-func (cl *Client) Close() { cl.stubs.Close() }
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"laburnumvane/core/origin"
+	"laburnumvane/core/probe"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/remote"
 )
@@ -139,3 +140,51 @@
 	is.Equal(other.requests.Load(), int64(0))
 	is.True(time.Since(began) < 5*time.Second)
 }
+
+// A VM is frozen: its kernel accepts connections, its process reads nothing. The request was not
+// sent and must go to another VM within the time of one request. The VM is used again once its
+// process continues, without a request that tries it.
+func TestFrozenVMGetsNoRequest(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	thawed, other := &fakeVM{}, &fakeVM{}
+	frozen := &origin.Upstream{ID: ln.Addr().String(), Addr: ln.Addr().String(), DataCentre: "east"}
+	second := serve(t, other)
+	second.DataCentre = "west"
+	changes := make(chan bool, 8)
+	began := time.Now()
+	cl := remote.New(remote.Config{
+		Clock: func() time.Duration { return time.Since(began) }, DataCentre: "east",
+		OnSilent: func(_ string, silent bool) { changes <- silent },
+	})
+	t.Cleanup(cl.Close)
+	for range 3 {
+		rp, err := carryTo(t, cl, frozen, second)
+		is.NoErr(err)
+		is.Equal(rp.GetStatus(), uint32(http.StatusOK))
+	}
+	is.Equal(other.requests.Load(), int64(3))
+	is.True(<-changes)
+	srv := &http.Server{Handler: inner.NewHomeServer(thawed), ReadHeaderTimeout: testTimeout}
+	go func() {
+		// Serve returns when the test closes the server.
+		_ = srv.Serve(ln)
+	}()
+	t.Cleanup(func() { _ = srv.Close() })
+	is.True(!<-changes)
+	_, err = carryTo(t, cl, frozen, second)
+	is.NoErr(err)
+	is.Equal(thawed.requests.Load(), int64(1))
+	is.Equal(other.requests.Load(), int64(3))
+}
+
+// A stopped process, a frozen one and a sound one must be told apart: a frozen one may continue,
+// and says nothing about the other VMs of its data centre.
+func TestProbeOutcomes(t *testing.T) {
+	is := is.New(t)
+	cl := newClient(t)
+	is.Equal(cl.Probe("127.0.0.1:1", time.Second, time.Second), probe.Refused)
+	is.Equal(cl.Probe(serve(t, &fakeVM{silent: true}).Addr, time.Second, 50*time.Millisecond), probe.Frozen)
+	is.Equal(cl.Probe(serve(t, &fakeVM{}).Addr, testTimeout, testTimeout), probe.Alive)
+}
--- a/io/stubs/stubs.go
+++ b/io/stubs/stubs.go
@@ -11,6 +11,7 @@
 package stubs
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -26,6 +27,11 @@
 	NewClient func(base string, hc *http.Client) T
 	// DialTimeout limits the opening of a connection; 0 is no limit.
 	DialTimeout time.Duration
+	// Dial opens a connection to the VM with an address; nil means a dialer with DialTimeout.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// ContinueTimeout is how long a call with Expect: 100-continue waits before it sends its body
+	// anyway.
+	ContinueTimeout time.Duration
 	// MaxIdle is the maximum number of idle connections kept to each VM.
 	MaxIdle int
 }
@@ -53,13 +59,18 @@
 	defer po.mu.Unlock()
 	st, ok := po.byAddr[addr]
 	if !ok {
+		dial := po.cfg.Dial
+		if dial == nil {
+			dial = (&net.Dialer{Timeout: po.cfg.DialTimeout}).DialContext
+		}
 		tr := &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: po.cfg.DialTimeout}).DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: po.cfg.MaxIdle,
 			IdleConnTimeout:     idleTimeout,
 			// Messages are small or already compressed; an Accept-Encoding header
 			// would only make them longer.
-			DisableCompression: true,
+			DisableCompression:    true,
+			ExpectContinueTimeout: po.cfg.ContinueTimeout,
 		}
 		st = vmClient[T]{client: po.cfg.NewClient("http://"+addr, &http.Client{Transport: tr}), transport: tr}
 		po.byAddr[addr] = st
@@ -78,6 +89,15 @@
 	}
 }
 
+// CloseIdle closes the idle connections to a VM, so that the next call opens one.
+func (po *Pool[T]) CloseIdle(addr string) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if st, ok := po.byAddr[addr]; ok {
+		st.transport.CloseIdleConnections()
+	}
+}
+
 // Close removes all clients and closes their idle connections.
 func (po *Pool[T]) Close() {
 	po.mu.Lock()
