place, gauge, remote: forward targets are chosen by the load that they report

Cause: small VMs chose among the large VMs by observed latency alone, and queued there however overloaded these were.

Change: a VM reports its processor load and the wait that follows from it with each forwarded request (core/gauge). The calling VM takes the better of two random targets by the expected time (core/place), in its own data centre first, and runs the request itself if that is expected to be sooner.

--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,72 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/core/place"
+)
+
+func half() float64 { return 0.5 }
+
+func twoTargets() []place.Target {
+	return []place.Target{
+		{Addr: "near", Local: true, Cost: 20 * ms, Base: 20 * ms},
+		{Addr: "far", Cost: 50 * ms, Base: 50 * ms},
+	}
+}
+
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		name    string
+		observe func(tb *place.Table)
+		now     time.Duration
+		own     time.Duration
+		want    int
+	}{
+		{"nothing known", func(*place.Table) {}, time.Second, 70 * ms, 0},
+		{"busy, but nearer", func(tb *place.Table) { tb.Report(time.Second, "near", place.Load{Wait: 25 * ms}) }, time.Second, 0, 0},
+		{"busier than the way is long", func(tb *place.Table) { tb.Report(time.Second, "near", place.Load{Wait: 40 * ms}) }, time.Second, 0, 1},
+		{"the same long ago", func(tb *place.Table) { tb.Report(time.Second, "near", place.Load{Wait: 40 * ms}) }, 3 * time.Second, 0, 0},
+		{"declined", func(tb *place.Table) { tb.Decline(time.Second, "near", false) }, time.Second, 0, 1},
+		{"declined a while ago", func(tb *place.Table) { tb.Decline(time.Second, "near", false) }, time.Second + 100*ms, 0, 0},
+		{"declined again and again", func(tb *place.Table) {
+			for range 4 {
+				tb.Decline(time.Second, "near", false)
+			}
+		}, time.Second + 700*ms, 0, 1},
+		{"stops", func(tb *place.Table) { tb.Decline(time.Second, "near", true) }, time.Second + 1500*ms, 0, 1},
+		{"all declined", func(tb *place.Table) {
+			tb.Decline(time.Second, "near", false)
+			tb.Decline(time.Second, "far", false)
+		}, time.Second, 0, place.Self},
+		{"sooner here", func(tb *place.Table) {
+			tb.Report(time.Second, "near", place.Load{Wait: 200 * ms})
+			tb.Report(time.Second, "far", place.Load{Wait: 200 * ms})
+		}, time.Second, 70 * ms, place.Self},
+		{"hardly sooner here", func(*place.Table) {}, time.Second, 15 * ms, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			tb := place.New(place.Config{})
+			tc.observe(tb)
+			choice, _ := tb.Choose(tc.now, twoTargets(), tc.own, half)
+			is.New(t).Equal(choice, tc.want)
+		})
+	}
+}
+
+// A VM that had declined answers again. Its earlier declines must not count at the next one.
+func TestAnswerEndsDeclines(t *testing.T) {
+	is := is.New(t)
+	tb := place.New(place.Config{})
+	for range 4 {
+		tb.Decline(time.Second, "near", false)
+	}
+	tb.Report(3*time.Second, "near", place.Load{})
+	tb.Decline(4*time.Second, "near", false)
+	choice, _ := tb.Choose(4*time.Second+150*ms, twoTargets(), 0, half)
+	is.Equal(choice, 0)
+}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -149,6 +149,15 @@
 	return best, best != nil
 }
 
+// Cost returns the expected time of one more attempt at a server, and the same for a server without
+// observations; ok is false if the server must not be picked.
+func (tb *Table) Cost(now time.Duration, ki RequestKind, up *origin.Upstream) (cost, base time.Duration, ok bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	nanos, ok := tb.cost(now, ki, up)
+	return time.Duration(nanos), time.Duration(tb.baseCost(ki, up)), ok && up.Accepting()
+}
+
 func contains(ups []*origin.Upstream, up *origin.Upstream) bool {
 	for _, other := range ups {
 		if other.ID == up.ID {
@@ -161,14 +170,7 @@
 // cost returns the cost in nanoseconds; ok is false if the server must not be picked.
 func (tb *Table) cost(now time.Duration, ki RequestKind, up *origin.Upstream) (cost float64, ok bool) {
 	usual := ki.UsualLatency
-	cost = float64(usual)
-	if up.DataCentre != tb.cfg.DataCentre && !tb.cfg.Off.Off(toggle.Nearness) {
-		remoteCost := max(remoteCostRatio*float64(usual), float64(minRemoteCost))
-		if up.DataCentre == ki.JoinDataCentre {
-			remoteCost *= joinedCostRatio
-		}
-		cost += remoteCost
-	}
+	cost = tb.baseCost(ki, up)
 	st, seen := tb.stats[up.Process()]
 	if !seen {
 		return cost, true
@@ -193,6 +195,19 @@
 	return cost, true
 }
 
+// baseCost returns the cost of a server without observations, in nanoseconds.
+func (tb *Table) baseCost(ki RequestKind, up *origin.Upstream) float64 {
+	usual := ki.UsualLatency
+	if up.DataCentre == tb.cfg.DataCentre || tb.cfg.Off.Off(toggle.Nearness) {
+		return float64(usual)
+	}
+	remoteCost := max(remoteCostRatio*float64(usual), float64(minRemoteCost))
+	if up.DataCentre == ki.JoinDataCentre {
+		remoteCost *= joinedCostRatio
+	}
+	return float64(usual) + remoteCost
+}
+
 // Begin records the start of an attempt.
 func (tb *Table) Begin(now, usual time.Duration, pr origin.Process) {
 	tb.mu.Lock()
--- a/core/toggle/toggle.go
+++ b/core/toggle/toggle.go
@@ -66,6 +66,8 @@
 	Loads
 	// Checks asks a server for its state before sending it a request that may run only once.
 	Checks
+	// Placement uses the load that other VMs report, and compares it with this VM's own.
+	Placement
 
 	count
 )
@@ -74,6 +76,7 @@
 var names = [count]string{ //nolint:gochecknoglobals // a constant list
 	"hedges", "windows", "moves", "newest", "valve", "homes", "joins",
 	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "warnings", "absence", "asks", "loads", "checks",
+	"placement",
 }
 
 // String returns the name in settings, logs and metrics.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -11,6 +11,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app/server"
 
+	"laburnumvane/core/gauge"
 	"laburnumvane/core/mirror"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
@@ -66,6 +67,8 @@
 	registrar  *registrar
 	leases     atomic.Pointer[map[string]uint64]
 	homeClient *remote.Client
+	// gauge measures how busy this VM is.
+	gauge *gauge.Gauge
 	// warmUp limits the requests to servers that are warming up.
 	warmUp *warmup.Limiter
 	// poison holds the requests under which servers crashed; poisonWriter writes them to the
@@ -132,8 +135,9 @@
 	eg.registrar = newRegistrar(eg)
 	eg.poisonWriter = newPoisonWriter(eg)
 	eg.follow = eg.newFollower()
+	eg.gauge = gauge.New(gauge.Config{Cores: eg.set.Capacity})
 	eg.homeClient = remote.New(remote.Config{
-		Clock: eg.clock, DataCentre: eg.set.Self.DataCentre,
+		Clock: eg.clock, DataCentre: eg.set.Self.DataCentre, Off: eg.set.Off,
 		Count: func(event string) { eg.meter.Count(meter.Platform, event) },
 		OnSilent: func(addr string, silent bool) {
 			cfg.Log.Info().Str("vm", addr).Bool("silent", silent).Msg("forward target changed")
@@ -262,6 +266,7 @@
 			st.applyChange(ch)
 			eg.applied <- struct{}{}
 		case <-tk.C:
+			eg.gauge.Observe(eg.clock(), processorTime())
 			st.tick()
 			st.checkSilent(ctx)
 			eg.pool.Tick()
@@ -373,6 +378,7 @@
 		Load:        eg.cfg.Decoder.Load,
 		WarmUp:      eg.warmUp,
 		HomeClient:  eg.homeClient,
+		Gauge:       eg.gauge,
 		Poison:      eg.poison,
 		SharePoison: eg.poisonWriter.add,
 		SendHint:    eg.sendHint,
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"laburnumvane/core/fanout"
+	"laburnumvane/core/gauge"
 	"laburnumvane/core/lead"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
@@ -52,7 +53,7 @@
 type HomeClient interface {
 	// Carry forwards a request to one of the VMs, which runs it in place of this VM. Join has
 	// one of the VMs send a request to servers of its own data centre.
-	Carry(ctx context.Context, targets []*origin.Upstream, usual time.Duration, rq *inner.CarryRequest) (rp *inner.CarryReply, addr string, err error)
+	Carry(ctx context.Context, targets []*origin.Upstream, usual, own time.Duration, rq *inner.CarryRequest) (rp *inner.CarryReply, addr string, err error)
 	Join(ctx context.Context, vms []*origin.Upstream, usual time.Duration, rq *inner.JoinRequest) (*inner.JoinReply, *origin.Upstream, error)
 	// Follow asks a VM for the results that its reply to Join left out.
 	Follow(ctx context.Context, vm *origin.Upstream, token uint64) (*inner.JoinReply, error)
@@ -74,6 +75,8 @@
 	WarmUp *warmup.Limiter
 	// HomeClient forwards requests to other VMs.
 	HomeClient HomeClient
+	// Gauge measures how busy this VM is.
+	Gauge *gauge.Gauge
 	// Poison holds the requests under which servers crashed, and SharePoison distributes an
 	// update of one to other VMs through the store.
 	Poison      *poison.Table
@@ -283,6 +286,7 @@
 // run sends a request to servers unless the route's valve rejects it for lack of capacity.
 func (en *Entry) run(ctx context.Context, rq *request, rt *route.Route, vw *plan.View) (*response, string) {
 	en.routed.Add(1)
+	defer en.cfg.Gauge.Begin()()
 	va := en.valves.forRoute(rt)
 	if !en.cfg.Off.Off(toggle.Valve) && !va.Admit(en.admitLevel(vw.Routes(), rt), rand.Float64()) {
 		rs := refusalResponse(consts.StatusServiceUnavailable, reasonNoRoom, "the servers have no room for more")
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -18,7 +18,7 @@
 
 // Reasons for which a VM declines a request that another VM forwards.
 const (
-	declinedLeaving = "leaving"
+	declinedLeaving = remote.ReasonLeaving
 	declinedBusy    = "busy"
 	declinedRoute   = "noSuchRoute"
 	declinedProbe   = "alive"
@@ -33,6 +33,8 @@
 	// homeLatencyPrefix separates the latency statistics of gathers on other VMs from those of
 	// requests to single servers.
 	homeLatencyPrefix = "home "
+	// loadUnit is the load of a VM at its capacity in a reply, which has 1 added to it.
+	loadUnit = 1000
 )
 
 // forward sends a request to a VM that is better placed to run it. It returns nil if none of
@@ -43,10 +45,14 @@
 	defer cancel()
 	defer context.AfterFunc(en.ending, cancel)()
 	began := en.cfg.Clock()
-	rp, addr, err := en.cfg.HomeClient.Carry(ctx, targets, la.usualLatency(), en.carryRequest(rq, rt, began))
+	rp, addr, err := en.cfg.HomeClient.Carry(ctx, targets, la.usualLatency(), en.ownTime(la), en.carryRequest(rq, rt, began))
 	now := en.cfg.Clock()
 	if err != nil && !remote.MayHaveRun(err) {
-		en.cfg.Meter.Count(meter.Sent, "homeNone")
+		reason := "homeNone"
+		if remote.IsSooner(err) {
+			reason = "homeSelf"
+		}
+		en.cfg.Meter.Count(meter.Sent, reason)
 		return nil
 	}
 	line := en.cfg.Log.Info().Str("id", rq.id).Str("route", rt.Name).Str("home", addr).
@@ -102,6 +108,7 @@
 		return declined(declinedProbe), nil
 	}
 	if en.leaving.Load() {
+		en.cfg.Meter.Count(meter.Sent, declinedLeaving)
 		return declined(declinedLeaving), nil
 	}
 	en.inFlight.Add(1)
@@ -128,7 +135,9 @@
 		return declined(declinedRoute), nil
 	}
 	rs, outcome := en.handle(ctx, rq, rt, vw)
-	return rs.carryReply(outcome)
+	rp, err := rs.carryReply(outcome)
+	en.reportLoad(rp)
+	return rp, err
 }
 
 // matchForwarded finds the route of a request that another VM forwarded, or returns the reason
@@ -158,6 +167,24 @@
 		Msg("declined another VM's request")
 }
 
+// ownTime returns how long a request would take on this VM, of which usual is the time on a large
+// one; 0 if that is not known.
+func (en *Entry) ownTime(la *routeLatency) time.Duration {
+	rp := en.cfg.Gauge.Report()
+	if rp.OwnWork == 0 {
+		return 0
+	}
+	return la.usualLatency() + rp.Wait + rp.OwnWork*time.Duration(1+rp.Running)
+}
+
+// reportLoad tells the calling VM how busy this VM is.
+func (en *Entry) reportLoad(rp *inner.CarryReply) {
+	if state := en.cfg.Gauge.Report(); rp != nil && state.OwnWork > 0 {
+		rp.Load = uint32(max(0, state.Load)*loadUnit) + 1
+		rp.WaitUs = uint64(state.Wait.Microseconds())
+	}
+}
+
 func declined(reason string) *inner.CarryReply {
 	return &inner.CarryReply{Declined: true, Reason: reason}
 }
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -102,7 +102,7 @@
 		Retry:      concat(replies, refusals, failures, verdicts),
 		Upstream:   concat(refusals, failures, verdicts, []string{"moveBudget", "noRoom", "dropped", "garbled", "warming", "badLoad"}),
 		Dropped:    {"foreign", "afterAnswer"},
-		Sent:       {"primary", "first", "hedge", "retry", "home", "homeNone", "homeLost", "joined", "warned", "forOthers", "otherRoute", "trial", "warming", "check"},
+		Sent:       {"primary", "first", "hedge", "retry", "home", "homeNone", "homeSelf", "homeLost", "leaving", "joined", "warned", "forOthers", "otherRoute", "trial", "warming", "check"},
 		Connection: {
 			"opened", "dialFailed", "refused", "stale", "silent", "late", "ping", "pingFailed", "cancelSent",
 			"cancelLeft", "idleClosed", "backoff", "probe", "open", "openFailed", "openReset", "ended", "closing",
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	cl := remote.New(remote.Config{Clock: clock, DataCentre: "east"})
-//	rp, addr, err := cl.Carry(ctx, vms, usual, rq)
+//	rp, addr, err := cl.Carry(ctx, vms, usual, own, rq)
 //	if err != nil && !remote.MayHaveRun(err) {
 //		// run it on this VM
 //	}
@@ -20,14 +20,17 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
+	"laburnumvane/core/place"
 	"laburnumvane/core/probe"
 	"laburnumvane/core/steer"
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/stubs"
 )
@@ -47,6 +50,8 @@
 const (
 	// KindNone: no VM could be asked, or all declined; the request did not run.
 	KindNone Kind = "none"
+	// KindSelf: this VM is expected to answer sooner than any other; nothing was sent.
+	KindSelf Kind = "self"
 	// KindLost: a VM received the request and did not respond; it may have run.
 	KindLost Kind = "lost"
 )
@@ -68,6 +73,12 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// IsSooner reports whether a request was not forwarded because this VM should answer it sooner.
+func IsSooner(err error) bool {
+	var re *Error
+	return errors.As(err, &re) && re.Kind == KindSelf
+}
+
 // MayHaveRun reports whether a request that ended with an error may have run.
 func MayHaveRun(err error) bool {
 	var re *Error
@@ -79,9 +90,13 @@
 // busy.
 const ReasonOtherRoute = "otherRoute"
 
+// ReasonLeaving is the reason with which a VM declines a request while it stops.
+const ReasonLeaving = "leaving"
+
 var (
 	errNoVM   = errors.New("no VM accepted the request")
 	errSilent = errors.New("the VM stopped responding")
+	errSooner = errors.New("this VM is expected to answer sooner")
 )
 
 // Config configures a client. Clock and DataCentre are required.
@@ -92,6 +107,8 @@
 	Count func(event string)
 	// OnSilent is called when a VM was found silent, and when it answers again.
 	OnSilent func(addr string, silent bool)
+	// Off lists the mechanisms that are switched off.
+	Off toggle.Set
 }
 
 // Client calls other VMs, and chooses among them by their latency.
@@ -99,6 +116,7 @@
 	cfg   Config
 	table *steer.Table
 	peers *probe.Table
+	place *place.Table
 	stubs *stubs.Pool[inner.Home]
 	// watcher runs the probes that peers asks for.
 	watcher *watcher
@@ -110,6 +128,7 @@
 		cfg:     cfg,
 		table:   steer.New(steer.Config{DataCentre: cfg.DataCentre}),
 		peers:   probe.New(probe.Config{Limits: probe.DefaultLimits()}),
+		place:   place.New(place.Config{}),
 		watcher: newWatcher(),
 	}
 	cl.stubs = stubs.New(stubs.Config[inner.Home]{
@@ -122,12 +141,16 @@
 }
 
 // Carry forwards a request to one of the VMs and returns its reply and address. usual is the
-// usual latency of such a request.
-func (cl *Client) Carry(ctx context.Context, vms []*origin.Upstream, usual time.Duration, rq *inner.CarryRequest) (*inner.CarryReply, string, error) {
+// usual latency of such a request, and own the time that it is expected to take on this VM; 0 if
+// this VM should not run it unless no other does.
+func (cl *Client) Carry(ctx context.Context, vms []*origin.Upstream, usual, own time.Duration, rq *inner.CarryRequest) (*inner.CarryReply, string, error) {
 	var tried []*origin.Upstream
 	for range maxTries {
-		vm, ok := cl.pick(vms, tried, usual)
-		if !ok {
+		vm, sooner := cl.choose(vms, tried, usual, own)
+		if sooner {
+			return nil, "", &Error{Op: "carry.Carry", Kind: KindSelf, Err: errSooner}
+		}
+		if vm == nil {
 			break
 		}
 		tried = append(tried, vm)
@@ -142,9 +165,33 @@
 	return nil, "", &Error{Op: "carry.Carry", Kind: KindNone, Err: errNoVM}
 }
 
-// pick chooses a VM that is not known to be silent.
-func (cl *Client) pick(vms, tried []*origin.Upstream, usual time.Duration) (*origin.Upstream, bool) {
+// choose returns the VM that runs a request, or nil if there is none. sooner is set if there are
+// some, and this VM is expected to answer before them.
+func (cl *Client) choose(vms, tried []*origin.Upstream, usual, own time.Duration) (vm *origin.Upstream, sooner bool) {
+	if cl.cfg.Off.Off(toggle.Placement) {
+		vm, _ = cl.pick(vms, tried, usual)
+		return vm, false
+	}
 	now := cl.cfg.Clock()
+	var candidates []*origin.Upstream
+	var targets []place.Target
+	for _, up := range cl.usable(now, vms) {
+		cost, base, ok := cl.table.Cost(now, steer.RequestKind{UsualLatency: usual}, up)
+		if !ok || slices.Contains(tried, up) {
+			continue
+		}
+		candidates = append(candidates, up)
+		targets = append(targets, place.Target{Addr: up.Addr, Local: up.DataCentre == cl.cfg.DataCentre, Cost: cost, Base: base})
+	}
+	choice, sooner := cl.place.Choose(now, targets, own, rand.Float64)
+	if choice == place.Self {
+		return nil, sooner
+	}
+	return candidates[choice], false
+}
+
+// usable returns the VMs that are not known to be silent.
+func (cl *Client) usable(now time.Duration, vms []*origin.Upstream) []*origin.Upstream {
 	usable := make([]*origin.Upstream, 0, len(vms))
 	for _, vm := range vms {
 		cl.peers.Want(now, probe.VM{Addr: vm.Addr, DataCentre: vm.DataCentre})
@@ -155,7 +202,13 @@
 	if len(usable) < len(vms) {
 		cl.watch()
 	}
-	return cl.table.Pick(now, steer.RequestKind{UsualLatency: usual}, usable, tried, rand.Float64)
+	return usable
+}
+
+// pick chooses a VM by its latency alone.
+func (cl *Client) pick(vms, tried []*origin.Upstream, usual time.Duration) (*origin.Upstream, bool) {
+	now := cl.cfg.Clock()
+	return cl.table.Pick(now, steer.RequestKind{UsualLatency: usual}, cl.usable(now, vms), tried, rand.Float64)
 }
 
 // call sends a request to one VM and reports whether any of it may have been sent.
@@ -183,6 +236,9 @@
 	case err == nil:
 		cl.peers.Answer(now, vm.Addr, now-began)
 		cl.table.End(now, vm.Process(), steer.Result{Verdict: fanout.Served, Latency: now - began, UsualLatency: usual})
+		if rp.GetLoad() > 0 {
+			cl.place.Report(now, vm.Addr, place.Load{Wait: time.Duration(rp.GetWaitUs()) * time.Microsecond})
+		}
 	case ctx.Err() != nil:
 		// The client disconnected.
 		cl.table.Withdraw(now, vm.Process(), now-began)
@@ -207,6 +263,7 @@
 		return
 	}
 	cl.table.End(now, pr, steer.Result{Verdict: fanout.Refused})
+	cl.place.Decline(now, pr.Addr, reason == ReasonLeaving)
 }
 
 // Close closes idle connections and ends the background probes.
