--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	cl := remote.New(remote.Config{Clock: clock, DataCentre: "east"})
-//	rp, addr, err := cl.Carry(ctx, vms, usual, rq)
+//	rp, addr, err := cl.Carry(ctx, vms, usual, own, rq)
 //	if err != nil && !remote.MayHaveRun(err) {
 //		// run it on this VM
 //	}
@@ -19,16 +19,18 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/http/httptrace"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
+	"laburnumvane/core/place"
+	"laburnumvane/core/probe"
 	"laburnumvane/core/steer"
+	"laburnumvane/core/toggle"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/stubs"
 )
@@ -37,16 +39,8 @@
 	// maxTries limits the VMs that are asked for one request; each costs a round trip, and a
 	// target is some tens of milliseconds.
 	maxTries = 3
-	// dialTimeout limits the opening of a connection within a region.
-	dialTimeout = 200 * time.Millisecond
 	// idleConnsPerVM is how many idle connections are kept to each VM.
 	idleConnsPerVM = 8
-	// silentAfter is how long a VM may send no response to any request of this VM before it is
-	// probed. probeTimeout limits the probe, and probeInterval is the wait until the next one.
-	// A VM that is cut off from servers is slow with every request, but not dead.
-	silentAfter   = 800 * time.Millisecond
-	probeTimeout  = 300 * time.Millisecond
-	probeInterval = 500 * time.Millisecond
 )
 
 // Kind classifies an Error.
@@ -56,6 +50,8 @@
 const (
 	// KindNone: no VM could be asked, or all declined; the request did not run.
 	KindNone Kind = "none"
+	// KindSelf: this VM is expected to answer sooner than any other; nothing was sent.
+	KindSelf Kind = "self"
 	// KindLost: a VM received the request and did not respond; it may have run.
 	KindLost Kind = "lost"
 )
@@ -77,6 +73,12 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// IsSooner reports whether a request was not forwarded because this VM should answer it sooner.
+func IsSooner(err error) bool {
+	var re *Error
+	return errors.As(err, &re) && re.Kind == KindSelf
+}
+
 // MayHaveRun reports whether a request that ended with an error may have run.
 func MayHaveRun(err error) bool {
 	var re *Error
@@ -88,44 +90,67 @@
 // busy.
 const ReasonOtherRoute = "otherRoute"
 
+// ReasonLeaving is the reason with which a VM declines a request while it stops.
+const ReasonLeaving = "leaving"
+
 var (
 	errNoVM   = errors.New("no VM accepted the request")
 	errSilent = errors.New("the VM stopped responding")
+	errSooner = errors.New("this VM is expected to answer sooner")
 )
 
-// Config configures a client. All fields are required.
+// Config configures a client. Clock and DataCentre are required.
 type Config struct {
 	Clock      func() time.Duration
 	DataCentre string
+	// Count counts probes of VMs, and VMs whose requests were given up.
+	Count func(event string)
+	// OnSilent is called when a VM was found silent, and when it answers again.
+	OnSilent func(addr string, silent bool)
+	// Off lists the mechanisms that are switched off.
+	Off toggle.Set
 }
 
 // Client calls other VMs, and chooses among them by their latency.
 type Client struct {
 	cfg   Config
 	table *steer.Table
+	peers *probe.Table
+	place *place.Table
 	stubs *stubs.Pool[inner.Home]
+	// watcher runs the probes that peers asks for.
+	watcher *watcher
 }
 
 // New creates a client without connections.
 func New(cfg Config) *Client {
-	return &Client{
-		cfg:   cfg,
-		table: steer.New(steer.Config{DataCentre: cfg.DataCentre}),
-		stubs: stubs.New(stubs.Config[inner.Home]{
-			NewClient:   func(base string, hc *http.Client) inner.Home { return inner.NewHomeProtobufClient(base, hc) },
-			DialTimeout: dialTimeout,
-			MaxIdle:     idleConnsPerVM,
-		}),
+	cl := &Client{
+		cfg:     cfg,
+		table:   steer.New(steer.Config{DataCentre: cfg.DataCentre}),
+		peers:   probe.New(probe.Config{Limits: probe.DefaultLimits()}),
+		place:   place.New(place.Config{}),
+		watcher: newWatcher(),
 	}
+	cl.stubs = stubs.New(stubs.Config[inner.Home]{
+		NewClient:       func(base string, hc *http.Client) inner.Home { return inner.NewHomeProtobufClient(base, hc) },
+		Dial:            cl.dial,
+		ContinueTimeout: continueTimeout,
+		MaxIdle:         idleConnsPerVM,
+	})
+	return cl
 }
 
 // Carry forwards a request to one of the VMs and returns its reply and address. usual is the
-// usual latency of such a request.
-func (cl *Client) Carry(ctx context.Context, vms []*origin.Upstream, usual time.Duration, rq *inner.CarryRequest) (*inner.CarryReply, string, error) {
+// usual latency of such a request, and own the time that it is expected to take on this VM; 0 if
+// this VM should not run it unless no other does.
+func (cl *Client) Carry(ctx context.Context, vms []*origin.Upstream, usual, own time.Duration, rq *inner.CarryRequest) (*inner.CarryReply, string, error) {
 	var tried []*origin.Upstream
 	for range maxTries {
-		vm, ok := cl.table.Pick(cl.cfg.Clock(), steer.RequestKind{UsualLatency: usual}, vms, tried, rand.Float64)
-		if !ok {
+		vm, sooner := cl.choose(vms, tried, usual, own)
+		if sooner {
+			return nil, "", &Error{Op: "carry.Carry", Kind: KindSelf, Err: errSooner}
+		}
+		if vm == nil {
 			break
 		}
 		tried = append(tried, vm)
@@ -140,31 +165,92 @@
 	return nil, "", &Error{Op: "carry.Carry", Kind: KindNone, Err: errNoVM}
 }
 
+// choose returns the VM that runs a request, or nil if there is none. sooner is set if there are
+// some, and this VM is expected to answer before them.
+func (cl *Client) choose(vms, tried []*origin.Upstream, usual, own time.Duration) (vm *origin.Upstream, sooner bool) {
+	if cl.cfg.Off.Off(toggle.Placement) {
+		vm, _ = cl.pick(vms, tried, usual)
+		return vm, false
+	}
+	now := cl.cfg.Clock()
+	var candidates []*origin.Upstream
+	var targets []place.Target
+	for _, up := range cl.usable(now, vms) {
+		cost, base, ok := cl.table.Cost(now, steer.RequestKind{UsualLatency: usual}, up)
+		if !ok || slices.Contains(tried, up) {
+			continue
+		}
+		candidates = append(candidates, up)
+		targets = append(targets, place.Target{Addr: up.Addr, Local: up.DataCentre == cl.cfg.DataCentre, Cost: cost, Base: base})
+	}
+	choice, sooner := cl.place.Choose(now, targets, own, rand.Float64)
+	if choice == place.Self {
+		return nil, sooner
+	}
+	return candidates[choice], false
+}
+
+// usable returns the VMs that are not known to be silent.
+func (cl *Client) usable(now time.Duration, vms []*origin.Upstream) []*origin.Upstream {
+	usable := make([]*origin.Upstream, 0, len(vms))
+	for _, vm := range vms {
+		cl.peers.Want(now, probe.VM{Addr: vm.Addr, DataCentre: vm.DataCentre})
+		if !cl.peers.Avoid(vm.Addr) {
+			usable = append(usable, vm)
+		}
+	}
+	if len(usable) < len(vms) {
+		cl.watch()
+	}
+	return usable
+}
+
+// pick chooses a VM by its latency alone.
+func (cl *Client) pick(vms, tried []*origin.Upstream, usual time.Duration) (*origin.Upstream, bool) {
+	now := cl.cfg.Clock()
+	return cl.table.Pick(now, steer.RequestKind{UsualLatency: usual}, cl.usable(now, vms), tried, rand.Float64)
+}
+
 // call sends a request to one VM and reports whether any of it may have been sent.
 func (cl *Client) call(ctx context.Context, vm *origin.Upstream, usual time.Duration, rq *inner.CarryRequest) (*inner.CarryReply, bool, error) {
 	began := cl.cfg.Clock()
 	cl.table.Begin(began, usual, vm.Process())
 	bounded, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := cl.cancelIfSilent(vm, cancel)
-	defer stop()
-	sent := false
-	traced := httptrace.WithClientTrace(bounded, &httptrace.ClientTrace{
-		WroteHeaders: func() { sent = true },
-	})
-	rp, err := cl.stubs.Client(vm.Addr).Carry(traced, rq)
+	defer cl.watcher.await(vm.Addr, &cancel)()
+	se := &sending{cl: cl, addr: vm.Addr, cancel: cancel}
+	defer se.stop()
+	// Between data centres this is done only during a disturbance: it costs traffic.
+	se.asks = (vm.DataCentre == cl.cfg.DataCentre || cl.peers.AnySilent()) && !cl.peers.Fresh(began, vm.Addr)
+	if se.asks {
+		// On an existing connection the request would be lost if the VM has been cut off.
+		cl.stubs.CloseIdle(vm.Addr)
+	}
+	rp, err := cl.stubs.Client(vm.Addr).Carry(se.trace(bounded), rq)
+	sent := se.sent.Load()
 	now := cl.cfg.Clock()
 	switch {
 	case err == nil && rp.GetDeclined():
+		cl.peers.Answer(now, vm.Addr, now-began)
 		cl.recordDeclined(now, vm.Process(), rp.GetReason())
 	case err == nil:
+		cl.peers.Answer(now, vm.Addr, now-began)
 		cl.table.End(now, vm.Process(), steer.Result{Verdict: fanout.Served, Latency: now - began, UsualLatency: usual})
+		if rp.GetLoad() > 0 {
+			cl.place.Report(now, vm.Addr, place.Load{Wait: time.Duration(rp.GetWaitUs()) * time.Microsecond})
+		}
 	case ctx.Err() != nil:
 		// The client disconnected.
 		cl.table.Withdraw(now, vm.Process(), now-began)
+		if sent {
+			cl.peers.Drop(vm.Addr)
+		}
 	default:
 		cl.table.Withdraw(now, vm.Process(), 0)
-		cl.table.RecordConnect(now, vm.Process(), false)
+		if sent {
+			cl.peers.Doubt(now, vm.Addr)
+			cl.watch()
+		}
 		cl.stubs.Remove(vm.Addr)
 	}
 	return rp, sent, err
@@ -177,41 +263,11 @@
 		return
 	}
 	cl.table.End(now, pr, steer.Result{Verdict: fanout.Refused})
+	cl.place.Decline(now, pr.Addr, reason == ReasonLeaving)
 }
 
-// cancelIfSilent cancels a request if its VM has sent no response for silentAfter and then does
-// not respond to a probe.
-func (cl *Client) cancelIfSilent(vm *origin.Upstream, cancel context.CancelCauseFunc) (stop func()) {
-	done := make(chan struct{})
-	tm := time.NewTimer(silentAfter)
-	go func() {
-		defer tm.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-tm.C:
-			}
-			if cl.table.SilentFor(cl.cfg.Clock(), vm.Process()) >= silentAfter && !cl.Alive(vm.Addr, probeTimeout) {
-				cancel(errSilent)
-				return
-			}
-			tm.Reset(probeInterval)
-		}
-	}()
-	return func() { close(done) }
+// Close closes idle connections and ends the background probes.
+func (cl *Client) Close() {
+	cl.watcher.close()
+	cl.stubs.Close()
 }
-
-// Alive probes a VM and reports whether it responds within wait.
-func (cl *Client) Alive(addr string, wait time.Duration) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
-	// The probe uses its own connection: the existing one may be what no longer works.
-	tr := &http.Transport{DialContext: (&net.Dialer{Timeout: wait}).DialContext, DisableKeepAlives: true}
-	defer tr.CloseIdleConnections()
-	_, err := inner.NewHomeProtobufClient("http://"+addr, &http.Client{Transport: tr}).Carry(ctx, &inner.CarryRequest{})
-	return err == nil
-}
-
-// Close closes idle connections.
-func (cl *Client) Close() { cl.stubs.Close() }
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"laburnumvane/core/origin"
+	"laburnumvane/core/probe"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/remote"
 )
@@ -24,6 +25,9 @@
 type fakeVM struct {
 	delay    time.Duration
 	declines bool
+	reason   string
+	// wait is what the VM reports with its answers.
+	wait time.Duration
 	// silent VMs never respond.
 	silent   bool
 	requests atomic.Int64
@@ -39,13 +43,13 @@
 	}
 	vm.requests.Add(1)
 	if vm.declines {
-		return &inner.CarryReply{Declined: true, Reason: "busy"}, nil
+		return &inner.CarryReply{Declined: true, Reason: vm.reason}, nil
 	}
 	select {
 	case <-time.After(vm.delay):
 	case <-ctx.Done():
 	}
-	return &inner.CarryReply{Status: http.StatusOK}, nil
+	return &inner.CarryReply{Status: http.StatusOK, Load: 1, WaitUs: uint64(vm.wait.Microseconds())}, nil
 }
 
 func (vm *fakeVM) Allow(context.Context, *inner.AllowRequest) (*inner.AllowReply, error) {
@@ -92,7 +96,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	rp, _, err := cl.Carry(ctx, vms, usual, &inner.CarryRequest{Id: "x"})
+	rp, _, err := cl.Carry(ctx, vms, usual, 0, &inner.CarryRequest{Id: "x"})
 	return rp, err
 }
 
@@ -139,3 +143,87 @@
 	is.Equal(other.requests.Load(), int64(0))
 	is.True(time.Since(began) < 5*time.Second)
 }
+
+// A VM is frozen: its kernel accepts connections, its process reads nothing. The request was not
+// sent and must go to another VM within the time of one request. The VM is used again once its
+// process continues, without a request that tries it.
+func TestFrozenVMGetsNoRequest(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	thawed, other := &fakeVM{}, &fakeVM{}
+	frozen := &origin.Upstream{ID: ln.Addr().String(), Addr: ln.Addr().String(), DataCentre: "east"}
+	second := serve(t, other)
+	second.DataCentre = "west"
+	changes := make(chan bool, 8)
+	began := time.Now()
+	cl := remote.New(remote.Config{
+		Clock: func() time.Duration { return time.Since(began) }, DataCentre: "east",
+		OnSilent: func(_ string, silent bool) { changes <- silent },
+	})
+	t.Cleanup(cl.Close)
+	for range 3 {
+		rp, err := carryTo(t, cl, frozen, second)
+		is.NoErr(err)
+		is.Equal(rp.GetStatus(), uint32(http.StatusOK))
+	}
+	is.Equal(other.requests.Load(), int64(3))
+	is.True(<-changes)
+	srv := &http.Server{Handler: inner.NewHomeServer(thawed), ReadHeaderTimeout: testTimeout}
+	go func() {
+		// Serve returns when the test closes the server.
+		_ = srv.Serve(ln)
+	}()
+	t.Cleanup(func() { _ = srv.Close() })
+	is.True(!<-changes)
+	_, err = carryTo(t, cl, frozen, second)
+	is.NoErr(err)
+	is.Equal(thawed.requests.Load(), int64(1))
+	is.Equal(other.requests.Load(), int64(3))
+}
+
+// A stopped process, a frozen one and a sound one must be told apart: a frozen one may continue,
+// and says nothing about the other VMs of its data centre.
+func TestProbeOutcomes(t *testing.T) {
+	is := is.New(t)
+	cl := newClient(t)
+	is.Equal(cl.Probe("127.0.0.1:1", time.Second, time.Second), probe.Refused)
+	is.Equal(cl.Probe(serve(t, &fakeVM{silent: true}).Addr, time.Second, 50*time.Millisecond), probe.Frozen)
+	is.Equal(cl.Probe(serve(t, &fakeVM{}).Addr, testTimeout, testTimeout), probe.Alive)
+}
+
+// A large VM reports that requests wait there. The others must get the next ones; if all are busy
+// and this VM is expected to be sooner, nothing is sent.
+func TestReportedWaitMovesRequests(t *testing.T) {
+	is := is.New(t)
+	const wait = 5 * time.Second
+	busy, free := &fakeVM{wait: wait}, &fakeVM{}
+	cl := newClient(t)
+	first, second := serve(t, busy), serve(t, free)
+	_, err := carryTo(t, cl, first)
+	is.NoErr(err)
+	for range 5 {
+		_, err := carryTo(t, cl, first, second)
+		is.NoErr(err)
+	}
+	is.Equal(busy.requests.Load(), int64(1))
+	is.Equal(free.requests.Load(), int64(5))
+	_, _, err = cl.Carry(t.Context(), []*origin.Upstream{first}, usual, time.Second, &inner.CarryRequest{Id: "x"})
+	is.True(remote.IsSooner(err))
+	is.True(!remote.MayHaveRun(err))
+}
+
+// A VM stops and declines. It must get no further requests of a VM that it told.
+func TestLeavingVMIsLeftAtOnce(t *testing.T) {
+	is := is.New(t)
+	leaving, other := &fakeVM{declines: true, reason: remote.ReasonLeaving}, &fakeVM{}
+	cl := newClient(t)
+	first, second := serve(t, leaving), serve(t, other)
+	second.DataCentre = "west"
+	for range 5 {
+		_, err := carryTo(t, cl, first, second)
+		is.NoErr(err)
+	}
+	is.Equal(leaving.requests.Load(), int64(1))
+	is.Equal(other.requests.Load(), int64(5))
+}
