quota, entry: limits of client accounts over all VMs

Accounts had limits that nothing kept. Each data centre now has up to two holders of an account, with a part of its rate and burst as a token bucket; holders lend each other tokens, and other VMs get tokens from holders (inner.Home.Allow). A request above the limit gets 429 with the time until there is room, one on a VM that reaches no holder 503.

An account whose part would be below two tokens has one holder in each data centre.

--- a/core/plan/view.go
+++ b/core/plan/view.go
@@ -66,6 +66,8 @@
 	joiners map[string][]*origin.Upstream
 	// warming holds the services that limit the requests to a warming server and have one.
 	warming map[string]bool
+	// holders finds the VMs that have parts of the accounts' limits.
+	holders *holderTable
 }
 
 // rankedFleet is all VMs, this one included, in rendezvous order.
@@ -77,6 +79,20 @@
 
 // New returns the View of a configuration. A nil Upstreams is an empty directory.
 func New(cfg Config) *View {
+	vw := newView(cfg)
+	vw.holders = vw.newHolderTable()
+	return vw
+}
+
+// withSameFleet returns the View of a configuration whose fleet is that of vw.
+func (vw *View) withSameFleet(cfg Config) *View {
+	same := newView(cfg)
+	same.holders = vw.holders
+	return same
+}
+
+// newView returns a View without its holders.
+func newView(cfg Config) *View {
 	if cfg.Upstreams == nil {
 		cfg.Upstreams = origin.New(nil)
 	}
@@ -120,14 +136,14 @@
 func (vw *View) WithRoutes(tb *route.Table) *View {
 	cfg := vw.cfg
 	cfg.Routes = tb
-	return New(cfg)
+	return vw.withSameFleet(cfg)
 }
 
 // WithUpstreams returns a copy of the view with other servers.
 func (vw *View) WithUpstreams(dir *origin.Directory) *View {
 	cfg := vw.cfg
 	cfg.Upstreams = dir
-	return New(cfg)
+	return vw.withSameFleet(cfg)
 }
 
 // WithFleet returns a copy of the view with other VMs and their capacities in cores.
--- /dev/null
+++ b/core/quota/calls.go
@@ -0,0 +1,266 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"laburnumvane/core/acct"
+)
+
+const (
+	// refusalMemory is how long a holder is not asked again after it had nothing to give.
+	refusalMemory = 250 * time.Millisecond
+	// minSilence and maxSilence bound how long a VM is not called after a call without a reply;
+	// the time doubles with each such call.
+	minSilence = 250 * time.Millisecond
+	maxSilence = 2 * time.Second
+	// unreachableRetry is the least Retry-After of a VM that reaches no holder: a connection or an
+	// updated list of VMs takes some tenths of a second.
+	unreachableRetry = 500 * time.Millisecond
+	// maxRefusals is how many holders refuse a request of a VM that is no holder before it is
+	// refused. Each of them has tried to borrow.
+	maxRefusals = 2
+	// minLoan is the least number of tokens that are worth a call.
+	minLoan = 0.02
+	// minUsefulLoan is the least level at which a holder that needs its tokens lends some.
+	minUsefulLoan = 2
+	// maxCalls limits the outstanding calls of an account.
+	maxCalls = 4
+	// maxWant limits the tokens of one call.
+	maxWant = 1 << 20
+)
+
+// silence is what is known of a VM that did not respond.
+type silence struct {
+	until, length time.Duration
+}
+
+// Reply is the reply to a Call.
+type Reply struct {
+	// Failed is set if there was no reply.
+	Failed  bool
+	Granted float64
+	// Wait is how long the called VM expects to have no tokens.
+	Wait time.Duration
+	// Holds is set if the called VM is a holder of the account.
+	Holds bool
+}
+
+// outstanding returns the number of calls that are worth waiting for and the time of the last one.
+func (st *state) outstanding(now time.Duration) (n int, last time.Duration) {
+	for _, ca := range st.calls {
+		if now-ca.at < MaxWait {
+			n++
+			last = max(last, ca.at)
+		}
+	}
+	return n, last
+}
+
+// noneReachable reports whether no holder of an account responds, and records since when.
+func (li *Limiter) noneReachable(now time.Duration, st *state) bool {
+	for i := range st.holders.Peers {
+		pe := &st.holders.Peers[i]
+		if pe.Rank < st.part.perCentre && now >= li.silent[pe.Addr].until && now >= st.peers[pe.Addr].refusedUntil {
+			return false
+		}
+	}
+	if li.isolatedSince < 0 {
+		li.isolatedSince = now
+	}
+	return true
+}
+
+// takeIsolated takes a token from the bucket for when no holder is reachable.
+func (li *Limiter) takeIsolated(now time.Duration, st *state) bool {
+	if st.isolatedAt < li.isolatedSince {
+		st.isolated, st.isolatedAt = 0, li.isolatedSince
+	}
+	st.isolated = min(1, st.isolated+st.part.isolated*(now-st.isolatedAt).Seconds())
+	st.isolatedAt = now
+	if st.isolated < 1 {
+		return false
+	}
+	st.isolated = 0
+	return true
+}
+
+// prefetch returns the call to be made in the background so that later requests find tokens.
+func (li *Limiter) prefetch(now time.Duration, st *state) Call {
+	need := st.need(now)
+	if st.part.holds && st.available() >= need || len(st.calls) > 0 {
+		return Call{}
+	}
+	if !st.part.holds && (need < 1 || st.available() >= need/2) {
+		return Call{}
+	}
+	return li.nextCall(now, st)
+}
+
+// nextCall chooses the holder to call, and how much to ask for.
+func (li *Limiter) nextCall(now time.Duration, st *state) Call {
+	li.markSilent(now, st)
+	if len(st.calls) >= maxCalls || !st.part.holds && st.refusals(now) >= maxRefusals {
+		return Call{}
+	}
+	peer := li.choose(now, st)
+	if peer == "" {
+		return Call{}
+	}
+	ca := Call{Account: st.name, Peer: peer, Borrow: st.part.holds, at: now}
+	missing := float64(st.waiting) - st.available()
+	if st.part.holds {
+		ca.Want = max(minLoan, missing+2*st.need(now))
+	} else {
+		ca.Want = max(1, math.Ceil(missing+st.need(now)))
+	}
+	ca.Want = min(ca.Want, maxWant)
+	st.calls = append(st.calls, call{peer: peer, at: now})
+	return ca
+}
+
+// refusals counts the holders that refused tokens lately.
+func (st *state) refusals(now time.Duration) int {
+	n := 0
+	for _, ps := range st.peers {
+		if now < ps.refusedUntil && ps.had >= 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (st *state) isCalling(addr string) bool {
+	return slices.ContainsFunc(st.calls, func(ca call) bool { return ca.peer == addr })
+}
+
+// choose returns the holder to call. A VM that is no holder prefers the first holder of its data
+// centre, so that tokens are not scattered. A holder prefers those that gave most last time.
+func (li *Limiter) choose(now time.Duration, st *state) string {
+	best, bestScore := "", math.Inf(-1)
+	for i := range st.holders.Peers {
+		pe := &st.holders.Peers[i]
+		ps, known := st.peers[pe.Addr]
+		if pe.Rank >= st.part.perCentre || now < ps.refusedUntil || now < li.silent[pe.Addr].until || st.isCalling(pe.Addr) {
+			continue
+		}
+		var score float64
+		switch {
+		case !st.part.holds:
+			score = -float64(i)
+		case known && ps.had >= 0:
+			score = ps.had
+		default:
+			// It is assumed to have its whole part.
+			score = st.part.limit
+		}
+		if st.part.holds && pe.Local {
+			score += tolerance
+		}
+		if score > bestScore {
+			best, bestScore = pe.Addr, score
+		}
+	}
+	return best
+}
+
+// markSilent avoids the VMs whose calls take longer than any request waits.
+func (li *Limiter) markSilent(now time.Duration, st *state) {
+	for _, ca := range st.calls {
+		if now-ca.at >= MaxWait && now >= li.silent[ca.peer].until {
+			li.noteSilent(now, ca.peer)
+		}
+	}
+}
+
+func (li *Limiter) noteSilent(now time.Duration, addr string) {
+	si := li.silent[addr]
+	si.length = min(maxSilence, max(minSilence, 2*si.length))
+	si.until = now + si.length
+	li.silent[addr] = si
+}
+
+// Reply records the reply to a Call.
+func (li *Limiter) Reply(now time.Duration, ca Call, rp Reply) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	if !rp.Failed {
+		delete(li.silent, ca.Peer)
+		li.isolatedSince = -1
+	} else if now >= li.silent[ca.Peer].until {
+		li.noteSilent(now, ca.Peer)
+	}
+	st, ok := li.accounts[ca.Account]
+	if !ok {
+		return
+	}
+	st.advance(now)
+	st.calls = slices.DeleteFunc(st.calls, func(other call) bool { return other.peer == ca.Peer && other.at == ca.at })
+	if rp.Failed {
+		return
+	}
+	ps := peerState{had: rp.Granted}
+	switch {
+	case !rp.Holds:
+		// The called VM knows another fleet or another version.
+		ps = peerState{had: -1, refusedUntil: now + refusalMemory}
+	case rp.Granted < minLoan:
+		st.refusedBy, st.refusedAt = ca.Peer, now
+		ps.refusedUntil = now + refusalMemory
+		if rp.Wait > 0 && !ca.Borrow {
+			ps.refusedUntil = now + min(refusalMemory, rp.Wait)
+		}
+	}
+	if len(st.peers) > len(st.holders.Peers)+maxCalls {
+		clear(st.peers)
+	}
+	st.peers[ca.Peer] = ps
+	if rp.Granted > 0 {
+		st.loans.add(now, rp.Granted)
+		st.put(now, rp.Granted)
+	}
+}
+
+// Serve answers the call of another VM without waiting. If it grants nothing and Call has a Peer,
+// that call may bring tokens. A VM that is no holder grants nothing.
+func (li *Limiter) Serve(now time.Duration, ac *acct.Account, ho *Holders, want float64, borrow bool) (Reply, Call) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	st := li.state(now, ac, ho)
+	if !st.part.holds {
+		return Reply{}, Call{}
+	}
+	rp := Reply{Holds: true}
+	if borrow {
+		rp.Granted = st.lend(now, want)
+		st.usage.Lent += rp.Granted
+		return rp, Call{}
+	}
+	st.demand.add(now, want)
+	whole := math.Floor(st.available() + tolerance)
+	if whole < 1 {
+		rp.Wait = time.Duration((1 - st.available()) / st.part.refill * float64(time.Second))
+		return rp, Call{}
+	}
+	rp.Granted = min(want, max(1, math.Floor(whole/2)))
+	st.spend(rp.Granted)
+	st.usage.Lent += rp.Granted
+	return rp, li.prefetch(now, st)
+}
+
+// lend removes what this holder gives another one: up to half of its tokens, or what it does not
+// expect to need.
+func (st *state) lend(now time.Duration, want float64) float64 {
+	need := st.need(now)
+	free := st.level - need
+	if st.level >= minUsefulLoan {
+		free = max(free, st.level/2)
+	}
+	give := min(want, free)
+	if give < minLoan {
+		return 0
+	}
+	st.level -= give
+	return give
+}
--- /dev/null
+++ b/core/quota/state.go
@@ -0,0 +1,172 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"laburnumvane/core/acct"
+)
+
+const (
+	// demandMemory is the time constant of the averages of requests and loans.
+	demandMemory = time.Second
+	// expectedNeed is how far ahead a holder expects to need tokens, and how long a batch should
+	// last on a VM that is no holder.
+	expectedNeed = 200 * time.Millisecond
+	// batchLife is how long tokens are valid that a VM got beyond its own bucket.
+	batchLife = 250 * time.Millisecond
+	// tolerance absorbs rounding errors in the sum of fractions of tokens.
+	tolerance = 1e-6
+)
+
+// average is a rate per second that decays with demandMemory.
+type average struct {
+	rate float64
+	at   time.Duration
+}
+
+func (av *average) add(now time.Duration, n float64) {
+	av.rate = av.value(now) + n/demandMemory.Seconds()
+	av.at = max(av.at, now)
+}
+
+func (av *average) value(now time.Duration) float64 {
+	if now <= av.at {
+		return av.rate
+	}
+	return av.rate * math.Exp(-(now-av.at).Seconds()/demandMemory.Seconds())
+}
+
+// call is an outstanding call for tokens of an account.
+type call struct {
+	peer string
+	at   time.Duration
+}
+
+// peerState is what a VM remembers of a holder of an account.
+type peerState struct {
+	// refusedUntil is until when the holder is not asked again.
+	refusedUntil time.Duration
+	// had is how much the holder gave last; negative means unknown.
+	had float64
+}
+
+// state is what the Limiter keeps of one account.
+type state struct {
+	name        string
+	rate, burst float64
+	// epoch is the Limiter's when the part was computed, and centres its number of data centres.
+	epoch, centres int
+	holders        *Holders
+	part           part
+	// level is the bucket's content at a time; it does not change while this VM is no holder.
+	level float64
+	at    time.Duration
+	// started is set once the bucket has had its initial level.
+	started bool
+	// extra are tokens beyond the bucket, until extraUntil.
+	extra      float64
+	extraUntil time.Duration
+	// isolated is the content of the bucket for when no holder is reachable.
+	isolated   float64
+	isolatedAt time.Duration
+	// demand counts requested tokens, loans borrowed ones.
+	demand, loans average
+	// waiting is the number of requests that wait for a call.
+	waiting int
+	calls   []call
+	peers   map[string]peerState
+	// refusedBy is the holder that refused last, at refusedAt.
+	refusedBy string
+	refusedAt time.Duration
+	// nextSlot is the earliest time for the retry of the next refused request.
+	nextSlot time.Duration
+	usage    Usage
+}
+
+// state returns the up-to-date state of an account.
+func (li *Limiter) state(now time.Duration, ac *acct.Account, ho *Holders) *state {
+	li.observeFleet(now, ho.Fleet)
+	if now >= li.nextSweep {
+		li.sweep(now)
+	}
+	st, ok := li.accounts[ac.Name]
+	if !ok {
+		st = &state{name: ac.Name, at: now, peers: make(map[string]peerState)}
+		li.accounts[ac.Name] = st
+		li.apply(st, ac, ho)
+		// Had the bucket existed since the last change in the fleet, it would have filled until
+		// now.
+		st.level = min(st.part.limit, st.part.start+st.part.refill*(now-li.fleetSince).Seconds())
+		st.usage.Began = now
+	}
+	st.advance(now)
+	if st.rate != ac.Rate || st.burst != ac.Burst || st.holders != ho || st.epoch != li.epoch {
+		li.apply(st, ac, ho)
+	}
+	return st
+}
+
+// apply sets the limit and the part of an account. A level above the new part is lost; one below
+// grows only by refill.
+func (li *Limiter) apply(st *state, ac *acct.Account, ho *Holders) {
+	st.rate, st.burst, st.holders, st.epoch, st.centres = ac.Rate, ac.Burst, ho, li.epoch, li.dataCentres
+	st.part = li.partOf(ac, ho)
+	if st.part.holds {
+		if !st.started {
+			st.level, st.started = st.part.start, true
+		}
+		st.level = min(st.level, st.part.limit)
+	}
+}
+
+// advance refills the bucket and drops tokens that expired.
+func (st *state) advance(now time.Duration) {
+	if now > st.at {
+		if st.part.holds {
+			st.level = min(st.part.limit, st.level+st.part.refill*(now-st.at).Seconds())
+		}
+		st.at = now
+	}
+	if now >= st.extraUntil {
+		st.extra = 0
+	}
+}
+
+// available returns the tokens that can be used now.
+func (st *state) available() float64 {
+	if !st.part.holds {
+		return st.extra
+	}
+	return st.level + st.extra
+}
+
+// spend removes tokens, those that expire first.
+func (st *state) spend(n float64) {
+	fromExtra := min(n, st.extra)
+	st.extra -= fromExtra
+	if st.part.holds {
+		st.level = max(0, st.level-(n-fromExtra))
+		moved := min(st.extra, st.part.limit-st.level)
+		st.level += moved
+		st.extra -= moved
+	}
+}
+
+// put adds tokens: what the bucket cannot hold is valid for batchLife.
+func (st *state) put(now time.Duration, n float64) {
+	if st.part.holds {
+		fits := max(0, min(n, st.part.limit-st.level))
+		st.level += fits
+		n -= fits
+	}
+	if n > 0 {
+		st.extra += n
+		st.extraUntil = now + batchLife
+	}
+}
+
+// need returns how many tokens this VM expects to need within expectedNeed.
+func (st *state) need(now time.Duration) float64 {
+	return min(st.demand.value(now), st.part.total) * expectedNeed.Seconds()
+}
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"laburnumvane/core/acct"
 	"laburnumvane/core/enlist"
 	"laburnumvane/core/mirror"
 	"laburnumvane/core/origin"
@@ -71,6 +72,8 @@
 	Extra entry.ExtraAttempts
 	// WarmUp limits the requests to servers that are warming up.
 	WarmUp warmup.Bounds
+	// Quota bounds the deviation from the limits of client accounts.
+	Quota acct.Bounds
 	// StopGrace is the time from the stop signal to the end of the process.
 	StopGrace time.Duration
 	// Off lists the mechanisms that are switched off.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -373,6 +373,8 @@
 		Meter:       eg.meter,
 		Log:         eg.cfg.Log,
 		Off:         eg.set.Off,
+		Quota:       eg.set.Quota,
+		DataCentres: len(eg.set.Regions),
 	})
 	innerLn, err := net.Listen("tcp", eg.set.InnerAddr)
 	if err != nil {
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -156,7 +156,11 @@
 // setRetryAfter sets Retry-After to between one and two times the given wait, so that clients
 // refused at the same time do not retry at the same time.
 func (rs *response) setRetryAfter(wait time.Duration) {
-	wait += time.Duration(rand.Int64N(int64(wait)))
+	rs.addRetryAfter(wait + time.Duration(rand.Int64N(int64(wait))))
+}
+
+// addRetryAfter sets Retry-After to a wait that is spread already.
+func (rs *response) addRetryAfter(wait time.Duration) {
 	rs.add(headerRetryAfter, strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/phuslu/log"
 
+	"laburnumvane/core/acct"
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/lead"
 	"laburnumvane/core/origin"
@@ -56,6 +57,8 @@
 	Join(ctx context.Context, vms []*origin.Upstream, usual time.Duration, rq *inner.JoinRequest) (*inner.JoinReply, *origin.Upstream, error)
 	// Follow asks a VM for the results that its reply to Join left out.
 	Follow(ctx context.Context, vm *origin.Upstream, token uint64) (*inner.JoinReply, error)
+	// Allow asks the VM with an inner address for permission to run requests of an account.
+	Allow(addr string, rq *inner.AllowRequest) (*inner.AllowReply, error)
 }
 
 // Config configures the listener. All fields are required.
@@ -84,6 +87,10 @@
 	Log      *log.Logger
 	// Off lists the mechanisms that are switched off; it may be empty.
 	Off toggle.Set
+	// Quota bounds the deviation from the limits of accounts. DataCentres is the number of data
+	// centres in the settings of this VM.
+	Quota       acct.Bounds
+	DataCentres int
 }
 
 // Entry is the clients' listener and the handler of their requests.
@@ -93,6 +100,7 @@
 	latency  latencies
 	budgets  *budgets
 	valves   valves
+	limits   *accountLimits
 	lead     *lead.Lead
 	leaving  atomic.Bool
 	moving   atomic.Bool
@@ -119,7 +127,10 @@
 
 // New creates the listener. Serve starts it.
 func New(cfg Config) *Entry {
-	en := &Entry{cfg: cfg, budgets: newBudgets(), lead: lead.New(lead.Config{})}
+	en := &Entry{
+		cfg: cfg, budgets: newBudgets(), lead: lead.New(lead.Config{}),
+		limits: newAccountLimits(cfg.Quota, cfg.DataCentres),
+	}
 	en.ending, en.end = context.WithCancel(context.Background())
 	gc := guard.Config{
 		MaxBody:              maxBodyBytes,
@@ -280,9 +291,20 @@
 	return en.run(ctx, rq, rt, vw)
 }
 
-// run sends a request to servers unless the route's valve rejects it for lack of capacity.
+// run runs a request unless its account is above its limit, or the route's valve rejects it for
+// lack of capacity.
 func (en *Entry) run(ctx context.Context, rq *request, rt *route.Route, vw *plan.View) (*response, string) {
 	en.routed.Add(1)
+	if rs := en.takeToken(ctx, rq, vw); rs != nil {
+		return rs, fanout.OutcomeNotRun.String()
+	}
+	rs, outcome := en.send(ctx, rq, rt, vw)
+	en.returnToken(rq, outcome)
+	return rs, outcome
+}
+
+// send sends a request to servers unless the route's valve rejects it.
+func (en *Entry) send(ctx context.Context, rq *request, rt *route.Route, vw *plan.View) (*response, string) {
 	va := en.valves.forRoute(rt)
 	if !en.cfg.Off.Off(toggle.Valve) && !va.Admit(en.admitLevel(vw.Routes(), rt), rand.Float64()) {
 		rs := refusalResponse(consts.StatusServiceUnavailable, reasonNoRoom, "the servers have no room for more")
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"laburnumvane/core/acct"
 	"laburnumvane/core/poison"
 	"laburnumvane/io/guard"
 	"laburnumvane/io/wire"
@@ -41,6 +42,10 @@
 	forwarded bool
 	// suspect is set if servers crashed under this request before.
 	suspect bool
+	// account is the client account that sent the request; nil if it has none. charged is set
+	// while the request has a token of the account's limit.
+	account *acct.Account
+	charged bool
 	// cachedFingerprint is computed on the first call of fingerprint.
 	cachedFingerprint poison.Fingerprint
 	fingerprintOnce   sync.Once
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -44,6 +44,8 @@
 	Poison = "poison"
 	// Evacuation counts evacuations of data centres that operators began and ended.
 	Evacuation = "evacuation"
+	// Limit counts calls between VMs for the limits of accounts.
+	Limit = "limit"
 	// Off is 1 for each disabled mechanism.
 	Off = "off"
 )
@@ -91,7 +93,7 @@
 	configFailures := []string{"noConfig", "unknownSearch", "noUpstreams"}
 	// Routed requests: reasons for incomplete answers, for refusals, and results of attempts.
 	routedFailures := []string{"target", "noUpstream", "attempts", "mayHaveRun", "clientGone", "crashesServers"}
-	routedRefusals := []string{"noRequestId", "noConfiguration", "noRoom", "cutOff", "homeLost", "crashesServers", "awaitedTrial"}
+	routedRefusals := []string{"noRequestId", "noConfiguration", "noRoom", "cutOff", "homeLost", "crashesServers", "awaitedTrial", "overLimit", "noLimitHolder"}
 	verdicts := []string{"failed", "refused", "elsewhere", "lost", "unsent", "doubted"}
 	return map[string][]string{
 		Refusal:    concat(listenerRefusals, configFailures, limits, ticketReasons(), routedRefusals, []string{"leaving"}),
@@ -130,6 +132,7 @@
 		Off:         mechanisms(),
 		Evacuation:  {"begun", "ended"},
 		Poison:      {"clear", "suspect", "blocked", "notShared", "hinted"},
+		Limit:       {"call", "callFailed"},
 		Logged:      {"searches", "sampledOut", "lost"},
 	}
 }
