--- a/core/quota/calls.go
+++ b/core/quota/calls.go
@@ -26,7 +26,10 @@
 	// minUsefulLoan is the least level at which a holder that needs its tokens lends some.
 	minUsefulLoan = 2
 	// maxCalls limits the outstanding calls of an account.
-	maxCalls = 4
+	maxCalls = 8
+	// expectedShare is how much of its estimated tokens a holder is expected to give, as others
+	// borrow from it too.
+	expectedShare = 0.35
 	// maxWant limits the tokens of one call.
 	maxWant = 1 << 20
 )
@@ -109,22 +112,48 @@
 		return Call{}
 	}
 	ca := Call{Account: st.name, Peer: peer, Borrow: st.part.holds, at: now}
-	missing := float64(st.waiting) - st.available()
+	missing := st.missing(now)
 	if st.part.holds {
 		ca.Want = max(minLoan, missing+2*st.need(now))
 	} else {
 		ca.Want = max(1, math.Ceil(missing+st.need(now)))
 	}
 	ca.Want = min(ca.Want, maxWant)
-	st.calls = append(st.calls, call{peer: peer, at: now})
+	expected := ca.Want
+	if ca.Borrow {
+		expected = min(expected, st.estimate(now, peer)*expectedShare)
+	}
+	st.calls = append(st.calls, call{peer: peer, at: now, expected: expected})
 	return ca
 }
 
+// missing returns how many tokens the waiting requests need beyond those that are here or should
+// come from calls.
+func (st *state) missing(now time.Duration) float64 {
+	missing := float64(st.waiting) - st.available()
+	for _, ca := range st.calls {
+		if now-ca.at < hedgeAfter {
+			missing -= ca.expected
+		}
+	}
+	return missing
+}
+
+// estimate returns how many tokens another holder may have: it gains as many as this one. A holder
+// that was not called yet is assumed to have its whole part.
+func (st *state) estimate(now time.Duration, addr string) float64 {
+	ps, known := st.peers[addr]
+	if !known || !ps.holds {
+		return st.part.limit
+	}
+	return min(st.part.limit, ps.left+st.part.refill*(now-ps.at).Seconds())
+}
+
 // refusals counts the holders that refused tokens lately.
 func (st *state) refusals(now time.Duration) int {
 	n := 0
 	for _, ps := range st.peers {
-		if now < ps.refusedUntil && ps.had >= 0 {
+		if now < ps.refusedUntil && ps.holds {
 			n++
 		}
 	}
@@ -136,27 +165,23 @@
 }
 
 // choose returns the holder to call. A VM that is no holder prefers the first holder of its data
-// centre, so that tokens are not scattered. A holder prefers those that gave most last time.
+// centre, so that tokens are not scattered. A holder prefers those that should have the most.
 func (li *Limiter) choose(now time.Duration, st *state) string {
 	best, bestScore := "", math.Inf(-1)
 	for i := range st.holders.Peers {
 		pe := &st.holders.Peers[i]
-		ps, known := st.peers[pe.Addr]
-		if pe.Rank >= st.part.perCentre || now < ps.refusedUntil || now < li.silent[pe.Addr].until || st.isCalling(pe.Addr) {
+		if pe.Rank >= st.part.perCentre || now < st.peers[pe.Addr].refusedUntil || now < li.silent[pe.Addr].until || st.isCalling(pe.Addr) {
 			continue
 		}
-		var score float64
-		switch {
-		case !st.part.holds:
-			score = -float64(i)
-		case known && ps.had >= 0:
-			score = ps.had
-		default:
-			// It is assumed to have its whole part.
-			score = st.part.limit
-		}
-		if st.part.holds && pe.Local {
-			score += tolerance
+		score := -float64(i)
+		if st.part.holds {
+			score = st.estimate(now, pe.Addr)
+			if score < min(1, st.part.limit/4) {
+				continue
+			}
+			if pe.Local {
+				score += tolerance
+			}
 		}
 		if score > bestScore {
 			best, bestScore = pe.Addr, score
@@ -200,11 +225,15 @@
 	if rp.Failed {
 		return
 	}
-	ps := peerState{had: rp.Granted}
+	ps := peerState{holds: rp.Holds, at: now}
+	if rp.Granted >= ca.Want-tolerance {
+		// It may have more than it gave.
+		ps.left = st.part.limit / 2
+	}
 	switch {
 	case !rp.Holds:
 		// The called VM knows another fleet or another version.
-		ps = peerState{had: -1, refusedUntil: now + refusalMemory}
+		ps.refusedUntil = now + refusalMemory
 	case rp.Granted < minLoan:
 		st.refusedBy, st.refusedAt = ca.Peer, now
 		ps.refusedUntil = now + refusalMemory
@@ -253,6 +282,10 @@
 // expect to need.
 func (st *state) lend(now time.Duration, want float64) float64 {
 	need := st.need(now)
+	if st.level < 1 {
+		// A fraction of a token is of no use here, but may complete one elsewhere.
+		need = 0
+	}
 	free := st.level - need
 	if st.level >= minUsefulLoan {
 		free = max(free, st.level/2)
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -11,10 +11,10 @@
 	// MaxWait is how long a request waits for a token.
 	MaxWait = 20 * time.Millisecond
 	// hedgeAfter is how long a call may take before another holder is asked.
-	hedgeAfter = 8 * time.Millisecond
+	hedgeAfter = 12 * time.Millisecond
 	// ServeWait is how long a holder may take to find a token for another VM. It leaves that VM
 	// time to ask another holder.
-	ServeWait = 10 * time.Millisecond
+	ServeWait = 12 * time.Millisecond
 	// idleTime is how long a bucket is kept without requests, sweepInterval how often buckets are
 	// examined.
 	idleTime      = time.Minute
@@ -83,7 +83,8 @@
 // Decision is the result of a Take.
 type Decision struct {
 	Kind Kind
-	// Call may be set with every Kind. Only with Waiting does the request depend on it.
+	// Call may be set with every Kind. With Waiting the request takes again at once, because it
+	// may need tokens of several VMs.
 	Call Call
 	// Until is when a waiting request takes again, unless a call has ended before.
 	Until time.Duration
@@ -152,11 +153,11 @@
 	}
 	outstanding, last := st.outstanding(now)
 	de := Decision{Kind: Waiting}
-	if outstanding == 0 || now >= last+hedgeAfter {
-		if !at.waiting {
-			at.waiting = true
-			st.waiting++
-		}
+	if !at.waiting {
+		at.waiting = true
+		st.waiting++
+	}
+	if st.missing(now) > tolerance {
 		de.Call = li.nextCall(now, st)
 		if de.Call.Peer != "" {
 			outstanding, last = outstanding+1, now
@@ -165,10 +166,6 @@
 	if outstanding == 0 {
 		return Decision{}, false
 	}
-	if !at.waiting {
-		at.waiting = true
-		st.waiting++
-	}
 	de.Until = min(at.Deadline, last+hedgeAfter)
 	if de.Until <= now {
 		// Every holder that can be asked has been.
--- a/core/quota/state.go
+++ b/core/quota/state.go
@@ -41,14 +41,18 @@
 type call struct {
 	peer string
 	at   time.Duration
+	// expected is how many tokens it should bring.
+	expected float64
 }
 
 // peerState is what a VM remembers of a holder of an account.
 type peerState struct {
 	// refusedUntil is until when the holder is not asked again.
 	refusedUntil time.Duration
-	// had is how much the holder gave last; negative means unknown.
-	had float64
+	// holds is set if it replied as a holder, at a time, and had left tokens then.
+	holds bool
+	at    time.Duration
+	left  float64
 }
 
 // state is what the Limiter keeps of one account.
--- a/io/entry/limit.go
+++ b/io/entry/limit.go
@@ -90,6 +90,9 @@
 		if de.Kind != quota.Waiting {
 			return de
 		}
+		if de.Call.Peer != "" {
+			continue
+		}
 		if replied == nil {
 			// A call may have ended before there was a channel to wait for.
 			replied = al.nextReply(ac.Name)
