--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -398,6 +398,8 @@
 		Off:         eg.set.Off,
 		CopyAge:     eg.follow.Age,
 		Keys:        eg.keyPolicy(),
+		Quota:       eg.set.Quota,
+		DataCentres: len(eg.set.Regions),
 	})
 	innerLn, err := net.Listen("tcp", eg.set.InnerAddr)
 	if err != nil {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -46,6 +46,8 @@
 	forwarded bool
 	// suspect is set if servers crashed under this request before.
 	suspect bool
+	// charged is set while the request has a token of the account's limit.
+	charged bool
 	// cachedFingerprint is computed on the first call of fingerprint.
 	cachedFingerprint poison.Fingerprint
 	fingerprintOnce   sync.Once
