halt, edge: the last steps of a stop follow the VM's processor share

Cause: with 0.13 of a core, answering the remaining requests and exiting took longer than the 400 ms that every VM reserved. The removal of the entry began only after the last answer, and flushing the log could take 1 s.

The entry is removed while the last requests are served. Each step is bounded by what is left, and so are the last log lines. The line 'stopped' has the times of the steps.

--- a/cmd/laburnumvane/gateway.go
+++ b/cmd/laburnumvane/gateway.go
@@ -97,7 +97,7 @@
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	lo, flush := queuedLogger(cmd.String("log-level"))
+	lo, flush := queuedLogger(cmd.String("log-level"), flushTime(set))
 	defer flush()
 	cfg := set.Edge(cmd.Int("metrics-port"), lo)
 	cfg.Settings.Off = off
@@ -114,11 +114,17 @@
 	return nil
 }
 
+// flushTime returns how long the last log lines may take to be written.
+func flushTime(set platform.Settings) time.Duration {
+	es := set.EdgeSettings(0)
+	return es.FlushTime()
+}
+
 // queuedLogger returns a logger that writes JSON lines to standard output through a queue, so that
-// logging never blocks, and a function that closes the queue.
-func queuedLogger(level string) (*log.Logger, func()) {
+// logging never blocks, and a function that closes the queue within flushTime.
+func queuedLogger(level string, flushTime time.Duration) (*log.Logger, func()) {
 	lo := newLogger(os.Stdout, level)
-	qu := logbuf.New(logbuf.Config{Writer: lo.Writer})
+	qu := logbuf.New(logbuf.Config{Writer: lo.Writer, CloseTime: flushTime})
 	lo.Writer = qu
 	return lo, qu.Close
 }
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -5,51 +5,66 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"laburnumvane/core/halt"
 )
 
 const (
-	// acceptTime is how much of the grace the listeners and idle connections stay open. The
-	// balancer checks once a second and needs two failed checks, so new clients arrive for 3 s;
-	// a client that sends on an idle connection still gets a response, which closes the
-	// connection.
-	acceptTime = 4300 * time.Millisecond
-	// earlyAnswerTime is how long before exitMargin begins the remaining requests are answered
-	// with the results that exist. Those that wait for silent servers would outlast the
-	// process.
-	earlyAnswerTime = 150 * time.Millisecond
-	// exitMargin is the part of the grace that is left for the process to exit.
-	exitMargin = 250 * time.Millisecond
-	// removeEntryTime limits the removal of this VM's entry.
-	removeEntryTime = 300 * time.Millisecond
 	// stopPollInterval is how often Stop checks for remaining requests, and answerPollInterval
 	// the same after they were ended early.
 	stopPollInterval   = 50 * time.Millisecond
 	answerPollInterval = 5 * time.Millisecond
+	// removeEntryTime limits the removal of this VM's entry after the last answer: a store that is
+	// away must not delay the exit.
+	removeEntryTime = 300 * time.Millisecond
+	// abortTime limits the steps of Abort.
+	abortTime = 50 * time.Millisecond
 )
 
 var errCut = errors.New("requests were still under way when the grace ended")
 
+// stopPlan returns the times of a planned stop.
+func (set *Settings) stopPlan() halt.Plan {
+	return halt.New(halt.Config{Grace: set.StopGrace, Cores: set.Capacity})
+}
+
+// FlushTime returns how long the last log lines of a stopped VM may take to be written.
+func (set *Settings) FlushTime() time.Duration { return set.stopPlan().FlushTime() }
+
 // Stop stops the VM without cutting off requests. The readiness check fails first, and each
 // response closes its connection. New requests are served as long as the balancer may send any.
 // Idle connections are closed late, because a client may be sending on one.
+//
+// The entry is removed while the last requests are served, since the store may be slow. No step
+// after the last answer outlasts the grace, whatever it waits for.
 func (eg *Edge) Stop() error {
 	began := time.Now()
+	passed := func() time.Duration { return time.Since(began) }
+	pl := eg.set.stopPlan()
 	eg.leaving.Store(true)
 	eg.entry.Leave()
 	eg.follow.AnnounceExit()
 	eg.cfg.Log.Info().Int("inFlight", eg.entry.InFlight()).Msg("stop begins")
-	remaining := func() time.Duration { return eg.set.StopGrace - exitMargin - time.Since(began) }
-	time.Sleep(min(acceptTime, remaining()-earlyAnswerTime))
-	for eg.entry.InFlight() > 0 && remaining() > earlyAnswerTime {
-		time.Sleep(min(stopPollInterval, max(0, remaining()-earlyAnswerTime)))
+	time.Sleep(pl.AcceptUntil())
+	removeCtx, cancel := context.WithTimeout(context.Background(), pl.ExitAt()-passed())
+	defer cancel()
+	removed := startStep(func() { eg.registration.remove(removeCtx) })
+	for wait := time.Duration(0); eg.entry.InFlight() > 0; time.Sleep(min(stopPollInterval, wait)) {
+		if wait = pl.AnswerAt(eg.entry.InFlight()) - passed(); wait <= 0 {
+			break
+		}
 	}
+	early := eg.entry.InFlight()
 	eg.entry.EndRequests()
-	for eg.entry.InFlight() > 0 && remaining() > 0 {
+	for eg.entry.InFlight() > 0 && passed() < pl.CutAt() {
 		time.Sleep(answerPollInterval)
 	}
-	cut := eg.entry.InFlight()
-	eg.close(max(stopPollInterval, remaining()))
-	eg.cfg.Log.Info().Int("cut", cut).Int64("ms", time.Since(began).Milliseconds()).Msg("stopped")
+	cut, answered := eg.entry.InFlight(), passed()
+	removed.await(min(removeEntryTime, pl.ExitAt()-passed()))
+	entryGone := passed()
+	eg.close(pl.CutAt() - passed())
+	eg.cfg.Log.Info().Int("early", early).Int("cut", cut).Int64("answeredMs", answered.Milliseconds()).
+		Int64("entryMs", entryGone.Milliseconds()).Int64("ms", passed().Milliseconds()).Msg("stopped")
 	if cut > 0 {
 		return &Error{Op: "edge.Stop", Kind: KindCut, Err: errCut}
 	}
@@ -60,26 +75,51 @@
 func (eg *Edge) Abort() {
 	eg.leaving.Store(true)
 	eg.entry.Abort()
-	eg.close(stopPollInterval)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTime)
+	defer cancel()
+	eg.registration.remove(ctx)
+	eg.close(abortTime)
 	eg.tasks.Wait()
 }
 
-// close stops listeners and goroutines.
+// step is a part of the stop that runs in the background.
+type step chan struct{}
+
+func startStep(run func()) step {
+	st := make(step)
+	go func() {
+		defer close(st)
+		run()
+	}()
+	return st
+}
+
+// await waits until the step has ended, at most for the given time.
+func (st step) await(wait time.Duration) {
+	tm := time.NewTimer(max(0, wait))
+	defer tm.Stop()
+	select {
+	case <-st:
+	case <-tm.C:
+	}
+}
+
+// close stops listeners and goroutines. It returns after the given time even if one of them has
+// not stopped: the process ends then.
 func (eg *Edge) close(timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	removeCtx, stopRemove := context.WithTimeout(ctx, removeEntryTime)
-	defer stopRemove()
-	eg.registration.remove(removeCtx)
-	// The process stops anyway; errors of the listeners change nothing.
-	_ = eg.entry.Shutdown(ctx)
-	eg.cancel()
-	_ = eg.inner.Close()
-	eg.homeClient.Close()
-	_ = eg.checks.Close()
-	if eg.metrics != nil {
-		_ = eg.metrics.Close()
-	}
-	eg.pool.Close()
-	eg.workers.release()
+	startStep(func() {
+		// The process stops anyway; errors of the listeners change nothing.
+		_ = eg.entry.Shutdown(ctx)
+		eg.cancel()
+		_ = eg.inner.Close()
+		eg.homeClient.Close()
+		_ = eg.checks.Close()
+		if eg.metrics != nil {
+			_ = eg.metrics.Close()
+		}
+		eg.pool.Close()
+		eg.workers.release()
+	}).await(timeout)
 }
