entry: a suspect request stays with its owner

A suspect request took the choice of other forwarded requests, so a small VM could run it itself if that was sooner, at the same time as others. Its time here is now given as unknown. The stop loop reads as a plain loop; the linter had a finding.

--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -49,10 +49,8 @@
 	removeCtx, cancel := context.WithTimeout(context.Background(), pl.ExitAt()-passed())
 	defer cancel()
 	removed := startStep(func() { eg.registration.remove(removeCtx) })
-	for wait := time.Duration(0); eg.entry.InFlight() > 0; time.Sleep(min(stopPollInterval, wait)) {
-		if wait = pl.AnswerAt(eg.entry.InFlight()) - passed(); wait <= 0 {
-			break
-		}
+	for inFlight := eg.entry.InFlight(); inFlight > 0 && passed() < pl.AnswerAt(inFlight); inFlight = eg.entry.InFlight() {
+		time.Sleep(min(stopPollInterval, pl.AnswerAt(inFlight)-passed()))
 	}
 	early := eg.entry.InFlight()
 	eg.entry.EndRequests()
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	defer context.AfterFunc(en.ending, cancel)()
 	began := en.cfg.Clock()
-	rp, addr, err := en.cfg.HomeClient.Carry(ctx, targets, la.usualLatency(), en.ownTime(la), en.carryRequest(rq, rt, began))
+	rp, addr, err := en.cfg.HomeClient.Carry(ctx, targets, la.usualLatency(), en.ownTime(rq, la), en.carryRequest(rq, rt, began))
 	now := en.cfg.Clock()
 	if err != nil && !remote.MayHaveRun(err) {
 		reason := "homeNone"
@@ -167,11 +167,12 @@
 		Msg("declined another VM's request")
 }
 
-// ownTime returns how long a request would take on this VM, of which usual is the time on a large
-// one; 0 if that is not known.
-func (en *Entry) ownTime(la *routeLatency) time.Duration {
+// ownTime returns how long a request would take on this VM, given the latency of those that large
+// VMs run. It is 0 if that is not known, and for a suspect request, which only its owner may try
+// while it can be reached.
+func (en *Entry) ownTime(rq *request, la *routeLatency) time.Duration {
 	rp := en.cfg.Gauge.Report()
-	if rp.OwnWork == 0 {
+	if rp.OwnWork == 0 || rq.suspect {
 		return 0
 	}
 	return la.usualLatency() + rp.Wait + rp.OwnWork*time.Duration(1+rp.Running)
