--- a/core/probe/table.go
+++ b/core/probe/table.go
@@ -72,6 +72,8 @@
 	li    Limits
 	mu    sync.Mutex
 	peers map[string]*peer
+	// active holds those that have requests in flight or are doubted: only they need checks.
+	active map[string]*peer
 	// due is when the next tick is expected. graceUntil is the time to which a late tick was put
 	// off; 0 if none was.
 	due, graceUntil time.Duration
@@ -79,7 +81,7 @@
 
 // New returns an empty table.
 func New(cfg Config) *Table {
-	return &Table{li: cfg.Limits, peers: make(map[string]*peer)}
+	return &Table{li: cfg.Limits, peers: make(map[string]*peer), active: make(map[string]*peer)}
 }
 
 // Want records that a request considers the VMs.
@@ -89,6 +91,7 @@
 	for _, vm := range vms {
 		pe, ok := tb.peers[vm.Addr]
 		if !ok {
+			tb.forget(now)
 			pe = &peer{}
 			tb.peers[vm.Addr] = pe
 		}
@@ -96,6 +99,25 @@
 	}
 }
 
+// forget removes VMs that no request considers any more.
+func (tb *Table) forget(now time.Duration) {
+	for addr, pe := range tb.peers {
+		if pe.inFlight == 0 && !pe.probing && now-pe.wantedAt > forgetAfter {
+			delete(tb.peers, addr)
+			delete(tb.active, addr)
+		}
+	}
+}
+
+// note keeps active up to date after a change of a peer.
+func (tb *Table) note(pe *peer) {
+	if pe.inFlight > 0 || pe.evidence > 0 || pe.probing {
+		tb.active[pe.vm.Addr] = pe
+		return
+	}
+	delete(tb.active, pe.vm.Addr)
+}
+
 // Avoid reports whether a VM should get no requests: it is silent, or a connection or a probe failed
 // and the next probe has not been answered yet.
 func (tb *Table) Avoid(addr string) bool {
@@ -202,6 +224,7 @@
 		return false, false
 	}
 	pe.probing = false
+	defer tb.note(pe)
 	before := pe.silent
 	if oc == Alive {
 		pe.probes.observe(took)
@@ -221,6 +244,7 @@
 		pe.silent = true
 	}
 	pe.doubt(oc == Frozen)
+	tb.note(pe)
 	pe.notBefore = now + pe.backoff(tb.li, tb.countSilent())
 	if oc == Unreachable && tb.li.Neighbours {
 		tb.doubtNeighbours(now, pe)
@@ -240,12 +264,13 @@
 	slices.SortFunc(others, func(a, b *peer) int { return strings.Compare(a.vm.Addr, b.vm.Addr) })
 	for _, other := range others[:min(len(others), maxNeighbours)] {
 		other.evidence, other.notBefore = 1, now
+		tb.note(other)
 	}
 }
 
 func (tb *Table) countSilent() int {
 	silent := 0
-	for _, pe := range tb.peers {
+	for _, pe := range tb.active {
 		if pe.silent {
 			silent++
 		}
@@ -269,7 +294,7 @@
 }
 
 func (tb *Table) next() (at time.Duration, ok bool) {
-	for _, pe := range tb.peers {
+	for _, pe := range tb.active {
 		for _, check := range [...]func(Limits) (time.Duration, bool){pe.probeAt, pe.giveUpAt} {
 			if due, is := check(tb.li); is && (!ok || due < at) {
 				at, ok = due, true
@@ -293,7 +318,7 @@
 	}
 	tb.graceUntil = 0
 	var actions []Action
-	for addr, pe := range tb.peers {
+	for _, pe := range tb.active {
 		if at, ok := pe.giveUpAt(tb.li); ok && at <= now {
 			pe.gaveUp = true
 			actions = append(actions, Action{Kind: GiveUp, VM: pe.vm})
@@ -308,9 +333,6 @@
 				Connect: pe.connects.limit(tb.li.MinConnect), Reply: pe.probes.limit(tb.li.MinProbeReply),
 			})
 		}
-		if pe.inFlight == 0 && !pe.probing && now-pe.wantedAt > forgetAfter {
-			delete(tb.peers, addr)
-		}
 	}
 	tb.due = 0
 	slices.SortFunc(actions, func(a, b Action) int { return strings.Compare(a.VM.Addr, b.VM.Addr) })
@@ -322,5 +344,6 @@
 	defer tb.mu.Unlock()
 	if pe, ok := tb.peers[addr]; ok {
 		change(pe)
+		tb.note(pe)
 	}
 }
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -18,9 +18,7 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -165,52 +163,6 @@
 	return nil, "", &Error{Op: "carry.Carry", Kind: KindNone, Err: errNoVM}
 }
 
-// choose returns the VM that runs a request, or nil if there is none. sooner is set if there are
-// some, and this VM is expected to answer before them.
-func (cl *Client) choose(vms, tried []*origin.Upstream, usual, own time.Duration) (vm *origin.Upstream, sooner bool) {
-	if cl.cfg.Off.Off(toggle.Placement) {
-		vm, _ = cl.pick(vms, tried, usual)
-		return vm, false
-	}
-	now := cl.cfg.Clock()
-	var candidates []*origin.Upstream
-	var targets []place.Target
-	for _, up := range cl.usable(now, vms) {
-		cost, base, ok := cl.table.Cost(now, steer.RequestKind{UsualLatency: usual}, up)
-		if !ok || slices.Contains(tried, up) {
-			continue
-		}
-		candidates = append(candidates, up)
-		targets = append(targets, place.Target{Addr: up.Addr, Local: up.DataCentre == cl.cfg.DataCentre, Cost: cost, Base: base})
-	}
-	choice, sooner := cl.place.Choose(now, targets, own, rand.Float64)
-	if choice == place.Self {
-		return nil, sooner
-	}
-	return candidates[choice], false
-}
-
-// usable returns the VMs that are not known to be silent.
-func (cl *Client) usable(now time.Duration, vms []*origin.Upstream) []*origin.Upstream {
-	usable := make([]*origin.Upstream, 0, len(vms))
-	for _, vm := range vms {
-		cl.peers.Want(now, probe.VM{Addr: vm.Addr, DataCentre: vm.DataCentre})
-		if !cl.peers.Avoid(vm.Addr) {
-			usable = append(usable, vm)
-		}
-	}
-	if len(usable) < len(vms) {
-		cl.watch()
-	}
-	return usable
-}
-
-// pick chooses a VM by its latency alone.
-func (cl *Client) pick(vms, tried []*origin.Upstream, usual time.Duration) (*origin.Upstream, bool) {
-	now := cl.cfg.Clock()
-	return cl.table.Pick(now, steer.RequestKind{UsualLatency: usual}, cl.usable(now, vms), tried, rand.Float64)
-}
-
 // call sends a request to one VM and reports whether any of it may have been sent.
 func (cl *Client) call(ctx context.Context, vm *origin.Upstream, usual time.Duration, rq *inner.CarryRequest) (*inner.CarryReply, bool, error) {
 	began := cl.cfg.Clock()
