remote, probe: a busy calling VM does not take others for silent

At a load of 25 on 7 cores, connections on loopback took more than the limit of 40 ms because the goroutine that opens one started late. The limit now begins with the socket, and each check is repeated after as long as this VM's own timer was late. After 150 ms no further VM is asked and this VM runs the request.

--- a/core/probe/table.go
+++ b/core/probe/table.go
@@ -13,9 +13,9 @@
 	// forgetAfter is how long a VM is remembered that no request considers.
 	forgetAfter = time.Minute
 	// lateTick is the lateness of a tick from which on this VM itself was stopped: answers may be
-	// waiting to be read. graceTime is how long they then have until the tick is repeated.
-	lateTick  = 10 * time.Millisecond
-	graceTime = 5 * time.Millisecond
+	// waiting to be read. They have as long until the tick is repeated, at most maxGrace.
+	lateTick = 10 * time.Millisecond
+	maxGrace = 100 * time.Millisecond
 	// recentlyHeard is how long after an answer a VM is not probed because of its neighbours.
 	recentlyHeard = 20 * time.Millisecond
 	// maxNeighbours is how many VMs of a data centre are probed because one is unreachable.
@@ -309,8 +309,8 @@
 func (tb *Table) Tick(now time.Duration) []Action {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	if tb.graceUntil == 0 && tb.due > 0 && now-tb.due > lateTick {
-		tb.graceUntil = now + graceTime
+	if late := now - tb.due; tb.graceUntil == 0 && tb.due > 0 && late > lateTick {
+		tb.graceUntil = now + min(late, maxGrace)
 		return nil
 	}
 	if now < tb.graceUntil {
--- a/io/remote/dial.go
+++ b/io/remote/dial.go
@@ -17,9 +17,11 @@
 const (
 	// abandonedDialTimeout limits a connection attempt that is no longer waited for.
 	abandonedDialTimeout = time.Second
-	// lateGrace is how long after its limit an attempt is checked again: if this VM was stopped
-	// for lack of processor time, a connection may have been opened meanwhile.
-	lateGrace = 5 * time.Millisecond
+	// minGrace is how long after its limit an attempt is checked again, in addition to the time by
+	// which this VM's own timer was late: if it was stopped for lack of processor time, a connection
+	// or an answer may have arrived meanwhile. maxGrace limits both.
+	minGrace = 5 * time.Millisecond
+	maxGrace = 100 * time.Millisecond
 	// unackedTimeout is how long written bytes may stay unacknowledged, as in io/relay.
 	unackedTimeout = 2 * time.Second
 )
@@ -50,32 +52,36 @@
 	return probe.Unreachable
 }
 
-// dialWithin opens a connection within limit.
+// dialWithin opens a connection within limit, which begins when the socket exists: on a busy VM the
+// goroutine that opens it may start late.
 func dialWithin(ctx context.Context, addr string, limit time.Duration) (net.Conn, error) {
-	type result struct {
-		cn  net.Conn
-		err error
-	}
 	dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonedDialTimeout)
-	opened := make(chan result, 1)
+	defer cancel()
+	opened, began := make(chan dialled, 1), make(chan struct{}, 1)
 	go func() {
-		di := net.Dialer{Control: setUserTimeout}
+		di := net.Dialer{Control: func(network, address string, rc syscall.RawConn) error {
+			select {
+			case began <- struct{}{}:
+			default:
+			}
+			return setUserTimeout(network, address, rc)
+		}}
 		cn, err := di.DialContext(dialCtx, "tcp", addr)
-		opened <- result{cn, err}
+		opened <- dialled{cn, err}
 	}()
-	for _, wait := range [...]time.Duration{limit, lateGrace} {
-		tm := time.NewTimer(wait)
-		select {
-		case rs := <-opened:
-			tm.Stop()
-			cancel()
-			return rs.cn, rs.err
-		case <-ctx.Done():
-		case <-tm.C:
-		}
-		tm.Stop()
+	select {
+	case <-began:
+	case rs := <-opened:
+		return rs.cn, rs.err
+	}
+	due := time.Now().Add(limit)
+	rs, ok := awaitDial(ctx, opened, limit)
+	if !ok && ctx.Err() == nil {
+		rs, ok = awaitDial(ctx, opened, grace(time.Since(due)))
+	}
+	if ok {
+		return rs.cn, rs.err
 	}
-	cancel()
 	go func() {
 		if rs := <-opened; rs.cn != nil {
 			_ = rs.cn.Close()
@@ -87,6 +93,29 @@
 	return nil, errNoConnection
 }
 
+// dialled is the result of opening a connection.
+type dialled struct {
+	cn  net.Conn
+	err error
+}
+
+// awaitDial waits for the result; ok is false if there is none in time.
+func awaitDial(ctx context.Context, opened <-chan dialled, wait time.Duration) (rs dialled, ok bool) {
+	tm := time.NewTimer(wait)
+	defer tm.Stop()
+	select {
+	case rs = <-opened:
+		return rs, true
+	case <-ctx.Done():
+	case <-tm.C:
+	}
+	return dialled{}, false
+}
+
+// grace returns how long to wait for what may have arrived while this VM was stopped, if its timer
+// was late by the given time.
+func grace(late time.Duration) time.Duration { return min(minGrace+max(0, late), maxGrace) }
+
 // setUserTimeout sets TCP_USER_TIMEOUT, which ends a connection whose written bytes are not
 // acknowledged.
 func setUserTimeout(_, _ string, rc syscall.RawConn) error {
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -37,6 +37,10 @@
 	// maxTries limits the VMs that are asked for one request; each costs a round trip, and a
 	// target is some tens of milliseconds.
 	maxTries = 3
+	// maxSearchTime is the time after which no further VM is asked for a request: VMs that are all
+	// overloaded would otherwise each be waited for, and this VM has to run the request in the rest
+	// of its time. One VM that does not say that it is ready takes less.
+	maxSearchTime = 150 * time.Millisecond
 	// idleConnsPerVM is how many idle connections are kept to each VM.
 	idleConnsPerVM = 8
 )
@@ -143,7 +147,8 @@
 // this VM should not run it unless no other does.
 func (cl *Client) Carry(ctx context.Context, vms []*origin.Upstream, usual, own time.Duration, rq *inner.CarryRequest) (*inner.CarryReply, string, error) {
 	var tried []*origin.Upstream
-	for range maxTries {
+	began := cl.cfg.Clock()
+	for len(tried) < maxTries && cl.cfg.Clock()-began < maxSearchTime {
 		vm, sooner := cl.choose(vms, tried, usual, own)
 		if sooner {
 			return nil, "", &Error{Op: "carry.Carry", Kind: KindSelf, Err: errSooner}
--- a/io/remote/sending.go
+++ b/io/remote/sending.go
@@ -56,7 +56,9 @@
 				return
 			}
 			se.stop()
-			se.timer = time.AfterFunc(se.cl.peers.ContinueLimit(se.addr), se.expire)
+			limit := se.cl.peers.ContinueLimit(se.addr)
+			due := time.Now().Add(limit)
+			se.timer = time.AfterFunc(limit, func() { se.expire(time.Since(due)) })
 		},
 		// Any answer makes net/http send the body, not only 100 Continue.
 		GotFirstResponseByte: func() {
@@ -77,13 +79,13 @@
 	}
 }
 
-// expire ends the call if the VM is not ready. If this VM was stopped meanwhile, the answer may
-// still have to be read.
-func (se *sending) expire() {
+// expire ends the call if the VM is not ready. If this VM was stopped meanwhile, and its timer was
+// late, the answer may still have to be read.
+func (se *sending) expire(late time.Duration) {
 	if se.sent.Load() {
 		return
 	}
-	time.Sleep(lateGrace)
+	time.Sleep(grace(late))
 	if se.sent.Load() {
 		return
 	}
