follow, entry: the age that decides about keys counts only updates in force

Cause: Follower.Age falls as soon as an update arrives, but the view follows only after OnChange. For some milliseconds after an outage a new key would get 401 instead of 503, and in strict mode a removed key would be accepted.

Change: Follower.AppliedAge counts an update once OnChange has returned, and a request takes the age before it takes the view.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -383,7 +383,7 @@
 		Meter:       eg.meter,
 		Log:         eg.cfg.Log,
 		Off:         eg.set.Off,
-		CopyAge:     eg.follow.Age,
+		CopyAge:     eg.follow.AppliedAge,
 		Keys:        eg.keyPolicy(),
 	})
 	innerLn, err := net.Listen("tcp", eg.set.InnerAddr)
--- a/io/entry/account.go
+++ b/io/entry/account.go
@@ -34,7 +34,7 @@
 }
 
 func (en *Entry) authenticateWith(at *acct.Table, rt *route.Route, rq *request, values []string) *response {
-	de := at.Authenticate(en.cfg.Keys, acct.Attempt{Values: values, Public: rt.Public, Age: en.cfg.CopyAge()})
+	de := at.Authenticate(en.cfg.Keys, acct.Attempt{Values: values, Public: rt.Public, Age: rq.copyAge})
 	if de.Reason != "" {
 		return en.refuseKey(rq, de)
 	}
@@ -108,7 +108,7 @@
 	}
 	digest := acct.Digest(cr.GetKeyDigest())
 	ac, ok := at.Verify(name, digest)
-	if !ok || !en.cfg.Keys.AcceptsKeys(en.cfg.CopyAge()) {
+	if !ok || !en.cfg.Keys.AcceptsKeys(rq.copyAge) {
 		return remote.ReasonOtherRoute, nil
 	}
 	en.setAccount(rq, acct.Credential{Account: ac, Digest: digest})
--- a/io/entry/account_test.go
+++ b/io/entry/account_test.go
@@ -16,7 +16,6 @@
 
 	"laburnumvane/core/acct"
 	"laburnumvane/core/fanout"
-	"laburnumvane/core/lead"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
 	"laburnumvane/core/poison"
@@ -121,7 +120,7 @@
 		Method: "GET", Host: "h", URI: "/", Fields: []poison.Field{{Name: "User-Agent", Value: "u"}},
 	}))
 	rq := authenticated(t, en, "key-1")
-	forwarded := forwardedRequest(en.carryRequest(rq, en.cfg.View().Routes().Routes()[0], 0), 0, lead.New(lead.Config{}))
+	forwarded := en.forwardedRequest(en.carryRequest(rq, en.cfg.View().Routes().Routes()[0], 0), 0)
 	is.Equal(forwarded.fingerprint(), rq.fingerprint()) // also in an older build, which takes the fields as they are
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -83,7 +83,7 @@
 	SendHint func(rd poison.Record)
 	Meter    *meter.Meter
 	Log      *log.Logger
-	// CopyAge returns the age of this VM's copy of the store, and Keys says for how long keys of
+	// CopyAge returns the age of this VM's copy of the store as far as View shows it, and Keys says for how long keys of
 	// client accounts are accepted on its basis.
 	CopyAge func() time.Duration
 	Keys    acct.Policy
@@ -244,6 +244,7 @@
 	if en.ending.Err() != nil {
 		return refuse(consts.StatusServiceUnavailable, declinedLeaving, "this VM ends")
 	}
+	rq.copyAge = en.cfg.CopyAge()
 	vw := en.cfg.View()
 	tb := vw.Routes()
 	if tb == nil {
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -115,7 +115,7 @@
 		return declined(declinedBusy), nil
 	}
 	defer en.forwarded.Add(-1)
-	rq := forwardedRequest(cr, en.cfg.Clock(), en.lead)
+	rq := en.forwardedRequest(cr, en.cfg.Clock())
 	vw := en.cfg.View()
 	rt, reason := en.matchForwarded(vw, rq, cr)
 	if reason != "" {
--- a/io/entry/forwarded.go
+++ b/io/entry/forwarded.go
@@ -13,8 +13,8 @@
 )
 
 // forwardedRequest returns a request that another VM forwarded, as if a client had sent it to
-// this VM.
-func forwardedRequest(cr *inner.CarryRequest, now time.Duration, ld *lead.Lead) *request {
+// this VM. The caller takes the view afterwards.
+func (en *Entry) forwardedRequest(cr *inner.CarryRequest, now time.Duration) *request {
 	spent := time.Duration(cr.GetSpentUs()) * time.Microsecond
 	rq := &request{
 		id:          cr.GetId(),
@@ -25,6 +25,7 @@
 		framed:      cr.GetFramed(),
 		transitTime: time.Duration(cr.GetAwayUs()) * time.Microsecond,
 		forwarded:   true,
+		copyAge:     en.cfg.CopyAge(),
 		began:       now - spent,
 	}
 	if remaining := time.Duration(cr.GetLeftUs()) * time.Microsecond; remaining > 0 {
@@ -32,7 +33,7 @@
 	}
 	if rq.transitTime == 0 {
 		// VMs of older versions do not send it.
-		rq.transitTime = ld.TransitTime(lead.Path{})
+		rq.transitTime = en.lead.TransitTime(lead.Path{})
 	}
 	rq.path, _, _ = strings.Cut(rq.uri, "?")
 	for _, fi := range cr.GetFields() {
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -86,8 +86,9 @@
 	if en.leaving.Load() || jr.GetRequest().GetId() == "" {
 		return &inner.JoinReply{Declined: true}, nil
 	}
-	now, vw := en.cfg.Clock(), en.cfg.View()
-	rq := forwardedRequest(jr.GetRequest(), now, en.lead)
+	now := en.cfg.Clock()
+	rq := en.forwardedRequest(jr.GetRequest(), now)
+	vw := en.cfg.View()
 	if reason := en.matchJoined(vw, rq, jr.GetRequest()); reason != "" {
 		en.noteDeclined(rq, reason)
 		return &inner.JoinReply{Declined: true, Reason: reason}, nil
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -42,6 +42,9 @@
 	// account is nil if the request has none. The account's header is then among fields.
 	account   *acct.Account
 	keyDigest acct.Digest
+	// copyAge is the age of the copy of the store. It is taken before the view, which is then at
+	// least as new.
+	copyAge time.Duration
 	// forwarded is set if another VM forwarded the request.
 	forwarded bool
 	// suspect is set if servers crashed under this request before.
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,6 +40,8 @@
 	shortPeerSlack = 250 * time.Millisecond
 	// unknownAge is the age reported as long as there is no copy.
 	unknownAge = time.Hour
+	// noContact stands for the time of a contact with the store where there was none.
+	noContact = math.MinInt64
 )
 
 // Store is the part of the platform's store that a Follower uses.
@@ -117,6 +121,9 @@
 	storeCalledAt time.Duration
 	// firstSource is the VM that sent the first copy, if a VM did; only Run uses it.
 	firstSource string
+	// applied is the last contact with the store whose updates OnChange has processed; noContact
+	// if there is none.
+	applied atomic.Int64
 
 	mu      sync.Mutex
 	replica *mirror.Replica
@@ -158,7 +165,7 @@
 	if cfg.OnHint == nil {
 		cfg.OnHint = func(string) {}
 	}
-	return &Follower{
+	fo := &Follower{
 		cfg:           cfg,
 		selector:      mirror.NewSelector(mirror.SelectorConfig{Self: cfg.Self, Rand: cfg.Rand}),
 		peers:         newStubs(),
@@ -169,6 +176,8 @@
 
 		hintsSeen: make(map[string]uint64),
 	}
+	fo.applied.Store(noContact)
+	return fo
 }
 
 // SetPeers sets the other VMs.
@@ -194,6 +203,16 @@
 	return fo.age(fo.cfg.Clock())
 }
 
+// AppliedAge is like Age, but an update counts only once OnChange has returned. Age is low as soon as
+// an update arrives: after an outage, a new key would for some milliseconds be taken for a wrong one,
+// and a removed one for a valid one.
+func (fo *Follower) AppliedAge() time.Duration {
+	if contact := fo.applied.Load(); contact != noContact {
+		return fo.cfg.Clock() - time.Duration(contact)
+	}
+	return unknownAge
+}
+
 // RemoteSilence returns the time since this VM last got anything from outside its data centre: an
 // update that originates from the store, by whatever path, or an answer of a VM there.
 func (fo *Follower) RemoteSilence() time.Duration {
@@ -433,6 +452,10 @@
 	fo.outage.RecordRecovery(so.returned)
 	ch.Returned = fo.outage.Recovered()
 	fo.wakeAll()
+	contact := int64(noContact)
+	if fo.outage.Contacted() {
+		contact = int64(fo.outage.LastContact())
+	}
 	fo.mu.Unlock()
 	// OnChange is also called when an old copy becomes current again without changes: the next
 	// leases to expire may have been due while the store was unavailable.
@@ -440,6 +463,7 @@
 	if len(ch.Events) > 0 || returned {
 		fo.cfg.OnChange(ch)
 	}
+	fo.applied.Store(contact)
 }
 
 // wakeAll wakes the callers that wait for an update or for the copy to be current again. The
