--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -396,7 +396,7 @@
 		Meter:       eg.meter,
 		Log:         eg.cfg.Log,
 		Off:         eg.set.Off,
-		CopyAge:     eg.follow.Age,
+		CopyAge:     eg.follow.AppliedAge,
 		Keys:        eg.keyPolicy(),
 		Quota:       eg.set.Quota,
 		DataCentres: len(eg.set.Regions),
