admit, pace, entry: admission of routed requests by capacity and account

Change: admit.Gate decides before anything is sent: run, wait, or refuse with Retry-After. Nothing changes without accounts.

--- /dev/null
+++ b/core/admit/gate.go
@@ -0,0 +1,347 @@
+package admit
+
+import (
+	"time"
+
+	"laburnumvane/core/pace"
+)
+
+// Defaults of a GateConfig.
+const (
+	DefaultMaxWaiting = 512
+	DefaultMaxBytes   = 16 << 20
+	DefaultMaxWait    = 2 * time.Second
+)
+
+const (
+	// accountQueueShare is the part of the queue that one account may fill.
+	accountQueueShare = 0.25
+	// lastingAfter is how long requests must wait without interruption, or a route's servers be
+	// too slow for its target, until requests are accepted only if they can meet their target.
+	// Before that the deadline counts: a short surge is better answered late than refused.
+	lastingAfter = 100 * time.Millisecond
+	// trialShare is the share of the requests refused for slow servers that is run all the same,
+	// so that this VM learns when the servers have recovered.
+	trialShare = 0.25
+	// leastRateShare bounds what more urgent requests take off the rate of less urgent ones.
+	leastRateShare = 0.1
+	// ownShare: a request is refused for its account's own load if this share of what is ahead of
+	// it is the account's.
+	ownShare = 0.5
+)
+
+// Reasons of a Gate, besides those of a Machine.
+const (
+	// ReasonServers: the servers cannot answer in time.
+	ReasonServers Reason = "serversBusy"
+	// ReasonAccount: what waits ahead is mostly of the same account.
+	ReasonAccount Reason = "accountShare"
+	// ReasonLocal: this VM itself would take too long, even without a wait.
+	ReasonLocal Reason = "vmBusy"
+)
+
+// GateConfig configures a Gate. Fields that are 0 take the defaults.
+type GateConfig struct {
+	Pace pace.Config
+	// MaxWaiting, MaxBytes and MaxWait bound what waits: requests, their bytes, and the time of
+	// each.
+	MaxWaiting int
+	MaxBytes   int
+	MaxWait    time.Duration
+}
+
+// Arrival is a request that wants to be run.
+type Arrival struct {
+	// Account is empty for a request without an account.
+	Account string
+	// Priority ranks requests; 0 is the most urgent.
+	Priority int
+	Route    string
+	// Cost is the number of sub-requests, Bytes the memory held while the request waits.
+	Cost  float64
+	Bytes int
+	// Servers is how long the servers take to answer with the least coverage, as far as is known.
+	Servers time.Duration
+	// Target is the time by which an answer has its full value, Deadline that after which it has
+	// none.
+	Target, Deadline time.Duration
+}
+
+// Verdict is the decision on an arrival.
+type Verdict[W any] struct {
+	Kind       Kind
+	Reason     Reason
+	RetryAfter time.Duration
+	// Entry is set if Kind is Queued.
+	Entry *Entry[W]
+}
+
+// Entry is a request that waits.
+type Entry[W any] struct {
+	waiter W
+	ar     Arrival
+	fl     *flow[W]
+	// startBy is the time by which it must start, targetBy the same to meet its target.
+	startBy, targetBy time.Duration
+	queued            bool
+}
+
+// StartBy returns the time by which the request must start.
+func (en *Entry[W]) StartBy() time.Duration { return en.startBy }
+
+// Gate decides on the requests of one VM by the VM's own capacity, the state of the servers, and
+// the shares of the accounts. W identifies a request to its caller while it waits. A Gate is not
+// safe for concurrent use.
+type Gate[W any] struct {
+	cfg   GateConfig
+	now   time.Duration
+	pace  *pace.Estimator
+	flows flows[W]
+	// waiting lists the flows with a queue.
+	waiting []*flow[W]
+	count   int
+	bytes   int
+	// inProgress is the cost that was started and has not ended.
+	inProgress      float64
+	offered, served pace.Sum
+	// backlogSince is since when requests have waited without interruption.
+	backlogSince time.Duration
+	routes       map[string]*routeState
+	started      map[int]*pace.Sum
+	retry        retrySlots
+	grants       []Grant[W]
+}
+
+// routeState is what is known of the servers of a route.
+type routeState struct {
+	// slowSince is since when they have been too slow for the target; 0 if they are not.
+	slowSince time.Duration
+	// credit is the number of trials that are due.
+	credit float64
+}
+
+// NewGate returns a Gate without requests.
+func NewGate[W any](cfg GateConfig) *Gate[W] {
+	defaultInt(&cfg.MaxWaiting, DefaultMaxWaiting)
+	defaultInt(&cfg.MaxBytes, DefaultMaxBytes)
+	if cfg.MaxWait == 0 {
+		cfg.MaxWait = DefaultMaxWait
+	}
+	return &Gate[W]{
+		cfg:     cfg,
+		pace:    pace.New(cfg.Pace),
+		routes:  make(map[string]*routeState),
+		started: make(map[int]*pace.Sum),
+	}
+}
+
+// Offer decides on a request. If it is queued, a later Grant contains waiter unless the request is
+// withdrawn.
+func (ga *Gate[W]) Offer(now time.Duration, ar Arrival, waiter W) Verdict[W] {
+	ga.advance(now)
+	ga.pace.Begin(ar.Cost)
+	fl := ga.flows.find(ga.now, flowKey{account: ar.Account, priority: ar.Priority})
+	fl.offered.Add(ga.now, servedTime, 1)
+	ga.offered.Add(ga.now, servedTime, 1)
+	need := ar.Servers + ga.localTime(ar.Cost)
+	if re := ga.tooSlow(ar, need); re != "" {
+		return ga.refuse(re, ar, 0)
+	}
+	if ga.count == 0 && ga.hasRoom(ar.Cost) {
+		ga.start(fl, ar)
+		return Verdict[W]{Kind: Admitted}
+	}
+	if re := ga.full(fl, ar); re != "" {
+		return ga.refuse(re, ar, ga.wait(fl, ar))
+	}
+	wait := ga.wait(fl, ar)
+	en := &Entry[W]{waiter: waiter, ar: ar, fl: fl, queued: true, startBy: ar.Deadline - need, targetBy: ar.Target - need}
+	startBy := en.startBy
+	if ga.lasting() {
+		startBy = en.targetBy
+	}
+	if ga.now+wait > startBy || wait > ga.cfg.MaxWait {
+		re := ReasonWaitTooLong
+		if fl.queued > ownShare*ga.costAhead(fl) && len(ga.waiting) > 1 {
+			re = ReasonAccount
+		}
+		return ga.refuse(re, ar, wait)
+	}
+	ga.enqueue(en)
+	return Verdict[W]{Kind: Queued, Entry: en}
+}
+
+// tooSlow returns why a request cannot be answered in time even if it starts at once; empty if it
+// can.
+func (ga *Gate[W]) tooSlow(ar Arrival, need time.Duration) Reason {
+	rs, ok := ga.routes[ar.Route]
+	if !ok {
+		rs = &routeState{}
+		ga.routes[ar.Route] = rs
+	}
+	if ga.now+ar.Servers <= ar.Target {
+		rs.slowSince = 0
+	} else if rs.slowSince == 0 {
+		rs.slowSince = max(1, ga.now)
+	}
+	switch {
+	case ga.now >= ar.Deadline:
+		return ReasonDeadlineTooClose
+	case ga.now+ar.Servers > ar.Deadline, rs.slowSince > 0 && ga.now-rs.slowSince >= lastingAfter:
+		if rs.credit += trialShare; rs.credit >= 1 {
+			rs.credit--
+			return ""
+		}
+		return ReasonServers
+	case ga.now+need > ar.Deadline && ga.inProgress > 0:
+		return ReasonLocal
+	}
+	return ""
+}
+
+// full returns why a request may not wait; empty if it may.
+func (ga *Gate[W]) full(fl *flow[W], ar Arrival) Reason {
+	switch {
+	case ga.count >= ga.cfg.MaxWaiting || ga.bytes+ar.Bytes > ga.cfg.MaxBytes:
+		return ReasonQueueFull
+	case float64(len(fl.queue)) >= accountQueueShare*float64(ga.cfg.MaxWaiting):
+		return ReasonTeamQueueFull
+	}
+	return ""
+}
+
+// localTime is how long this VM itself takes for a request.
+func (ga *Gate[W]) localTime(cost float64) time.Duration {
+	return ga.pace.Delay() + seconds(cost/ga.pace.Rate())
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// hasRoom reports whether a request can start now.
+func (ga *Gate[W]) hasRoom(cost float64) bool {
+	return ga.inProgress == 0 || ga.inProgress+cost <= ga.pace.Window()
+}
+
+// wait estimates how long a new request of a flow waits.
+func (ga *Gate[W]) wait(fl *flow[W], ar Arrival) time.Duration {
+	over := max(0, ga.inProgress+ar.Cost-ga.pace.Window())
+	rate := ga.pace.Rate()
+	if !ga.neglected(fl) {
+		urgent := 0.0
+		for priority, su := range ga.started {
+			if priority < ar.Priority {
+				urgent += su.Rate(ga.now, shareTime)
+			}
+		}
+		rate = max(rate-urgent, leastRateShare*rate)
+	}
+	return seconds((ga.costAhead(fl) + over) / rate)
+}
+
+// lasting reports whether requests have waited without interruption for long.
+func (ga *Gate[W]) lasting() bool {
+	return ga.count > 0 && ga.now-ga.backlogSince >= lastingAfter
+}
+
+func (ga *Gate[W]) start(fl *flow[W], ar Arrival) {
+	ga.inProgress += ar.Cost
+	fl.share.Add(ga.now, shareTime, ar.Cost)
+	fl.served.Add(ga.now, servedTime, 1)
+	ga.served.Add(ga.now, servedTime, 1)
+	su, ok := ga.started[ar.Priority]
+	if !ok {
+		su = &pace.Sum{}
+		ga.started[ar.Priority] = su
+	}
+	su.Add(ga.now, shareTime, ar.Cost)
+}
+
+func (ga *Gate[W]) enqueue(en *Entry[W]) {
+	if ga.count == 0 {
+		ga.backlogSince = ga.now
+	}
+	if len(en.fl.queue) == 0 {
+		ga.waiting = append(ga.waiting, en.fl)
+	}
+	en.fl.queue = append(en.fl.queue, en)
+	en.fl.queued += en.ar.Cost
+	ga.count++
+	ga.bytes += en.ar.Bytes
+}
+
+func (ga *Gate[W]) dequeue(en *Entry[W]) {
+	en.queued = false
+	en.fl.remove(en)
+	ga.count--
+	ga.bytes -= en.ar.Bytes
+	if len(en.fl.queue) > 0 {
+		return
+	}
+	for i, fl := range ga.waiting {
+		if fl == en.fl {
+			ga.waiting = append(ga.waiting[:i], ga.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// Withdraw removes a request from the queue. It returns false if the request was granted or
+// refused before.
+func (ga *Gate[W]) Withdraw(now time.Duration, en *Entry[W]) bool {
+	ga.advance(now)
+	if !en.queued {
+		return false
+	}
+	ga.dequeue(en)
+	return true
+}
+
+// Sent records how long a started request took until its first sub-requests were written.
+func (ga *Gate[W]) Sent(cost float64, took time.Duration) { ga.pace.Sent(cost, took) }
+
+// Late records how late a timer of this VM fired.
+func (ga *Gate[W]) Late(late time.Duration) { ga.pace.Late(late) }
+
+// Done ends a request that was started.
+func (ga *Gate[W]) Done(now time.Duration, cost float64, took time.Duration) {
+	ga.advance(now)
+	limited := ga.count > 0 || ga.inProgress+cost > ga.pace.Window()
+	ga.inProgress = max(0, ga.inProgress-cost)
+	ga.pace.End(ga.now, cost, took, limited)
+}
+
+// Step returns the waiting requests that may start now and those that are refused because they
+// can no longer be answered in time. The slice is valid until the next call.
+func (ga *Gate[W]) Step(now time.Duration) []Grant[W] {
+	ga.advance(now)
+	clear(ga.grants)
+	ga.grants = ga.grants[:0]
+	for ga.count > 0 {
+		best := ga.waiting[0]
+		for _, fl := range ga.waiting[1:] {
+			if ga.before(fl, best) {
+				best = fl
+			}
+		}
+		en := best.next(ga.now)
+		if en.startBy <= ga.now {
+			ga.dequeue(en)
+			vd := ga.refuse(ReasonQueueTimeout, en.ar, ga.wait(en.fl, en.ar))
+			ga.grants = append(ga.grants, Grant[W]{Waiter: en.waiter, Reason: vd.Reason, RetryAfter: vd.RetryAfter})
+			continue
+		}
+		if !ga.hasRoom(en.ar.Cost) {
+			break
+		}
+		ga.dequeue(en)
+		ga.start(en.fl, en.ar)
+		ga.grants = append(ga.grants, Grant[W]{Waiter: en.waiter, Start: true})
+	}
+	return ga.grants
+}
+
+func (ga *Gate[W]) refuse(re Reason, ar Arrival, wait time.Duration) Verdict[W] {
+	return Verdict[W]{Kind: Refused, Reason: re, RetryAfter: ga.retryAfter(ar, wait)}
+}
+
+func (ga *Gate[W]) advance(now time.Duration) { ga.now = max(ga.now, now) }
--- /dev/null
+++ b/core/pace/pace.go
@@ -0,0 +1,174 @@
+package pace
+
+import (
+	"math"
+	"time"
+)
+
+// Defaults of a Config.
+const (
+	// DefaultDelay is the delay of the run queue that is allowed: a tenth of the usual targets.
+	DefaultDelay = 12 * time.Millisecond
+	// DefaultInitial and DefaultLeast are the window at the start and the smallest one, in
+	// multiples of the largest weight seen.
+	DefaultInitial = 8
+	DefaultLeast   = 2
+)
+
+const (
+	// sentFactor: the time that this VM itself needs to send the largest request, times this, is
+	// allowed as delay too. On a seventh of a core one gather takes 20 ms to send.
+	sentFactor = 2
+	// delayWeight and tookWeight are the weights of a new observation in the averages.
+	delayWeight = 0.1
+	tookWeight  = 0.1
+	// maxDelay bounds an observed delay: a VM that was paused for seconds says nothing about its
+	// usual delay.
+	maxDelay = 200 * time.Millisecond
+	// growth is the largest increase of the window, as a share of the work that ended.
+	growth = 0.3
+	// maxCut bounds a single cut: to this share of the window.
+	maxCut = 0.7
+	// maxWindow bounds the window, in multiples of the largest weight seen.
+	maxWindow = 1024
+	// leastRise is by how much the least time until sending rises with each observation, so that
+	// one early value does not stay for ever.
+	leastRise = 0.002
+	// defaultTook is assumed as the duration of a request until one has ended.
+	defaultTook = 50 * time.Millisecond
+	// workTime is the time over which completed work is averaged.
+	workTime = 300 * time.Millisecond
+)
+
+// Config configures an Estimator. Fields that are 0 take the defaults.
+type Config struct {
+	Delay          time.Duration
+	Initial, Least float64
+}
+
+// Estimator estimates the capacity of this VM.
+type Estimator struct {
+	cfg Config
+	// largest is the largest weight seen.
+	largest float64
+	window  float64
+	// delay is the average delay of the run queue, took the average duration of a request
+	// weighted by its weight, leastSent the least time until a unit of weight was sent; all in
+	// nanoseconds.
+	delay, took, leastSent float64
+	cutAt                  time.Duration
+	work                   Sum
+}
+
+// New returns an Estimator that knows nothing yet.
+func New(cfg Config) *Estimator {
+	if cfg.Delay == 0 {
+		cfg.Delay = DefaultDelay
+	}
+	if cfg.Initial == 0 {
+		cfg.Initial = DefaultInitial
+	}
+	if cfg.Least == 0 {
+		cfg.Least = DefaultLeast
+	}
+	return &Estimator{cfg: cfg}
+}
+
+// Begin records that a request of a weight is about to be decided on.
+func (es *Estimator) Begin(weight float64) {
+	if es.window == 0 {
+		es.window = es.cfg.Initial * weight
+	}
+	if weight > es.largest {
+		// What is known of small requests says little about large ones.
+		es.largest = weight
+		es.window = max(es.window, es.cfg.Initial*weight)
+	}
+}
+
+// Sent records how long it took from the start of a request until its first sub-requests were
+// written. What exceeds the least such time is delay.
+func (es *Estimator) Sent(weight float64, took time.Duration) {
+	unit := float64(took) / max(1, weight)
+	if es.leastSent == 0 || unit < es.leastSent {
+		es.leastSent = unit
+	}
+	es.observeDelay(float64(took) - es.leastSent*weight)
+	es.leastSent *= 1 + leastRise
+}
+
+// Late records how late a timer fired.
+func (es *Estimator) Late(late time.Duration) { es.observeDelay(float64(late)) }
+
+func (es *Estimator) observeDelay(delay float64) {
+	es.delay += delayWeight * (min(max(0, delay), float64(maxDelay)) - es.delay)
+}
+
+// allowed returns the allowed delay in nanoseconds.
+func (es *Estimator) allowed() float64 {
+	return max(float64(es.cfg.Delay), sentFactor*es.leastSent*es.largest)
+}
+
+// End records the end of a request. Limited is set if requests wait for the window.
+func (es *Estimator) End(now time.Duration, weight float64, took time.Duration, limited bool) {
+	es.work.Add(now, workTime, weight)
+	if es.took == 0 {
+		es.took = float64(took)
+	}
+	es.took += tookWeight * min(1, weight/max(1, es.largest)) * (float64(took) - es.took)
+	room := 1 - es.delay/es.allowed()
+	switch {
+	case room > 0 && limited:
+		es.window = min(es.window+growth*room*weight, maxWindow*es.largest)
+	case room < 0 && now >= es.cutAt+time.Duration(es.took):
+		// Whether a cut sufficed shows only after the requests that were in progress have ended.
+		es.cutAt = now
+		es.window = max(es.window*max(maxCut, es.allowed()/es.delay), es.cfg.Least*es.largest)
+	}
+}
+
+// Window returns the weight that may be in progress at once.
+func (es *Estimator) Window() float64 { return es.window }
+
+// Rate returns the weight per second that this VM can do.
+func (es *Estimator) Rate() float64 {
+	took := es.took
+	if took == 0 {
+		took = float64(defaultTook)
+	}
+	return es.window / took * float64(time.Second)
+}
+
+// Delay returns the delay of the run queue.
+func (es *Estimator) Delay() time.Duration { return time.Duration(es.delay) }
+
+// Behind reports whether the delay is above what is allowed.
+func (es *Estimator) Behind() bool { return es.delay > es.allowed() }
+
+// Work returns the weight per second that was completed lately.
+func (es *Estimator) Work(now time.Duration) float64 { return es.work.Rate(now, workTime) }
+
+// Sum is a sum whose parts lose weight exponentially with their age. The zero value is empty.
+type Sum struct {
+	value float64
+	at    time.Duration
+}
+
+// Add adds x at a time. The parts lose two thirds of their weight within decay.
+func (su *Sum) Add(now, decay time.Duration, x float64) {
+	su.value = su.Value(now, decay) + x
+	su.at = max(su.at, now)
+}
+
+// Value returns the sum at a time.
+func (su *Sum) Value(now, decay time.Duration) float64 {
+	if now <= su.at {
+		return su.value
+	}
+	return su.value * math.Exp(-float64(now-su.at)/float64(decay))
+}
+
+// Rate returns the sum per second.
+func (su *Sum) Rate(now, decay time.Duration) float64 {
+	return su.Value(now, decay) / decay.Seconds()
+}
--- a/core/toggle/toggle.go
+++ b/core/toggle/toggle.go
@@ -66,6 +66,8 @@
 	Loads
 	// Checks asks a server for its state before sending it a request that may run only once.
 	Checks
+	// Admission lets requests wait, or refuses them, by the capacity of this VM and by account.
+	Admission
 
 	count
 )
@@ -73,7 +75,7 @@
 // names are the names in settings, logs and metrics, indexed by mechanism.
 var names = [count]string{ //nolint:gochecknoglobals // a constant list
 	"hedges", "windows", "moves", "newest", "valve", "homes", "joins",
-	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "warnings", "absence", "asks", "loads", "checks",
+	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "warnings", "absence", "asks", "loads", "checks", "admission",
 }
 
 // String returns the name in settings, logs and metrics.
--- /dev/null
+++ b/io/entry/admission.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"laburnumvane/core/acct"
+	"laburnumvane/core/admit"
+	"laburnumvane/core/origin"
+	"laburnumvane/core/plan"
+	"laburnumvane/core/route"
+	"laburnumvane/core/toggle"
+	"laburnumvane/io/meter"
+)
+
+const (
+	// reasonCallerGone: the client disconnected while its request waited.
+	reasonCallerGone = "callerGone"
+	// goneRetryAfter is sent to clients that are not expected to read it.
+	goneRetryAfter = 150 * time.Millisecond
+)
+
+// admission holds the requests of this VM that wait until they may be sent.
+type admission struct {
+	mu   sync.Mutex
+	gate *admit.Gate[chan admitVerdict]
+}
+
+// admitVerdict ends the wait of a request.
+type admitVerdict struct {
+	start      bool
+	reason     admit.Reason
+	retryAfter time.Duration
+}
+
+func newAdmission() *admission {
+	return &admission{gate: admit.NewGate[chan admitVerdict](admit.GateConfig{})}
+}
+
+// usesAdmission reports whether requests are admitted by account; otherwise the valves apply.
+func (en *Entry) usesAdmission(vw *plan.View) bool {
+	return vw.Routes().Accounts() != nil && !en.cfg.Off.Off(toggle.Admission)
+}
+
+// priority returns the priority of a request: that of its account, or else the route's.
+func (rq *request) priority(rt *route.Route) int {
+	if rq.account != nil && rq.account.HasPriority {
+		return rq.account.Priority
+	}
+	return rt.Priority
+}
+
+// accountName returns the name of an account, or an empty name without one.
+func accountName(ac *acct.Account) string {
+	if ac == nil {
+		return ""
+	}
+	return ac.Name
+}
+
+// admit waits until a request may be sent. It returns a response if the request is refused; else
+// fl.endAdmission must be called when it ends.
+func (en *Entry) admit(ctx context.Context, fl *flight) *response {
+	ad, now := en.admission, en.cfg.Clock()
+	ar := fl.arrival(now)
+	ready := make(chan admitVerdict, 1)
+	ad.mu.Lock()
+	vd := ad.gate.Offer(now, ar, ready)
+	ad.mu.Unlock()
+	switch vd.Kind {
+	case admit.Refused:
+		return en.refuseAdmission(fl, ar, vd.Reason, vd.RetryAfter)
+	case admit.Queued:
+		if av := en.awaitAdmission(ctx, vd.Entry, ready); !av.start {
+			return en.refuseAdmission(fl, ar, av.reason, av.retryAfter)
+		}
+		en.cfg.Meter.Observe(meter.QueueLatency, en.cfg.Clock()-now)
+	}
+	fl.admittedAt, fl.cost = en.cfg.Clock(), ar.Cost
+	return nil
+}
+
+// arrival describes a request to the gate.
+func (fl *flight) arrival(now time.Duration) admit.Arrival {
+	shards := make([][]*origin.Upstream, len(fl.services))
+	for i := range fl.services {
+		shards[i] = fl.candidates(i)
+	}
+	// Without enough servers the request ends at once without being sent, with the reason that
+	// there are none.
+	servers, _ := fl.en.cfg.Steer.Coverage(now, fl.latency.usualLatency(), shards, fl.minParts)
+	return admit.Arrival{
+		Account:  accountName(fl.rq.account),
+		Priority: fl.rq.priority(fl.rt),
+		Route:    fl.rt.Name,
+		Cost:     float64(max(1, len(fl.services))),
+		Bytes:    len(fl.rq.body) + len(fl.head),
+		Servers:  servers,
+		Target:   fl.target,
+		Deadline: fl.hardDeadline - minAttemptTime,
+	}
+}
+
+// awaitAdmission waits for the gate's verdict on a queued request. A client that disconnects
+// leaves the queue.
+func (en *Entry) awaitAdmission(ctx context.Context, we *admit.Entry[chan admitVerdict], ready chan admitVerdict) admitVerdict {
+	ad := en.admission
+	timer := time.NewTimer(max(0, we.StartBy()-en.cfg.Clock()))
+	defer timer.Stop()
+	av := admitVerdict{reason: admit.ReasonQueueTimeout, retryAfter: retryAfterBusy}
+	select {
+	case av = <-ready:
+		return av
+	case <-timer.C:
+		// Step refuses what can no longer start in time.
+		ad.update(en.cfg.Clock(), func(*admit.Gate[chan admitVerdict]) {})
+	case <-en.ending.Done():
+		av.reason = declinedLeaving
+	case <-ctx.Done():
+		av = admitVerdict{reason: reasonCallerGone, retryAfter: goneRetryAfter}
+	}
+	withdrawn := false
+	ad.update(en.cfg.Clock(), func(ga *admit.Gate[chan admitVerdict]) {
+		withdrawn = ga.Withdraw(en.cfg.Clock(), we)
+	})
+	if !withdrawn {
+		// The verdict came at the same moment.
+		return <-ready
+	}
+	return av
+}
+
+// update changes the gate and sends the verdicts that result.
+func (ad *admission) update(now time.Duration, change func(ga *admit.Gate[chan admitVerdict])) {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	change(ad.gate)
+	for _, gr := range ad.gate.Step(now) {
+		// This does not block: each request gets one verdict, and the channel buffers one.
+		gr.Waiter <- admitVerdict{start: gr.Start, reason: gr.Reason, retryAfter: gr.RetryAfter}
+	}
+}
+
+// recordSent records how long this VM took to send an admitted request.
+func (fl *flight) recordSent() {
+	// A status check waits for servers, not for this VM.
+	if fl.admittedAt == 0 || !fl.rt.Idempotent {
+		return
+	}
+	ad := fl.en.admission
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	ad.gate.Sent(fl.cost, fl.firstSentAt-fl.admittedAt)
+}
+
+// recordTimer records how late a timer fired.
+func (fl *flight) recordTimer(late time.Duration) {
+	if fl.admittedAt == 0 {
+		return
+	}
+	ad := fl.en.admission
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	ad.gate.Late(late)
+}
+
+// endAdmission ends an admitted request, so that others may start.
+func (fl *flight) endAdmission() {
+	now := fl.en.cfg.Clock()
+	fl.en.admission.update(now, func(ga *admit.Gate[chan admitVerdict]) {
+		ga.Done(now, fl.cost, now-fl.admittedAt)
+	})
+}
+
+// refuseAdmission returns the response to a request that is not admitted, and logs what the
+// decision was based on.
+func (en *Entry) refuseAdmission(fl *flight, ar admit.Arrival, reason admit.Reason, retryAfter time.Duration) *response {
+	rs := refusalResponse(consts.StatusServiceUnavailable, string(reason), "there is no capacity for the request in time")
+	rs.add(headerRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	en.unserved.Add(1)
+	if fl.rq.forwarded {
+		// The VM that the client reached counts it as forwarded.
+		en.cfg.Meter.Count(meter.Refusal, string(reason))
+	}
+	ad, now := en.admission, en.cfg.Clock()
+	ad.mu.Lock()
+	st, share := ad.gate.State(now), ad.gate.Share(now, ar.Account, ar.Priority)
+	ad.mu.Unlock()
+	en.cfg.Log.Info().Str("id", fl.rq.id).Str("route", fl.rt.Name).Str("account", ar.Account).
+		Int("status", rs.status).Str("reason", string(reason)).Uint64("version", configVersion(fl.vw)).
+		Int("priority", ar.Priority).Float64("retryAfterMs", milliseconds(retryAfter)).
+		Float64("leftMs", milliseconds(ar.Deadline-now)).Float64("targetMs", milliseconds(ar.Target-now)).
+		Float64("serversMs", milliseconds(ar.Servers)).Float64("waitMs", milliseconds(st.Wait)).
+		Int("waiting", st.Waiting).Int("accounts", st.Accounts).Float64("share", share).
+		Float64("inProgress", st.InProgress).Float64("window", st.Window).
+		Float64("rate", st.Rate).Float64("work", st.Work).
+		Float64("delayMs", milliseconds(st.Delay)).Bool("behind", st.Behind).
+		Msg("refused")
+	return rs
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// Load returns this VM's work in progress as a share of its capacity, and how long a request waits
+// before it is sent. Both are 0 while requests are not admitted by account.
+func (en *Entry) Load() (share float64, wait time.Duration) {
+	ad := en.admission
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	st := ad.gate.State(en.cfg.Clock())
+	if st.Window == 0 {
+		return 0, 0
+	}
+	return st.InProgress / st.Window, st.Wait
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -89,14 +89,16 @@
 // Entry is the clients' listener and the handler of their requests.
 type Entry struct {
 	*guard.Server
-	cfg      Config
-	latency  latencies
-	budgets  *budgets
-	valves   valves
-	lead     *lead.Lead
-	leaving  atomic.Bool
-	moving   atomic.Bool
-	inFlight atomic.Int64
+	cfg     Config
+	latency latencies
+	budgets *budgets
+	valves  valves
+	// admission replaces valves if the configuration has accounts.
+	admission *admission
+	lead      *lead.Lead
+	leaving   atomic.Bool
+	moving    atomic.Bool
+	inFlight  atomic.Int64
 	// forwarded counts those of inFlight that other VMs forwarded.
 	forwarded atomic.Int64
 	// routed counts the requests that matched a route, unserved those of them that were not
@@ -119,7 +121,7 @@
 
 // New creates the listener. Serve starts it.
 func New(cfg Config) *Entry {
-	en := &Entry{cfg: cfg, budgets: newBudgets(), lead: lead.New(lead.Config{})}
+	en := &Entry{cfg: cfg, budgets: newBudgets(), lead: lead.New(lead.Config{}), admission: newAdmission()}
 	en.ending, en.end = context.WithCancel(context.Background())
 	gc := guard.Config{
 		MaxBody:              maxBodyBytes,
@@ -280,9 +282,18 @@
 	return en.run(ctx, rq, rt, vw)
 }
 
-// run sends a request to servers unless the route's valve rejects it for lack of capacity.
+// run sends a request to servers unless it is refused for lack of capacity: by the admission if
+// the configuration has accounts, or else by the route's valve.
 func (en *Entry) run(ctx context.Context, rq *request, rt *route.Route, vw *plan.View) (*response, string) {
 	en.routed.Add(1)
+	if en.usesAdmission(vw) {
+		fl := en.newFlight(rq, rt, vw)
+		if rs := en.admit(ctx, fl); rs != nil {
+			return rs, fanout.OutcomeNotRun.String()
+		}
+		defer fl.endAdmission()
+		return en.execute(ctx, fl)
+	}
 	va := en.valves.forRoute(rt)
 	if !en.cfg.Off.Off(toggle.Valve) && !va.Admit(en.admitLevel(vw.Routes(), rt), rand.Float64()) {
 		rs := refusalResponse(consts.StatusServiceUnavailable, reasonNoRoom, "the servers have no room for more")
@@ -292,11 +303,18 @@
 		return rs, fanout.OutcomeNotRun.String()
 	}
 	fl := en.newFlight(rq, rt, vw)
+	rs, outcome := en.execute(ctx, fl)
+	va.Record(fl.lackedCapacity && fl.late)
+	return rs, outcome
+}
+
+// execute sends a request to servers and returns the response.
+func (en *Entry) execute(ctx context.Context, fl *flight) (*response, string) {
 	an := fl.run(ctx)
 	fl.reportArrival()
-	va.Record(fl.lackedCapacity && (an.Outcome != fanout.OutcomeServed || an.At > rq.began+rt.Target))
+	fl.late = an.Outcome != fanout.OutcomeServed || an.At > fl.rq.began+fl.rt.Target
 	rs := fl.response(an)
-	en.recordOutcome(an, rq)
+	en.recordOutcome(an, fl.rq)
 	fl.log(an, rs.status)
 	return rs, an.Outcome.String()
 }
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -52,6 +52,15 @@
 	head         []byte
 	machine      *fanout.Machine
 	hardDeadline time.Duration
+	// target is when the response has to be sent to arrive within the route's target; minParts is
+	// the least number of shards in it.
+	target   time.Duration
+	minParts int
+	// admittedAt is when the request was admitted with its cost; 0 without admission. late is set
+	// if it was answered after its target or not served.
+	admittedAt time.Duration
+	cost       float64
+	late       bool
 	// hedgeAfter is how long an attempt may take before a second server is asked.
 	hedgeAfter time.Duration
 	// firstSentAt is when the first attempts had been written.
@@ -86,10 +95,10 @@
 // newFlight prepares a request to be sent to servers.
 func (en *Entry) newFlight(rq *request, rt *route.Route, vw *plan.View) *flight {
 	fl := &flight{en: en, rq: rq, rt: rt, vw: vw, head: en.head(rq), latency: en.latency.forRoute(rt)}
-	minParts := 1
+	fl.minParts = 1
 	if rt.Gather != nil {
 		fl.services = rt.Gather.Shards
-		minParts = rt.Gather.MinParts()
+		fl.minParts = rt.Gather.MinParts()
 	} else if name, ok := rt.Draw(rand.Float64()); ok {
 		fl.services = []string{name}
 	}
@@ -102,6 +111,7 @@
 		overhead += forwardOverhead
 	}
 	fl.hardDeadline = rq.began + wait - overhead
+	fl.target = rq.began + rt.Target - overhead
 	fl.hedgeAfter = fl.latency.hedgeDelay(overhead)
 	hedgeAfter := fl.hedgeAfter
 	if en.cfg.Off.Off(toggle.Hedges) {
@@ -116,10 +126,10 @@
 	fl.mailbox = make(chan attemptResult, maxAttempts)
 	fl.machine = fanout.New(fanout.Config{
 		Shards:       len(fl.services),
-		MinParts:     minParts,
+		MinParts:     fl.minParts,
 		Idempotent:   rt.Idempotent,
 		MaxAttempts:  rt.MaxAttempts,
-		Target:       rq.began + rt.Target - overhead,
+		Target:       fl.target,
 		HardDeadline: fl.hardDeadline,
 		HedgeAfter:   hedgeAfter,
 		MinTimeLeft:  minAttemptTime,
@@ -156,6 +166,7 @@
 	// Later attempts are sent individually, so they need not prefer that data centre.
 	fl.joinFrom = nil
 	fl.firstSentAt = clock()
+	fl.recordSent()
 	if done {
 		return an
 	}
@@ -267,7 +278,7 @@
 		ID:        fl.rq.id,
 		Method:    fl.rq.method,
 		Raw:       en.message(fl.head, fl.rq, up, fl.hardDeadline-now),
-		Priority:  fl.rt.Priority,
+		Priority:  fl.rq.priority(fl.rt),
 		FreshConn: !fl.rt.Idempotent,
 		Done: func(rs relay.Result) {
 			ar := en.newAttemptResult(k, rs, gathered)
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"laburnumvane/core/acct"
 	"laburnumvane/core/poison"
 	"laburnumvane/io/guard"
 	"laburnumvane/io/wire"
@@ -37,6 +38,8 @@
 	// transitTime is how long the client waits outside this VM, before the request arrived and
 	// after the response was sent.
 	transitTime time.Duration
+	// account is the client account of the request; nil if it has none.
+	account *acct.Account
 	// forwarded is set if another VM forwarded the request.
 	forwarded bool
 	// suspect is set if servers crashed under this request before.
--- a/io/entry/waketimer.go
+++ b/io/entry/waketimer.go
@@ -35,6 +35,9 @@
 func (wt *wakeTimer) stop()  { wt.timer.Stop() }
 
 func (wt *wakeTimer) recordLateness() {
+	if wt.due > 0 {
+		wt.fl.recordTimer(wt.fl.en.cfg.Clock() - wt.due)
+	}
 	if wt.due > 0 && !wt.fl.en.cfg.Off.Off(toggle.Timers) {
 		wt.fl.en.lead.RecordLateness(wt.fl.en.cfg.Clock() - wt.due)
 	}
--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -87,6 +87,7 @@
 	replies := []string{"otherSnapshot", "wrongReply"}
 	limits := []string{
 		"deadlineTooClose", "waitTooLong", "queueFull", "teamQueueFull", "waited", "teamRate", "teamConcurrent", "callerGone",
+		"serversBusy", "accountShare", "vmBusy",
 	}
 	configFailures := []string{"noConfig", "unknownSearch", "noUpstreams"}
 	// Routed requests: reasons for incomplete answers, for refusals, and results of attempts.
