admit: waiting requests never exceed what can start in time

Change: what waits in excess of what can start in time loses its place, the last in order first; under lasting overload what can only be late is refused and never run; the time that this VM adds to the servers' is learnt by route, with its deviation; the least time until requests are sent is kept for ten seconds, since a value that rose with each observation took overload for normal.

--- a/core/admit/flow.go
+++ b/core/admit/flow.go
@@ -82,8 +82,12 @@
 	return fl.served.Value(ga.now, servedTime)*all < leastServed*ga.served.Value(ga.now, servedTime)*missed
 }
 
-// before reports whether requests of fl go before those of other.
+// before reports whether requests of fl go before those of other. What can only be late comes last
+// whatever its priority: otherwise it makes others late too.
 func (ga *Gate[W]) before(fl, other *flow[W]) bool {
+	if a, b := fl.inTime(ga.now), other.inTime(ga.now); a != b {
+		return a
+	}
 	if a, b := ga.neglected(fl), ga.neglected(other); a != b {
 		return a
 	}
@@ -121,6 +125,16 @@
 	return fl.queue[0]
 }
 
+// inTime reports whether an entry of the flow can still meet its target.
+func (fl *flow[W]) inTime(now time.Duration) bool {
+	for _, en := range fl.queue {
+		if en.targetBy > now {
+			return true
+		}
+	}
+	return false
+}
+
 func (fl *flow[W]) remove(en *Entry[W]) {
 	for i, other := range fl.queue {
 		if other == en {
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -19,10 +19,14 @@
 	// lastingAfter is how long requests must wait without interruption, or a route's servers be
 	// too slow for its target, until requests are accepted only if they can meet their target.
 	// Before that the deadline counts: a short surge is better answered late than refused.
-	lastingAfter = 100 * time.Millisecond
+	lastingAfter = 50 * time.Millisecond
 	// trialShare is the share of the requests refused for slow servers that is run all the same,
 	// so that this VM learns when the servers have recovered.
 	trialShare = 0.25
+	// localWeight is the divisor of the moving averages of local times.
+	localWeight = 16
+	// deviations is how many mean deviations are allowed for in the local time.
+	deviations = 2
 	// leastRateShare bounds what more urgent requests take off the rate of less urgent ones.
 	leastRateShare = 0.1
 	// ownShare: a request is refused for its account's own load if this share of what is ahead of
@@ -109,7 +113,9 @@
 	routes       map[string]*routeState
 	started      map[int]*pace.Sum
 	retry        retrySlots
-	grants       []Grant[W]
+	// trimmed lists the entries that were removed and have not got a Grant yet.
+	trimmed []*Entry[W]
+	grants  []Grant[W]
 }
 
 // routeState is what is known of the servers of a route.
@@ -118,6 +124,9 @@
 	slowSince time.Duration
 	// credit is the number of trials that are due.
 	credit float64
+	// local is how long requests took beyond the time of the servers, and deviation by how much
+	// that varies, both on average; local is 0 until one has ended.
+	local, deviation time.Duration
 }
 
 // NewGate returns a Gate without requests.
@@ -136,14 +145,14 @@
 }
 
 // Offer decides on a request. If it is queued, a later Grant contains waiter unless the request is
-// withdrawn.
+// withdrawn; Step must be called then, since another request may have lost its place.
 func (ga *Gate[W]) Offer(now time.Duration, ar Arrival, waiter W) Verdict[W] {
 	ga.advance(now)
 	ga.pace.Begin(ar.Cost)
 	fl := ga.flows.find(ga.now, flowKey{account: ar.Account, priority: ar.Priority})
 	fl.offered.Add(ga.now, servedTime, 1)
 	ga.offered.Add(ga.now, servedTime, 1)
-	need := ar.Servers + ga.localTime(ar.Cost)
+	need := ar.Servers + ga.localTime(ar)
 	if re := ga.tooSlow(ar, need); re != "" {
 		return ga.refuse(re, ar, 0)
 	}
@@ -168,17 +177,46 @@
 		return ga.refuse(re, ar, wait)
 	}
 	ga.enqueue(en)
+	if ga.trim(en, startBy-ga.now) {
+		return ga.refuse(ReasonWaitTooLong, ar, wait)
+	}
 	return Verdict[W]{Kind: Queued, Entry: en}
 }
 
+// trim removes what waits in excess of what can be started within a time: the newest requests of
+// the flows that come last. Otherwise requests that are overtaken would wait until they are late.
+// It reports whether the given entry is among them; the others get a Grant.
+func (ga *Gate[W]) trim(en *Entry[W], within time.Duration) bool {
+	for seconds((ga.queued()+max(0, ga.inProgress-ga.pace.Window()))/ga.pace.Rate()) > within && ga.count > 1 {
+		last := ga.waiting[0]
+		for _, fl := range ga.waiting[1:] {
+			if ga.before(last, fl) {
+				last = fl
+			}
+		}
+		out := last.queue[len(last.queue)-1]
+		ga.dequeue(out)
+		if out == en {
+			return true
+		}
+		ga.trimmed = append(ga.trimmed, out)
+	}
+	return false
+}
+
+// queued returns the cost that waits.
+func (ga *Gate[W]) queued() float64 {
+	sum := 0.0
+	for _, fl := range ga.waiting {
+		sum += fl.queued
+	}
+	return sum
+}
+
 // tooSlow returns why a request cannot be answered in time even if it starts at once; empty if it
 // can.
 func (ga *Gate[W]) tooSlow(ar Arrival, need time.Duration) Reason {
-	rs, ok := ga.routes[ar.Route]
-	if !ok {
-		rs = &routeState{}
-		ga.routes[ar.Route] = rs
-	}
+	rs := ga.route(ar.Route)
 	if ga.now+ar.Servers <= ar.Target {
 		rs.slowSince = 0
 	} else if rs.slowSince == 0 {
@@ -211,8 +249,20 @@
 }
 
 // localTime is how long this VM itself takes for a request.
-func (ga *Gate[W]) localTime(cost float64) time.Duration {
-	return ga.pace.Delay() + seconds(cost/ga.pace.Rate())
+func (ga *Gate[W]) localTime(ar Arrival) time.Duration {
+	if rs := ga.route(ar.Route); rs.local > 0 {
+		return rs.local + deviations*rs.deviation
+	}
+	return ga.pace.Delay() + seconds(ar.Cost/ga.pace.Rate())
+}
+
+func (ga *Gate[W]) route(name string) *routeState {
+	rs, ok := ga.routes[name]
+	if !ok {
+		rs = &routeState{}
+		ga.routes[name] = rs
+	}
+	return rs
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -297,17 +347,30 @@
 }
 
 // Sent records how long a started request took until its first sub-requests were written.
-func (ga *Gate[W]) Sent(cost float64, took time.Duration) { ga.pace.Sent(cost, took) }
+func (ga *Gate[W]) Sent(now time.Duration, cost float64, took time.Duration) {
+	ga.advance(now)
+	ga.pace.Sent(ga.now, cost, took)
+}
 
 // Late records how late a timer of this VM fired.
 func (ga *Gate[W]) Late(late time.Duration) { ga.pace.Late(late) }
 
 // Done ends a request that was started.
-func (ga *Gate[W]) Done(now time.Duration, cost float64, took time.Duration) {
+func (ga *Gate[W]) Done(now time.Duration, ar Arrival, took time.Duration) {
 	ga.advance(now)
-	limited := ga.count > 0 || ga.inProgress+cost > ga.pace.Window()
-	ga.inProgress = max(0, ga.inProgress-cost)
-	ga.pace.End(ga.now, cost, took, limited)
+	limited := ga.count > 0 || ga.inProgress+ar.Cost > ga.pace.Window()
+	ga.inProgress = max(0, ga.inProgress-ar.Cost)
+	ga.pace.End(ga.now, ar.Cost, took, limited)
+	ga.route(ar.Route).observe(max(1, took-ar.Servers))
+}
+
+// observe records how long a request took beyond the time of the servers.
+func (rs *routeState) observe(local time.Duration) {
+	if rs.local == 0 {
+		rs.local = local
+	}
+	rs.deviation += ((local - rs.local).Abs() - rs.deviation) / localWeight
+	rs.local += (local - rs.local) / localWeight
 }
 
 // Step returns the waiting requests that may start now and those that are refused because they
@@ -316,6 +379,10 @@
 	ga.advance(now)
 	clear(ga.grants)
 	ga.grants = ga.grants[:0]
+	for _, en := range ga.trimmed {
+		ga.refuseEntry(ReasonWaitTooLong, en)
+	}
+	ga.trimmed = ga.trimmed[:0]
 	for ga.count > 0 {
 		best := ga.waiting[0]
 		for _, fl := range ga.waiting[1:] {
@@ -324,10 +391,9 @@
 			}
 		}
 		en := best.next(ga.now)
-		if en.startBy <= ga.now {
+		if en.startBy <= ga.now || en.targetBy <= ga.now && ga.lasting() {
 			ga.dequeue(en)
-			vd := ga.refuse(ReasonQueueTimeout, en.ar, ga.wait(en.fl, en.ar))
-			ga.grants = append(ga.grants, Grant[W]{Waiter: en.waiter, Reason: vd.Reason, RetryAfter: vd.RetryAfter})
+			ga.refuseEntry(ReasonQueueTimeout, en)
 			continue
 		}
 		if !ga.hasRoom(en.ar.Cost) {
@@ -340,6 +406,11 @@
 	return ga.grants
 }
 
+func (ga *Gate[W]) refuseEntry(re Reason, en *Entry[W]) {
+	vd := ga.refuse(re, en.ar, ga.wait(en.fl, en.ar))
+	ga.grants = append(ga.grants, Grant[W]{Waiter: en.waiter, Reason: vd.Reason, RetryAfter: vd.RetryAfter})
+}
+
 func (ga *Gate[W]) refuse(re Reason, ar Arrival, wait time.Duration) Verdict[W] {
 	return Verdict[W]{Kind: Refused, Reason: re, RetryAfter: ga.retryAfter(ar, wait)}
 }
--- a/core/admit/retry.go
+++ b/core/admit/retry.go
@@ -57,17 +57,13 @@
 // State returns the state at a time.
 func (ga *Gate[W]) State(now time.Duration) State {
 	ga.advance(now)
-	queued := 0.0
-	for _, fl := range ga.waiting {
-		queued += fl.queued
-	}
 	st := State{
 		Waiting: ga.count, Accounts: len(ga.waiting), InProgress: ga.inProgress, Window: ga.pace.Window(),
 		Work: ga.pace.Work(ga.now), Delay: ga.pace.Delay(), Behind: ga.pace.Behind(),
 	}
 	if st.Window > 0 {
 		st.Rate = ga.pace.Rate()
-		st.Wait = seconds(queued / st.Rate)
+		st.Wait = seconds(ga.queued() / st.Rate)
 	}
 	return st
 }
--- a/core/pace/doc.go
+++ b/core/pace/doc.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	es := pace.New(pace.Config{})
-//	es.Sent(weight, sent-started)      // the first sub-requests were written
+//	es.Sent(now, weight, now-started)  // the first sub-requests were written
 //	es.Late(late)                      // a timer fired late
 //	es.End(now, weight, took, limited) // a request ended
 //	if inProgress+weight <= es.Window() { ... }
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -31,9 +31,11 @@
 	maxCut = 0.7
 	// maxWindow bounds the window, in multiples of the largest weight seen.
 	maxWindow = 1024
-	// leastRise is by how much the least time until sending rises with each observation, so that
-	// one early value does not stay for ever.
-	leastRise = 0.002
+	// maxAllowed bounds the allowed delay. Without it, a VM that is overloaded for long takes its
+	// delay for the time that it needs.
+	maxAllowed = 40 * time.Millisecond
+	// leastTime is for how long the least time until sending is kept, and at most twice as long.
+	leastTime = 10 * time.Second
 	// defaultTook is assumed as the duration of a request until one has ended.
 	defaultTook = 50 * time.Millisecond
 	// workTime is the time over which completed work is averaged.
@@ -53,11 +55,14 @@
 	largest float64
 	window  float64
 	// delay is the average delay of the run queue, took the average duration of a request
-	// weighted by its weight, leastSent the least time until a unit of weight was sent; all in
-	// nanoseconds.
-	delay, took, leastSent float64
-	cutAt                  time.Duration
-	work                   Sum
+	// weighted by its weight; both in nanoseconds.
+	delay, took float64
+	// least and earlier are the least time in nanoseconds until a unit of weight was sent, since
+	// leastSince and before; 0 if none was.
+	least, earlier float64
+	leastSince     time.Duration
+	cutAt          time.Duration
+	work           Sum
 }
 
 // New returns an Estimator that knows nothing yet.
@@ -88,13 +93,22 @@
 
 // Sent records how long it took from the start of a request until its first sub-requests were
 // written. What exceeds the least such time is delay.
-func (es *Estimator) Sent(weight float64, took time.Duration) {
-	unit := float64(took) / max(1, weight)
-	if es.leastSent == 0 || unit < es.leastSent {
-		es.leastSent = unit
+func (es *Estimator) Sent(now time.Duration, weight float64, took time.Duration) {
+	if now-es.leastSince >= leastTime {
+		es.least, es.earlier, es.leastSince = 0, es.least, now
 	}
-	es.observeDelay(float64(took) - es.leastSent*weight)
-	es.leastSent *= 1 + leastRise
+	if unit := float64(took) / max(1, weight); es.least == 0 || unit < es.least {
+		es.least = unit
+	}
+	es.observeDelay(float64(took) - es.leastSent()*weight)
+}
+
+// leastSent returns the least time until a unit of weight was sent lately, in nanoseconds.
+func (es *Estimator) leastSent() float64 {
+	if es.earlier == 0 || es.least == 0 {
+		return max(es.least, es.earlier)
+	}
+	return min(es.least, es.earlier)
 }
 
 // Late records how late a timer fired.
@@ -106,7 +120,7 @@
 
 // allowed returns the allowed delay in nanoseconds.
 func (es *Estimator) allowed() float64 {
-	return max(float64(es.cfg.Delay), sentFactor*es.leastSent*es.largest)
+	return max(float64(es.cfg.Delay), min(sentFactor*es.leastSent()*es.largest, float64(maxAllowed)))
 }
 
 // End records the end of a request. Limited is set if requests wait for the window.
--- a/io/entry/admission.go
+++ b/io/entry/admission.go
@@ -68,9 +68,8 @@
 	ad, now := en.admission, en.cfg.Clock()
 	ar := fl.arrival(now)
 	ready := make(chan admitVerdict, 1)
-	ad.mu.Lock()
-	vd := ad.gate.Offer(now, ar, ready)
-	ad.mu.Unlock()
+	var vd admit.Verdict[chan admitVerdict]
+	ad.update(now, func(ga *admit.Gate[chan admitVerdict]) { vd = ga.Offer(now, ar, ready) })
 	switch vd.Kind {
 	case admit.Refused:
 		return en.refuseAdmission(fl, ar, vd.Reason, vd.RetryAfter)
@@ -80,7 +79,7 @@
 		}
 		en.cfg.Meter.Observe(meter.QueueLatency, en.cfg.Clock()-now)
 	}
-	fl.admittedAt, fl.cost = en.cfg.Clock(), ar.Cost
+	fl.admittedAt, fl.arrived = en.cfg.Clock(), ar
 	return nil
 }
 
@@ -154,7 +153,7 @@
 	ad := fl.en.admission
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	ad.gate.Sent(fl.cost, fl.firstSentAt-fl.admittedAt)
+	ad.gate.Sent(fl.firstSentAt, fl.arrived.Cost, fl.firstSentAt-fl.admittedAt)
 }
 
 // recordTimer records how late a timer fired.
@@ -172,7 +171,7 @@
 func (fl *flight) endAdmission() {
 	now := fl.en.cfg.Clock()
 	fl.en.admission.update(now, func(ga *admit.Gate[chan admitVerdict]) {
-		ga.Done(now, fl.cost, now-fl.admittedAt)
+		ga.Done(now, fl.arrived, now-fl.admittedAt)
 	})
 }
 
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"laburnumvane/core/admit"
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
@@ -56,10 +57,10 @@
 	// the least number of shards in it.
 	target   time.Duration
 	minParts int
-	// admittedAt is when the request was admitted with its cost; 0 without admission. late is set
-	// if it was answered after its target or not served.
+	// admittedAt is when the request was admitted as arrived describes it; 0 without admission.
+	// late is set if it was answered after its target or not served.
 	admittedAt time.Duration
-	cost       float64
+	arrived    admit.Arrival
 	late       bool
 	// hedgeAfter is how long an attempt may take before a second server is asked.
 	hedgeAfter time.Duration
