--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -19,7 +19,11 @@
 	// lastingAfter is how long requests must wait without interruption, or a route's servers be
 	// too slow for its target, until requests are accepted only if they can meet their target.
 	// Before that the deadline counts: a short surge is better answered late than refused.
-	lastingAfter = 50 * time.Millisecond
+	lastingAfter = 95 * time.Millisecond
+	// lastingAtMost is the same whatever arrives. demandTime is the time over which the cost of
+	// what arrives is averaged.
+	lastingAtMost = 500 * time.Millisecond
+	demandTime    = time.Second
 	// trialShare is the share of the requests refused for slow servers that is run all the same,
 	// so that this VM learns when the servers have recovered.
 	trialShare = 0.25
@@ -108,6 +112,8 @@
 	// inProgress is the cost that was started and has not ended.
 	inProgress      float64
 	offered, served pace.Sum
+	// demand is the cost of what arrived lately.
+	demand pace.Sum
 	// backlogSince is since when requests have waited without interruption.
 	backlogSince time.Duration
 	routes       map[string]*routeState
@@ -152,6 +158,7 @@
 	fl := ga.flows.find(ga.now, flowKey{account: ar.Account, priority: ar.Priority})
 	fl.offered.Add(ga.now, servedTime, 1)
 	ga.offered.Add(ga.now, servedTime, 1)
+	ga.demand.Add(ga.now, demandTime, ar.Cost)
 	need := ar.Servers + ga.localTime(ar)
 	if re := ga.tooSlow(ar, need); re != "" {
 		return ga.refuse(re, ar, 0)
@@ -288,9 +295,15 @@
 	return seconds((ga.costAhead(fl) + over) / rate)
 }
 
-// lasting reports whether requests have waited without interruption for long.
+// lasting reports whether an overload lasts: requests have waited without interruption for some
+// time, the less the more arrives beyond what this VM can do. A backlog alone also forms by chance below the
+// capacity, and is gone sooner than new requests would be late.
 func (ga *Gate[W]) lasting() bool {
-	return ga.count > 0 && ga.now-ga.backlogSince >= lastingAfter
+	if ga.count == 0 {
+		return false
+	}
+	backlog, excess := ga.now-ga.backlogSince, ga.demand.Rate(ga.now, demandTime)/ga.pace.Rate()
+	return backlog >= lastingAtMost || excess > 1 && float64(backlog)*excess*excess >= float64(lastingAfter)
 }
 
 func (ga *Gate[W]) start(fl *flow[W], ar Arrival) {
--- /dev/null
+++ b/core/admit/gate_test.go
@@ -0,0 +1,170 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/core/admit"
+	"laburnumvane/core/fanout"
+	"laburnumvane/core/origin"
+	"laburnumvane/core/steer"
+)
+
+const gateTarget, gateDeadline = 100 * time.Millisecond, 400 * time.Millisecond
+
+func arrivalAt(now time.Duration, account string) admit.Arrival {
+	return admit.Arrival{
+		Account: account, Route: "search", Cost: 36, Bytes: 1000, Servers: 20 * time.Millisecond,
+		Target: now + gateTarget, Deadline: now + gateDeadline,
+	}
+}
+
+// fillGate starts requests until one has to wait.
+func fillGate(ga *admit.Gate[int], now time.Duration) (started int, waiting admit.Verdict[int]) {
+	for i := range 1000 {
+		vd := ga.Offer(now, arrivalAt(now, fmt.Sprint("account", i%100)), i)
+		if vd.Kind != admit.Admitted {
+			return started, vd
+		}
+		started++
+	}
+	return started, admit.Verdict[int]{}
+}
+
+func TestGateRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		cfg    admit.GateConfig
+		before int
+		change func(ar *admit.Arrival)
+		want   admit.Reason
+	}{
+		{name: "no time is left", change: func(ar *admit.Arrival) { ar.Deadline = 0 }, want: admit.ReasonDeadlineTooClose},
+		{name: "servers are slower than the deadline", change: func(ar *admit.Arrival) { ar.Servers = time.Second }, want: admit.ReasonServers},
+		{name: "too many wait", cfg: admit.GateConfig{MaxWaiting: 4}, before: 4, want: admit.ReasonQueueFull},
+		{name: "too many bytes wait", cfg: admit.GateConfig{MaxBytes: 2500}, before: 2, want: admit.ReasonQueueFull},
+		{name: "too many of the account wait", cfg: admit.GateConfig{MaxWaiting: 8}, before: 2, want: admit.ReasonTeamQueueFull},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ga := admit.NewGate[int](tc.cfg)
+			if tc.before > 0 {
+				_, vd := fillGate(ga, 0)
+				is.Equal(vd.Kind, admit.Queued)
+				is.True(ga.Withdraw(0, vd.Entry))
+			}
+			account := "one"
+			for i := range tc.before {
+				if tc.want == admit.ReasonQueueFull {
+					account = fmt.Sprint("other", i)
+				}
+				is.Equal(ga.Offer(0, arrivalAt(0, account), 0).Kind, admit.Queued)
+			}
+			ar := arrivalAt(0, account)
+			if tc.want == admit.ReasonQueueFull {
+				ar.Account = "new"
+			}
+			if tc.change != nil {
+				tc.change(&ar)
+			}
+			vd := ga.Offer(0, ar, 0)
+			is.Equal(vd.Kind, admit.Refused)
+			is.Equal(vd.Reason, tc.want)
+			is.True(vd.RetryAfter > 0)
+		})
+	}
+}
+
+// A client that disconnects leaves the queue, and its place goes to the next.
+func TestGateWithdraw(t *testing.T) {
+	is := is.New(t)
+	ga := admit.NewGate[int](admit.GateConfig{})
+	_, first := fillGate(ga, 0)
+	second := ga.Offer(0, arrivalAt(0, "late"), 7)
+	is.Equal(second.Kind, admit.Queued)
+	is.True(ga.Withdraw(time.Millisecond, first.Entry))
+	is.True(!ga.Withdraw(time.Millisecond, first.Entry)) // it has left already
+	ga.Done(20*time.Millisecond, arrivalAt(0, "account0"), 20*time.Millisecond)
+	grants := ga.Step(20 * time.Millisecond)
+	is.Equal(len(grants), 1)
+	is.Equal(grants[0].Waiter, 7)
+	is.True(grants[0].Start)
+	is.Equal(ga.State(20*time.Millisecond).Waiting, 0)
+}
+
+// Each of 20,000 accounts sends a few requests and stops. The memory must be bounded while they
+// send, and nothing remain after that.
+func TestGateForgetsAccounts(t *testing.T) {
+	is := is.New(t)
+	ga := admit.NewGate[int](admit.GateConfig{})
+	now := time.Duration(0)
+	for i := range 60_000 {
+		now += 100 * time.Microsecond
+		ar := arrivalAt(now, fmt.Sprint("account", i%20_000))
+		if vd := ga.Offer(now, ar, i); vd.Kind == admit.Admitted {
+			ga.Done(now, ar, time.Millisecond)
+		}
+		is.True(ga.State(now).Kept <= 4096)
+	}
+	for range 3 {
+		now += 11 * time.Second
+		ga.Offer(now, arrivalAt(now, "last"), 0)
+	}
+	is.Equal(ga.State(now).Kept, 1)
+}
+
+// One of 36 shards is at a third of its speed. Admission must go on while the least coverage can be
+// met without it, and stop, but for a few trials, if it cannot. Load: a tenth of the capacity.
+func TestReplaySlowShard(t *testing.T) {
+	const usual, target = 10 * time.Millisecond, 25 * time.Millisecond
+	for _, tc := range []struct {
+		minParts    int
+		least, most float64
+	}{{35, 1, 1}, {36, 0.2, 0.35}} {
+		is := is.New(t)
+		tb := steer.New(steer.Config{DataCentre: "east"})
+		ga := admit.NewGate[int](admit.GateConfig{})
+		shards := make([][]*origin.Upstream, 36)
+		for i := range shards {
+			id := fmt.Sprint("server", i)
+			shards[i] = []*origin.Upstream{{ID: id, Addr: id, DataCentre: "east"}}
+		}
+		admitted, offered := 0, 0
+		for now := time.Second; now < 5*time.Second; now += 60 * time.Millisecond {
+			for i, ups := range shards {
+				took := usual
+				if i == 0 {
+					took *= 3
+				}
+				tb.Begin(now-took, usual, ups[0].Process())
+				tb.End(now, ups[0].Process(), steer.Result{Verdict: fanout.Served, Latency: took, UsualLatency: usual})
+			}
+			servers, enough := tb.Coverage(now, usual, shards, tc.minParts)
+			is.True(enough)
+			ar := arrivalAt(now, "one")
+			ar.Servers, ar.Target = servers, now+target
+			vd := ga.Offer(now, ar, 0)
+			if now < 2*time.Second {
+				// The slowness is not known yet.
+				if vd.Kind == admit.Admitted {
+					ga.Done(now, ar, servers)
+				}
+				continue
+			}
+			offered++
+			if vd.Kind == admit.Admitted {
+				admitted++
+				ga.Done(now, ar, servers)
+			} else {
+				is.Equal(vd.Reason, admit.ReasonServers)
+			}
+		}
+		share := float64(admitted) / float64(offered)
+		t.Logf("least coverage %d of 36: admitted %.2f", tc.minParts, share)
+		is.True(share >= tc.least && share <= tc.most)
+	}
+}
--- a/core/admit/retry.go
+++ b/core/admit/retry.go
@@ -6,8 +6,12 @@
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a Gate before its jitter.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
+	// retryJitter is by how much a Retry-After varies in both directions; fullLeast is the least
+	// share of maxRetryAfter that is given once there are more retries than fit into that time.
+	retryJitter = 0.1
+	fullLeast   = 0.2
 	// minSpare is the least share of the capacity that is assumed to be left for retries.
-	minSpare = 0.1
+	minSpare = 0.25
 )
 
 // retrySlots spreads the retries of refused requests over the time needed to serve them.
@@ -25,10 +29,15 @@
 	spare := max(rate-ga.startedRate(), minSpare*rate)
 	rt := &ga.retry
 	rt.next = max(rt.next, ga.now+max(wait, minRetryAfter)) + seconds(ar.Cost/spare)
-	rt.next = min(rt.next, ga.now+maxRetryAfter)
 	const goldenStep = 2654435769 // steps of the golden ratio spread successive values evenly
 	rt.jitter += goldenStep
-	return time.Duration((0.9 + 0.2*float64(rt.jitter)/(1<<32)) * float64(rt.next-ga.now))
+	draw := float64(rt.jitter) / (1 << 32)
+	if last := ga.now + maxRetryAfter; rt.next > last {
+		// All slots are taken: further retries are spread over them.
+		rt.next = last
+		return time.Duration((fullLeast + (1-fullLeast)*draw) * float64(maxRetryAfter))
+	}
+	return time.Duration((1 - retryJitter + 2*retryJitter*draw) * float64(rt.next-ga.now))
 }
 
 // startedRate is the cost that was started lately per second.
@@ -44,6 +53,8 @@
 type State struct {
 	// Waiting counts requests and Accounts those accounts that have some waiting.
 	Waiting, Accounts int
+	// Kept counts the accounts that had requests lately, by priority.
+	Kept int
 	// InProgress and Window are costs; Rate and Work costs per second: what this VM can do, and
 	// what it completed.
 	InProgress, Window, Rate, Work float64
@@ -58,7 +69,7 @@
 func (ga *Gate[W]) State(now time.Duration) State {
 	ga.advance(now)
 	st := State{
-		Waiting: ga.count, Accounts: len(ga.waiting), InProgress: ga.inProgress, Window: ga.pace.Window(),
+		Waiting: ga.count, Accounts: len(ga.waiting), Kept: ga.flows.size(), InProgress: ga.inProgress, Window: ga.pace.Window(),
 		Work: ga.pace.Work(ga.now), Delay: ga.pace.Delay(), Behind: ga.pace.Behind(),
 	}
 	if st.Window > 0 {
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -8,7 +8,7 @@
 // Defaults of a Config.
 const (
 	// DefaultDelay is the delay of the run queue that is allowed: a tenth of the usual targets.
-	DefaultDelay = 12 * time.Millisecond
+	DefaultDelay = 8 * time.Millisecond
 	// DefaultInitial and DefaultLeast are the window at the start and the smallest one, in
 	// multiples of the largest weight seen.
 	DefaultInitial = 8
@@ -16,9 +16,10 @@
 )
 
 const (
-	// sentFactor: the time that this VM itself needs to send the largest request, times this, is
-	// allowed as delay too. On a seventh of a core one gather takes 20 ms to send.
-	sentFactor = 2
+	// workShare: this share of the time that this VM needs for the largest request is allowed as
+	// delay too. With less, a VM that needs 20 ms has so few requests in progress that it is idle
+	// while they wait for servers.
+	workShare = 0.7
 	// delayWeight and tookWeight are the weights of a new observation in the averages.
 	delayWeight = 0.1
 	tookWeight  = 0.1
@@ -31,9 +32,8 @@
 	maxCut = 0.7
 	// maxWindow bounds the window, in multiples of the largest weight seen.
 	maxWindow = 1024
-	// maxAllowed bounds the allowed delay. Without it, a VM that is overloaded for long takes its
-	// delay for the time that it needs.
-	maxAllowed = 40 * time.Millisecond
+	// maxAllowed bounds the allowed delay.
+	maxAllowed = 15 * time.Millisecond
 	// leastTime is for how long the least time until sending is kept, and at most twice as long.
 	leastTime = 10 * time.Second
 	// defaultTook is assumed as the duration of a request until one has ended.
@@ -120,7 +120,10 @@
 
 // allowed returns the allowed delay in nanoseconds.
 func (es *Estimator) allowed() float64 {
-	return max(float64(es.cfg.Delay), min(sentFactor*es.leastSent()*es.largest, float64(maxAllowed)))
+	if es.window == 0 {
+		return float64(es.cfg.Delay)
+	}
+	return max(float64(es.cfg.Delay), min(workShare*es.largest/es.Rate()*float64(time.Second), float64(maxAllowed)))
 }
 
 // End records the end of a request. Limited is set if requests wait for the window.
