--- a/core/toggle/toggle.go
+++ b/core/toggle/toggle.go
@@ -68,6 +68,8 @@
 	Checks
 	// Placement uses the load that other VMs report, and compares it with this VM's own.
 	Placement
+	// Admission lets requests wait, or refuses them, by the capacity of this VM and by account.
+	Admission
 
 	count
 )
@@ -76,7 +78,7 @@
 var names = [count]string{ //nolint:gochecknoglobals // a constant list
 	"hedges", "windows", "moves", "newest", "valve", "homes", "joins",
 	"cuts", "proofs", "trips", "timers", "pauses", "slowness", "failures", "nearness", "warnings", "absence", "asks", "loads", "checks",
-	"placement",
+	"placement", "admission",
 }
 
 // String returns the name in settings, logs and metrics.
