--- a/io/entry/account_test.go
+++ b/io/entry/account_test.go
@@ -16,6 +16,7 @@
 
 	"laburnumvane/core/acct"
 	"laburnumvane/core/fanout"
+	"laburnumvane/core/gauge"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
 	"laburnumvane/core/poison"
@@ -88,7 +89,7 @@
 		Clock: func() time.Duration { return time.Since(began) }, View: func() *plan.View { return vw },
 		Relay: re, Steer: steer.New(steer.Config{DataCentre: "east"}), WarmUp: warmup.New(), Poison: poison.New(),
 		CopyAge: func() time.Duration { return 0 }, Keys: acct.Policy{StaleAfter: time.Second},
-		Meter: meter.New(), Log: &log.Logger{Writer: &log.IOWriter{Writer: lines}},
+		Meter: meter.New(), Log: &log.Logger{Writer: &log.IOWriter{Writer: lines}}, Gauge: gauge.New(gauge.Config{}),
 	})
 }
 
