relay: a connection that carried a status check does not count as rejected

Cause: a new connection that closes unused within 500 ms was rejected by a server at its connection limit, and no other is opened for 200 ms.

Change: a connection remembers whether a request was sent on it.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -50,6 +50,8 @@
 	// current or, while idle, of the previous request.
 	call   *Call
 	lastID string
+	// used is set once a request has been sent on the connection.
+	used bool
 	// written is closed once the current request is completely written.
 	written chan struct{}
 	closed  bool
@@ -78,7 +80,7 @@
 		cn.sv.resend(ca)
 		return
 	}
-	cn.call, cn.lastID = ca, ca.rq.ID
+	cn.call, cn.lastID, cn.used = ca, ca.rq.ID, true
 	written := make(chan struct{})
 	cn.written = written
 	cn.mu.Unlock()
@@ -292,7 +294,7 @@
 func (cn *conn) wasRejected(now time.Duration) bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	return cn.lastID == "" && now-cn.opened < maxFreshIdle
+	return !cn.used && now-cn.opened < maxFreshIdle
 }
 
 func (cn *conn) isClosed() bool {
