steer, entry: a request that may run only once waits for late status responses

Cause: the status check of three servers ended after 25 ms. A report of slowness also lost its weight while the check went on, so that a slow server could count as ready.

Change: steer.Check decides how long to wait and which server is preferred. If no server is ready within the brief time, it asks up to three further ones and waits until a server is ready, at most until the request needs twice its usual latency to meet its target. Servers that responded, to the check or of late, are preferred to those that did not. Responses after the end of a check are recorded too. Nothing is sent if the client leaves or the VM ends during the check.

TestLateStatusIsAwaited (status responses after 60 ms) fails in all three cases before the change.

--- a/core/steer/load.go
+++ b/core/steer/load.go
@@ -42,6 +42,7 @@
 	defer tb.mu.Unlock()
 	tb.reportsLoad[up.Service] = true
 	st := tb.statsOf(up.Process())
+	st.heardAt = now
 	previous := st.report
 	st.report = loadReport{load: lo, at: now, slowSince: now}
 	if lo.Slowdown < slowThreshold {
@@ -86,23 +87,27 @@
 	return st.report.load, now - st.report.at, true
 }
 
-// FilterReady returns the servers that, by recent reports, are not slow and have a free slot. If
-// there are none, it returns those that are not slow but have a queue.
-func (tb *Table) FilterReady(now time.Duration, ups []*origin.Upstream) (ready []*origin.Upstream) {
+// readiness is what the last load report of a server says about one more request.
+type readiness uint8
+
+const (
+	// notReady: the server is slow, or has not reported its load.
+	notReady readiness = iota
+	// queued: it is not slow, but the request would have to wait.
+	queued
+	// ready: it is not slow and has a free slot.
+	ready
+)
+
+// readiness returns the readiness of a server that has just reported its load.
+func (tb *Table) readiness(now time.Duration, up *origin.Upstream) readiness {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	var queued []*origin.Upstream
-	for _, up := range ups {
-		st, seen := tb.stats[up.Process()]
-		switch {
-		case !seen || st.report.currentPace(now) >= slowThreshold:
-		case st.report.queueWait(now) > 0:
-			queued = append(queued, up)
-		default:
-			ready = append(ready, up)
-		}
-	}
-	if len(ready) == 0 {
+	st, seen := tb.stats[up.Process()]
+	switch {
+	case !seen || st.report.currentPace(now) >= slowThreshold:
+		return notReady
+	case st.report.queueWait(now) > 0:
 		return queued
 	}
 	return ready
--- a/core/steer/once_test.go
+++ b/core/steer/once_test.go
@@ -104,12 +104,18 @@
 			up, _ := tb.Pick(sm.now, ki, sm.servers, asked, sm.rnd.Float64)
 			asked = append(asked, up)
 		}
+		ck := steer.NewCheck(sm.now, steer.CheckConfig{Table: tb, Asked: asked, Brief: 25 * ms, UsualLatency: onceUsual, Deadline: sm.now + onceTarget})
 		for _, up := range asked {
 			tb.RecordLoad(sm.now, up, steer.Load{Running: 1, Slots: 6, Slowdown: sm.pace(sm.index(up))}, 0)
+			ck.Answered(sm.now, up)
 		}
-		up, ok := tb.Pick(sm.now, ki, tb.FilterReady(sm.now, asked), nil, sm.rnd.Float64)
-		if !ok {
-			up, _ = tb.Pick(sm.now, ki, sm.servers, asked, sm.rnd.Float64)
+		groups := [][]*origin.Upstream{sm.servers}
+		if sm.askLoad {
+			groups = ck.Rank(sm.servers)
+		}
+		var up *origin.Upstream
+		for n, ok := 0, false; !ok; n++ {
+			up, ok = tb.Pick(sm.now, ki, groups[n], nil, sm.rnd.Float64)
 		}
 		took := time.Duration(float64(onceUsual) * math.Exp(0.4*sm.rnd.NormFloat64()))
 		if n := sm.index(up); n%6 == 0 && sm.now > 5*time.Second && sm.now < 13*time.Second {
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -238,6 +238,10 @@
 	}
 	st.inFlight = max(0, st.inFlight-1)
 	switch rs.Verdict {
+	case fanout.Served, fanout.Failed, fanout.Refused:
+		st.heardAt = now
+	}
+	switch rs.Verdict {
 	case fanout.Served:
 		if !tb.cfg.Off.Off(toggle.Slowness) {
 			st.recordLatency(now, rs)
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -22,10 +22,7 @@
 			return up, true
 		}
 	}
-	if up, ok := fl.pickReady(now, pr, warm); ok {
-		return up, true
-	}
-	if up, ok := fl.pick(now, pr.Shard, warm, pr.Tried); ok || !pr.First || len(cold) == 0 {
+	if up, ok := fl.pickWarm(now, pr, warm); ok || !pr.First || len(cold) == 0 {
 		return up, ok
 	}
 	return fl.pickCold(now, pr, cold)
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -52,6 +52,8 @@
 	head         []byte
 	machine      *fanout.Machine
 	hardDeadline time.Duration
+	// targetTime is when the response has to leave to meet the target.
+	targetTime time.Duration
 	// hedgeAfter is how long an attempt may take before a second server is asked.
 	hedgeAfter time.Duration
 	// firstSentAt is when the first attempts had been written.
@@ -75,9 +77,8 @@
 	// lackedCapacity is set if a retry that was needed had no token, or an attempt waited too
 	// long here for a connection.
 	lackedCapacity bool
-	// ready lists the servers that reported in a status check just now that they can accept a
-	// request, notReady those that were checked and did not.
-	ready, notReady []*origin.Upstream
+	// check is the status check of servers before the request is sent; nil if there is none.
+	check *steer.Check
 	// onlyColdLeft is set if the only servers left of a shard were ones that are warming up.
 	onlyColdLeft bool
 	results      []attemptResult
@@ -102,6 +103,7 @@
 		overhead += forwardOverhead
 	}
 	fl.hardDeadline = rq.began + wait - overhead
+	fl.targetTime = rq.began + rt.Target - overhead
 	fl.hedgeAfter = fl.latency.hedgeDelay(overhead)
 	hedgeAfter := fl.hedgeAfter
 	if en.cfg.Off.Off(toggle.Hedges) {
@@ -119,7 +121,7 @@
 		MinParts:     minParts,
 		Idempotent:   rt.Idempotent,
 		MaxAttempts:  rt.MaxAttempts,
-		Target:       rq.began + rt.Target - overhead,
+		Target:       fl.targetTime,
 		HardDeadline: fl.hardDeadline,
 		HedgeAfter:   hedgeAfter,
 		MinTimeLeft:  minAttemptTime,
@@ -152,7 +154,7 @@
 	}
 	fl.planJoins(clock())
 	fl.checkStatus(clock())
-	an, done := fl.perform(fl.machine.Start(clock()))
+	an, done := fl.perform(fl.start())
 	// Later attempts are sent individually, so they need not prefer that data centre.
 	fl.joinFrom = nil
 	fl.firstSentAt = clock()
@@ -191,6 +193,19 @@
 	}
 }
 
+// start returns the machine's first actions. If the client left or this VM began to end during the
+// status check, nothing is sent.
+func (fl *flight) start() []fanout.Action {
+	now := fl.en.cfg.Clock()
+	switch {
+	case fl.check != nil && fl.ctx.Err() != nil:
+		return fl.machine.Step(now, fanout.Event{Kind: fanout.EvClientGone})
+	case fl.check != nil && fl.en.ending.Err() != nil:
+		now = fl.hardDeadline
+	}
+	return fl.machine.Start(now)
+}
+
 // dropQueued cancels the attempts that have waited here for a connection for hedgeAfter, the
 // time that a server is given to respond. They have caused no work yet, and another server may
 // have capacity.
--- a/io/entry/status.go
+++ b/io/entry/status.go
@@ -6,6 +6,7 @@
 
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
+	"laburnumvane/core/steer"
 	"laburnumvane/core/toggle"
 	"laburnumvane/io/meter"
 	"laburnumvane/io/relay"
@@ -41,85 +42,121 @@
 	if reports, known := en.cfg.Steer.ReportsLoad(sv.Name); known && !reports {
 		return
 	}
+	candidates := fl.statusCandidates(now, nil)
+	if len(candidates) < 2 {
+		return
+	}
+	fl.check = steer.NewCheck(now, steer.CheckConfig{
+		Table:        en.cfg.Steer,
+		Asked:        candidates,
+		Brief:        min(statusCheckTimeout, time.Duration(statusCheckShare*float64(fl.rt.Target))),
+		UsualLatency: fl.latency.usualLatency(),
+		Deadline:     min(fl.targetTime, fl.hardDeadline),
+	})
+	fl.awaitStatus(sv.StatusPath)
+}
+
+// statusResult is the result of one status check.
+type statusResult struct {
+	up    *origin.Upstream
+	valid bool
+}
+
+// awaitStatus asks servers for their status until the check is done.
+func (fl *flight) awaitStatus(path string) {
+	en, ck := fl.en, fl.check
+	results := make(chan statusResult, 2*maxStatusChecks)
+	calls := en.askStatus(ck.Asked(), path, results)
+	defer func() {
+		for _, ca := range calls {
+			ca.Drop(unneededLinger)
+		}
+	}()
+	tm := time.NewTimer(0)
+	defer tm.Stop()
+	for {
+		now := en.cfg.Clock()
+		step, wake := ck.Next(now)
+		switch step {
+		case steer.CheckDone:
+			return
+		case steer.CheckMore:
+			more := fl.statusCandidates(now, ck.Asked())
+			ck.Ask(more)
+			calls = append(calls, en.askStatus(more, path, results)...)
+			continue
+		case steer.CheckWait:
+			tm.Reset(wake - now)
+		}
+		select {
+		case sr := <-results:
+			if sr.valid {
+				ck.Answered(en.cfg.Clock(), sr.up)
+			} else {
+				ck.Failed()
+			}
+		case <-tm.C:
+		case <-fl.ctx.Done():
+			return
+		case <-en.ending.Done():
+			return
+		}
+	}
+}
+
+// statusCandidates returns the best servers that have not been asked, at most maxStatusChecks.
+func (fl *flight) statusCandidates(now time.Duration, asked []*origin.Upstream) []*origin.Upstream {
 	warm, _ := fl.warmAndCold(now, 0)
 	var candidates []*origin.Upstream
 	for len(candidates) < maxStatusChecks {
-		up, ok := fl.pick(now, 0, warm, candidates)
+		up, ok := fl.pick(now, 0, warm, slices.Concat(asked, candidates))
 		if !ok {
 			break
 		}
 		candidates = append(candidates, up)
 	}
-	if len(candidates) < 2 {
-		return
-	}
-	answered := en.askStatus(candidates, sv.StatusPath, min(statusCheckTimeout, time.Duration(statusCheckShare*float64(fl.rt.Target))))
-	fl.ready = en.cfg.Steer.FilterReady(en.cfg.Clock(), answered)
-	if len(answered) > 0 {
-		// If none responds, this VM itself may be slow.
-		fl.notReady = slices.DeleteFunc(candidates, func(up *origin.Upstream) bool { return slices.Contains(fl.ready, up) })
-	}
+	return candidates
 }
 
-// pickReady chooses a server that reported that it is ready, or else one that was not asked.
-func (fl *flight) pickReady(now time.Duration, pr fanout.PickRequest, warm []*origin.Upstream) (*origin.Upstream, bool) {
-	if !pr.First || len(fl.ready)+len(fl.notReady) == 0 {
-		return nil, false
+// pickWarm chooses a server, after a status check by what that showed.
+func (fl *flight) pickWarm(now time.Duration, pr fanout.PickRequest, warm []*origin.Upstream) (*origin.Upstream, bool) {
+	if fl.check == nil {
+		return fl.pick(now, pr.Shard, warm, pr.Tried)
 	}
-	if up, ok := fl.pick(now, pr.Shard, fl.ready, pr.Tried); ok && up.Accepting() {
-		return up, true
+	for _, ups := range fl.check.Rank(warm) {
+		if up, ok := fl.pick(now, pr.Shard, ups, pr.Tried); ok {
+			return up, true
+		}
 	}
-	return fl.pick(now, pr.Shard, warm, slices.Concat(fl.notReady, pr.Tried))
-}
-
-// statusResult is the result of one status check.
-type statusResult struct {
-	up *origin.Upstream
-	rs relay.Result
+	return nil, false
 }
 
-// askStatus asks servers for their status and returns those whose valid response arrived within
-// the given time.
-func (en *Entry) askStatus(ups []*origin.Upstream, path string, wait time.Duration) (answered []*origin.Upstream) {
-	results := make(chan statusResult, len(ups))
+// askStatus asks servers for their status. A response is recorded whenever it arrives, because a
+// late one also shows that its server responds.
+func (en *Entry) askStatus(ups []*origin.Upstream, path string, results chan<- statusResult) []*relay.Call {
 	calls := make([]*relay.Call, len(ups))
 	for i, up := range ups {
 		en.cfg.Meter.Count(meter.Sent, "check")
 		calls[i] = en.cfg.Relay.Send(up, relay.Request{
 			Method: consts.MethodGet,
 			Raw:    []byte("GET " + path + " HTTP/1.1\r\nHost: " + up.Addr + "\r\n\r\n"),
-			Done:   func(rs relay.Result) { results <- statusResult{up: up, rs: rs} },
+			Done:   func(rs relay.Result) { results <- statusResult{up: up, valid: en.recordStatus(up, rs)} },
 		})
 	}
-	tm := time.NewTimer(wait)
-	defer tm.Stop()
-	for range ups {
-		select {
-		case sr := <-results:
-			if en.recordStatus(sr) {
-				answered = append(answered, sr.up)
-			}
-		case <-tm.C:
-			for _, ca := range calls {
-				ca.Drop(unneededLinger)
-			}
-			return answered
-		}
-	}
-	return answered
+	return calls
 }
 
 // recordStatus records a server's status and reports whether the response is valid.
-func (en *Entry) recordStatus(sr statusResult) bool {
-	if sr.rs.Err != nil || sr.rs.Reply.Status != consts.StatusOK {
+func (en *Entry) recordStatus(up *origin.Upstream, rs relay.Result) bool {
+	if rs.Err != nil || rs.Reply.Status != consts.StatusOK {
 		return false
 	}
-	if id := sr.rs.Reply.Header.Get(en.cfg.Names.Instance); id != "" && id != sr.up.ID {
+	if id := rs.Reply.Header.Get(en.cfg.Names.Instance); id != "" && id != up.ID {
 		return false
 	}
-	if sr.rs.Reply.Header.Get(en.cfg.Names.Load) == "" {
-		en.cfg.Steer.RecordNoLoad(sr.up.Service)
+	if rs.Reply.Header.Get(en.cfg.Names.Load) == "" {
+		en.cfg.Steer.RecordNoLoad(up.Service)
 	}
-	en.recordLoad(en.cfg.Clock(), sr.up, sr.rs.Reply, 0)
+	en.recordLoad(en.cfg.Clock(), up, rs.Reply, 0)
 	return true
 }
