relay, steer: a request that may run only once waits for its only server's connection

If all other servers are silent, a request that may run only once went to one of them.

Change: Check.OnlyChoice tells whether the chosen server is the only one that responded to the check or of late. The request then waits in the queue until a connection may be opened, at most until its deadline. Requests with another server fail at once as before.

--- a/core/steer/check.go
+++ b/core/steer/check.go
@@ -16,6 +16,9 @@
 	recentSpan = time.Second
 )
 
+// lastGroup is the last of the groups that Rank returns.
+const lastGroup = 3
+
 // CheckConfig configures a Check.
 type CheckConfig struct {
 	Table *Table
@@ -128,9 +131,9 @@
 // A server that has never responded thus comes last.
 func (ck *Check) Rank(ups []*origin.Upstream) [][]*origin.Upstream {
 	recent := ck.cfg.Table.recentlyHeard(ups)
-	groups := make([][]*origin.Upstream, 4)
+	groups := make([][]*origin.Upstream, lastGroup+1)
 	for _, up := range ups {
-		group := 3
+		group := lastGroup
 		switch {
 		case contains(ck.usable(), up):
 			group = 0
@@ -144,6 +147,24 @@
 	return groups
 }
 
+// OnlyChoice reports whether up responded and no other server is left, apart from those tried,
+// that may be expected to respond. It is then better to wait for a connection to up than to send
+// the request to a server that is silent.
+func (ck *Check) OnlyChoice(up *origin.Upstream, ups, tried []*origin.Upstream) bool {
+	groups := ck.Rank(ups)
+	if contains(groups[lastGroup], up) {
+		return false
+	}
+	for _, group := range groups[:lastGroup] {
+		for _, other := range group {
+			if other.ID != up.ID && other.Accepting() && !contains(tried, other) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // recentlyHeard returns the servers that responded at most recentSpan before the one heard from
 // last.
 func (tb *Table) recentlyHeard(ups []*origin.Upstream) (recent []*origin.Upstream) {
--- a/core/steer/check_test.go
+++ b/core/steer/check_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -150,3 +151,43 @@
 	_, _, chosen := simulateCheck(tb, 5*time.Second, ups, status)
 	is.Equal(chosen, "c")
 }
+
+// The connection to the only server that responds is being opened again. If the request does not
+// wait for it, it goes to a server that is silent; if others respond as well, it need not wait.
+func TestOnlyChoice(t *testing.T) {
+	fine, slow, silent := statusOf{2 * ms, 1}, statusOf{2 * ms, 9}, statusOf{never, 1}
+	for _, tc := range []struct {
+		name    string
+		a, b, c statusOf
+		tried   []string
+		want    bool
+	}{
+		{"one responds", fine, silent, silent, nil, true},
+		{"another one is slow", fine, slow, silent, nil, false},
+		{"another one was tried", fine, fine, silent, []string{"b"}, true},
+		{"another one is ready", fine, fine, silent, nil, false},
+		{"none responds", silent, silent, silent, nil, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			tb := steer.New(steer.Config{DataCentre: "a"})
+			var ups, tried []*origin.Upstream
+			ck := steer.NewCheck(time.Second, steer.CheckConfig{Table: tb})
+			for i := range 3 {
+				up := &origin.Upstream{ID: string(rune('a' + i)), DataCentre: "a"}
+				ups = append(ups, up)
+				if slices.Contains(tc.tried, up.ID) {
+					tried = append(tried, up)
+				}
+			}
+			ck.Ask(ups)
+			for i, st := range []statusOf{tc.a, tc.b, tc.c} {
+				if st.after < never {
+					tb.RecordLoad(time.Second, ups[i], steer.Load{Slots: 4, Slowdown: st.slowdown}, 0)
+					ck.Answered(time.Second, ups[i])
+				}
+			}
+			is.Equal(ck.OnlyChoice(ups[0], ups, tried), tc.want)
+		})
+	}
+}
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -284,6 +284,7 @@
 		Raw:       en.message(fl.head, fl.rq, up, fl.hardDeadline-now),
 		Priority:  fl.rt.Priority,
 		FreshConn: !fl.rt.Idempotent,
+		AwaitConn: fl.isOnlyChoice(now, ac),
 		Done: func(rs relay.Result) {
 			ar := en.newAttemptResult(k, rs, gathered)
 			en.settle(up, ar, now, usual)
--- a/io/entry/status.go
+++ b/io/entry/status.go
@@ -131,6 +131,20 @@
 	return nil, false
 }
 
+// isOnlyChoice reports whether an attempt's server is the only one left that responded to the status
+// check or recently.
+func (fl *flight) isOnlyChoice(now time.Duration, ac fanout.Action) bool {
+	if fl.check == nil {
+		return false
+	}
+	warm, _ := fl.warmAndCold(now, ac.Shard)
+	var tried []*origin.Upstream
+	for k := range ac.Attempt {
+		tried = append(tried, fl.machine.Upstream(k))
+	}
+	return fl.check.OnlyChoice(ac.Upstream, warm, tried)
+}
+
 // askStatus asks servers for their status. A response is recorded whenever it arrives, because a
 // late one also shows that its server responds.
 func (en *Entry) askStatus(ups []*origin.Upstream, path string, results chan<- statusResult) []*relay.Call {
--- /dev/null
+++ b/io/relay/await_test.go
@@ -0,0 +1,69 @@
+package relay_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"laburnumvane/core/origin"
+	"laburnumvane/io/relay"
+)
+
+// A server closes a new connection, and a request that may run only once has no other server that
+// responds. The request must wait for the next connection instead of going to a silent server.
+// Other requests must fail at once, since they have other servers.
+func TestRequestAwaitsNextConnection(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		await bool
+	}{{"awaits", true}, {"does not await", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer ln.Close()
+			go func() {
+				for {
+					nc, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					go respondToAll(nc)
+				}
+			}()
+			began := time.Now()
+			dials := 0
+			closed := make(chan struct{}, 2)
+			po := relay.New(relay.Config{
+				Clock:    func() time.Duration { return time.Since(began) },
+				HeaderID: "Id",
+				Dial: func(addr string, timeout time.Duration) (net.Conn, error) {
+					if dials++; dials > 1 {
+						return net.DialTimeout("tcp", addr, timeout)
+					}
+					local, remote := net.Pipe()
+					// The pool watches a new connection for as long as opening it took.
+					time.Sleep(50 * time.Millisecond)
+					return local, remote.Close()
+				},
+				Closed: func() { closed <- struct{}{} },
+			})
+			defer po.Close()
+			up := &origin.Upstream{ID: "s1", Service: "s", Addr: ln.Addr().String()}
+			po.Sync(origin.New([]*origin.Upstream{up}), func(*origin.Upstream) relay.Limits { return relay.Limits{Max: 1} })
+			for _, id := range []string{"a", "b"} {
+				result := make(chan relay.Result, 1)
+				po.Send(up, relay.Request{ID: id, Method: "GET", AwaitConn: tc.await, Raw: []byte("GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"), Done: func(rs relay.Result) { result <- rs }})
+				rs := <-result
+				is.Equal(rs.Err == nil, tc.await)
+				if !tc.await {
+					is.Equal(rs.Err.Kind, relay.KindBackoff)
+					is.True(!rs.Err.Sent)
+				}
+			}
+			<-closed
+		})
+	}
+}
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -19,6 +19,9 @@
 	// FreshConn asks for a connection that was used recently: the server may have silently
 	// dropped an idle one, and a request that is lost on it may not be sent again.
 	FreshConn bool
+	// AwaitConn lets the request wait until a connection may be opened again after a rejected
+	// one. Without it the request fails at once, to be sent to another server.
+	AwaitConn bool
 	// Done is called once, with either Reply or Err set. It must not block.
 	Done func(Result)
 }
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -132,11 +132,12 @@
 		return KindClosed
 	case sv.queue.Len() >= maxQueued:
 		return KindNoRoom
-	case sv.open == 0 && now < sv.dialAfter:
+	case sv.open == 0 && now < sv.dialAfter && !ca.rq.AwaitConn:
 		return KindBackoff
 	}
 	sv.queue.Push(ca.rq.Priority, ca)
 	sv.dialForQueued(now)
+	sv.dialAfterBackoff(now)
 	return ""
 }
 
@@ -329,7 +330,7 @@
 	sv.dialIfEndPossible(now)
 	var failed []*Call
 	if sv.open == 0 {
-		failed = sv.queue.Drain()
+		failed = sv.drainNotAwaiting(now)
 	}
 	sv.mu.Unlock()
 	for _, ca := range failed {
