--- a/core/steer/doc.go
+++ b/core/steer/doc.go
@@ -10,6 +10,12 @@
 //	tb.Begin(now, usual, up.Process())
 //	tb.End(now, up.Process(), steer.Result{Verdict: fanout.Served, Latency: took, UsualLatency: usual})
 //
+// Before a request that may run only once:
+//
+//	ck := steer.NewCheck(now, steer.CheckConfig{Table: tb, Asked: ups, Brief: brief, UsualLatency: usual, Deadline: due})
+//	switch step, wake := ck.Next(now); step { ... } // Ask, Answered and Failed report what happened
+//	groups := ck.Rank(candidates)
+//
 // A Table may be used from many goroutines.
 //
 // # Rules
