--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -85,9 +85,8 @@
 	// lackedCapacity is set if a retry that was needed had no token, or an attempt waited too
 	// long here for a connection.
 	lackedCapacity bool
-	// ready lists the servers that reported in a status check just now that they can accept a
-	// request, notReady those that were checked and did not.
-	ready, notReady []*origin.Upstream
+	// check is the status check of servers before the request is sent; nil if there is none.
+	check *steer.Check
 	// onlyColdLeft is set if the only servers left of a shard were ones that are warming up.
 	onlyColdLeft bool
 	results      []attemptResult
@@ -163,7 +162,7 @@
 	}
 	fl.planJoins(clock())
 	fl.checkStatus(clock())
-	an, done := fl.perform(fl.machine.Start(clock()))
+	an, done := fl.perform(fl.start())
 	// Later attempts are sent individually, so they need not prefer that data centre.
 	fl.joinFrom = nil
 	fl.firstSentAt = clock()
@@ -203,6 +202,19 @@
 	}
 }
 
+// start returns the machine's first actions. If the client left or this VM began to end during the
+// status check, nothing is sent.
+func (fl *flight) start() []fanout.Action {
+	now := fl.en.cfg.Clock()
+	switch {
+	case fl.check != nil && fl.ctx.Err() != nil:
+		return fl.machine.Step(now, fanout.Event{Kind: fanout.EvClientGone})
+	case fl.check != nil && fl.en.ending.Err() != nil:
+		now = fl.hardDeadline
+	}
+	return fl.machine.Start(now)
+}
+
 // dropQueued cancels the attempts that have waited here for a connection for hedgeAfter, the
 // time that a server is given to respond. They have caused no work yet, and another server may
 // have capacity.
@@ -281,6 +293,7 @@
 		Raw:       en.message(fl.head, fl.rq, up, fl.hardDeadline-now),
 		Priority:  fl.rq.priority(fl.rt),
 		FreshConn: !fl.rt.Idempotent,
+		AwaitConn: fl.isOnlyChoice(now, ac),
 		Done: func(rs relay.Result) {
 			ar := en.newAttemptResult(k, rs, gathered)
 			en.settle(up, ar, now, usual)
