--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -37,6 +37,9 @@
 	entries map[string]bool
 	// cut holds the pairs of data centres that do not reach each other.
 	cut map[[2]string]bool
+	// shared has a view for each data centre if all small VMs, which hold nothing, have the same
+	// picture of the fleet.
+	shared map[string]*plan.View
 	// oneOwner replaces the holders by a single one for each account.
 	oneOwner bool
 	// accounts is the configuration in force, accountNames its order.
@@ -53,9 +56,8 @@
 	// those of them that were refused.
 	asked, ideal, ran, refused, falsely, unreachable, calls int
 
-	waited time.Duration
-	// waits counts the requests that waited.
-	waits int
+	// waits are the waits of the requests that waited.
+	waits []time.Duration
 }
 
 type idealBucket struct {
@@ -73,9 +75,20 @@
 	view        *plan.View
 	accounts    map[string]*acct.Account
 	waiters     map[string][]func()
+	// owners holds the holders of each account if there is one owner; calls counts the calls to
+	// and from the VM.
+	owners     map[string]*quota.Holders
+	ownerFleet *quota.Fleet
+	calls      int
 }
 
 func newFleet(seed uint64, vms, centres int, accounts []acct.Account) *fleet {
+	fl := emptyFleet(seed, centres, accounts)
+	fl.fill(vms)
+	return fl
+}
+
+func emptyFleet(seed uint64, centres int, accounts []acct.Account) *fleet {
 	rnd := rand.New(rand.NewPCG(seed, 11))
 	fl := &fleet{
 		rnd: rnd, link: vtime.Link{Rand: rnd, Jitter: ms}, centres: centres,
@@ -85,6 +98,11 @@
 	for i := range accounts {
 		fl.accounts[accounts[i].Name] = &accounts[i]
 	}
+	return fl
+}
+
+// fill adds VMs that run and know each other.
+func (fl *fleet) fill(vms int) {
 	for n := range vms {
 		fl.add(n)
 	}
@@ -92,7 +110,6 @@
 		fl.boot(sv, 0)
 		fl.update(sv)
 	}
-	return fl
 }
 
 // add adds a VM with an entry; the first two of each data centre are large.
@@ -135,7 +152,16 @@
 			capacity[other.vm.Addr] = other.capacity
 		}
 	}
-	sv.accounts = fl.accounts
+	sv.accounts, sv.owners, sv.ownerFleet = fl.accounts, map[string]*quota.Holders{}, nil
+	if fl.shared != nil && sv.capacity < 0.5 && fl.shared[sv.vm.DataCentre] != nil {
+		sv.view = fl.shared[sv.vm.DataCentre]
+		return
+	}
+	defer func() {
+		if fl.shared != nil && sv.capacity < 0.5 {
+			fl.shared[sv.vm.DataCentre] = sv.view
+		}
+	}()
 	sv.view = plan.New(plan.Config{Self: sv.vm, Fleet: vms, Capacity: capacity})
 }
 
@@ -198,182 +224,6 @@
 	})
 }
 
-func (sv *simVM) holders(fl *fleet, account string) *quota.Holders {
-	ho := sv.view.Holders(account)
-	if !fl.oneOwner {
-		return ho
-	}
-	// The owner is the first holder of the account's own data centre.
-	one := &quota.Holders{Fleet: &quota.Fleet{VMs: ho.Fleet.VMs, DataCentres: 1, Listed: ho.Fleet.Listed}, Rank: -1, Local: 1}
-	owner := ""
-	best := uint64(0)
-	consider := func(addr string, rk int) {
-		if score := rank.Hash(account, addr); rk == 0 && score >= best {
-			owner, best = addr, score
-		}
-	}
-	consider(sv.vm.Addr, ho.Rank)
-	for _, pe := range ho.Peers {
-		consider(pe.Addr, pe.Rank)
-	}
-	if owner == sv.vm.Addr {
-		one.Rank = 0
-	} else {
-		one.Peers = []quota.Peer{{Addr: owner, Local: true}}
-	}
-	return one
-}
-
-// request has a VM run a request of an account, if the limit permits.
-func (fl *fleet) request(sv *simVM, account string) {
-	if !sv.running || sv.view == nil || fl.Now() < sv.frozenUntil {
-		return
-	}
-	ac := sv.accounts[account]
-	if ac == nil {
-		return
-	}
-	within := fl.takeIdeal(account)
-	if within {
-		fl.total.ideal++
-	}
-	fl.total.asked++
-	began := fl.Now()
-	if !ac.Limited() {
-		fl.ran[account] = append(fl.ran[account], began)
-		return
-	}
-	fl.take(sv, ac, &quota.Attempt{}, func(de quota.Decision) {
-		if fl.Now() > began {
-			fl.total.waits++
-			fl.total.waited += fl.Now() - began
-		}
-		switch de.Kind {
-		case quota.Granted:
-			fl.total.ran++
-			fl.ran[account] = append(fl.ran[account], fl.Now())
-			return
-		case quota.Unreachable:
-			fl.total.unreachable++
-		}
-		fl.total.refused++
-		if within {
-			fl.total.falsely++
-		}
-	})
-}
-
-// takeIdeal takes a token from a bucket that all requests share, as if there were one VM.
-func (fl *fleet) takeIdeal(account string) bool {
-	ac := fl.accounts[account]
-	ib, ok := fl.ideal[account]
-	if !ok {
-		ib = &idealBucket{level: ac.Burst, at: fl.Now()}
-		fl.ideal[account] = ib
-	}
-	ib.level = min(max(1, ac.Burst), ib.level+(fl.Now()-ib.at).Seconds()*ac.Rate)
-	ib.at = fl.Now()
-	if ib.level < 1 {
-		return false
-	}
-	ib.level--
-	return true
-}
-
-// take does what io/entry does to get a token.
-func (fl *fleet) take(sv *simVM, ac *acct.Account, at *quota.Attempt, done func(quota.Decision)) {
-	if fl.Now() < sv.frozenUntil {
-		started := sv.started
-		fl.After(sv.frozenUntil-fl.Now(), func() {
-			if sv.started == started {
-				fl.take(sv, ac, at, done)
-			}
-		})
-		return
-	}
-	de := sv.limiter.Take(fl.Now(), ac, sv.holders(fl, ac.Name), at, fl.rnd.Float64())
-	fl.call(sv, de.Call)
-	if de.Kind != quota.Waiting {
-		done(de)
-		return
-	}
-	if de.Call.Peer != "" {
-		fl.take(sv, ac, at, done)
-		return
-	}
-	started, again := sv.started, false
-	retry := func() {
-		if !again && sv.started == started {
-			again = true
-			fl.take(sv, ac, at, done)
-		}
-	}
-	sv.waiters[ac.Name] = append(sv.waiters[ac.Name], retry)
-	fl.After(de.Until-fl.Now(), retry)
-}
-
-// call makes a call for tokens; its reply may be lost, or come after the time limit.
-func (fl *fleet) call(from *simVM, ca quota.Call) {
-	to := fl.byAddr[ca.Peer]
-	if to == nil {
-		return
-	}
-	fl.total.calls++
-	started, ended := from.started, false
-	end := func(rp quota.Reply) {
-		if ended || from.started != started {
-			return
-		}
-		ended = true
-		from.limiter.Reply(fl.Now(), ca, rp)
-		waiters := from.waiters[ca.Account]
-		delete(from.waiters, ca.Account)
-		for _, retry := range waiters {
-			retry()
-		}
-	}
-	fl.After(callTimeout, func() { end(quota.Reply{Failed: true}) })
-	fl.deliver(from, to, func() {
-		fl.serve(to, ca, func(rp quota.Reply) { fl.deliver(to, from, func() { end(rp) }) })
-	})
-}
-
-func (fl *fleet) serve(sv *simVM, ca quota.Call, reply func(quota.Reply)) {
-	if sv.view == nil || sv.accounts[ca.Account] == nil {
-		reply(quota.Reply{})
-		return
-	}
-	ac := sv.accounts[ca.Account]
-	if !ac.Limited() {
-		reply(quota.Reply{Granted: ca.Want, Holds: true})
-		return
-	}
-	rp, next := sv.limiter.Serve(fl.Now(), ac, sv.holders(fl, ac.Name), ca.Want, ca.Borrow)
-	fl.call(sv, next)
-	if !rp.Holds || rp.Granted > 0 || ca.Borrow {
-		reply(rp)
-		return
-	}
-	fl.take(sv, ac, &quota.Attempt{Deadline: fl.Now() + quota.ServeWait, Served: true}, func(de quota.Decision) {
-		if de.Kind == quota.Granted {
-			rp.Granted = 1
-		}
-		reply(rp)
-	})
-}
-
-// load sends requests of an account at a rate to some of the VMs, until a time.
-func (fl *fleet) load(account string, rate float64, vms []*simVM, until time.Duration) {
-	gap := time.Duration(fl.rnd.ExpFloat64() / rate * float64(second))
-	if fl.Now()+gap > until {
-		return
-	}
-	fl.After(gap, func() {
-		fl.request(vms[fl.rnd.IntN(len(vms))], account)
-		fl.load(account, rate, vms, until)
-	})
-}
-
 // run runs all events due by a time.
 func (fl *fleet) run(until time.Duration) {
 	for run := range fl.Until(until) {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,14 +57,19 @@
 	ta.falsely += other.falsely
 	ta.unreachable += other.unreachable
 	ta.calls += other.calls
-	ta.waited += other.waited
-	ta.waits += other.waits
+	ta.waits = append(ta.waits, other.waits...)
 }
 
 // String returns the counts and the mean wait of those that waited.
 func (ta tally) String() string {
-	return fmt.Sprintf("asked %d, ideal %d, ran %d, refused %d, falsely %d, unreachable %d, calls %d, waited %d for %v",
-		ta.asked, ta.ideal, ta.ran, ta.refused, ta.falsely, ta.unreachable, ta.calls, ta.waits, ta.waited/time.Duration(max(1, ta.waits)))
+	slices.Sort(ta.waits)
+	mean, p99 := 0.0, time.Duration(0)
+	for _, wait := range ta.waits {
+		mean += wait.Seconds() * 1000 / float64(len(ta.waits))
+		p99 = ta.waits[len(ta.waits)*99/100]
+	}
+	return fmt.Sprintf("asked %d, ideal %d, ran %d, refused %d, falsely %d, unreachable %d, calls %d, waited %d for %.2f ms, 99 of 100 within %v",
+		ta.asked, ta.ideal, ta.ran, ta.refused, ta.falsely, ta.unreachable, ta.calls, len(ta.waits), mean, p99)
 }
 
 // Accounts send many times their usual rate through one VM, a few or all of them. The limit must be
