--- a/core/plan/view.go
+++ b/core/plan/view.go
@@ -154,6 +154,9 @@
 	return New(cfg)
 }
 
+// Self returns this VM.
+func (vw *View) Self() rank.VM { return vw.cfg.Self }
+
 // Routes returns the routes in force, or nil if none are known yet.
 func (vw *View) Routes() *route.Table { return vw.cfg.Routes }
 
--- a/core/quota/calls.go
+++ b/core/quota/calls.go
@@ -263,7 +263,7 @@
 	rp := Reply{Holds: true}
 	if borrow {
 		rp.Granted = st.lend(now, want)
-		st.usage.Lent += rp.Granted
+		st.counts.Lent += rp.Granted
 		return rp, Call{}
 	}
 	st.demand.add(now, want)
@@ -274,7 +274,7 @@
 	}
 	rp.Granted = min(want, max(1, math.Floor(whole/2)))
 	st.spend(rp.Granted)
-	st.usage.Lent += rp.Granted
+	st.counts.Lent += rp.Granted
 	return rp, li.prefetch(now, st)
 }
 
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -35,6 +35,8 @@
 	mu       sync.Mutex
 	cfg      Config
 	accounts map[string]*state
+	// removed is the sum of the counters of removed buckets.
+	removed Usage
 	// silent holds the VMs that did not respond.
 	silent map[string]silence
 	// isolatedSince is when this VM began to reach no holder; negative means that it reaches some.
@@ -126,7 +128,7 @@
 	if st.available() >= 1-tolerance {
 		st.endWait(at)
 		st.spend(1)
-		st.count(at, &st.usage.Granted)
+		st.count(at, &st.counts.Granted)
 		return Decision{Kind: Granted, Call: li.prefetch(now, st)}
 	}
 	if de, ok := li.wait(now, st, at); ok {
@@ -141,8 +143,8 @@
 	switch {
 	case !at.Served:
 		*counter++
-	case counter == &st.usage.Granted:
-		st.usage.Lent++
+	case counter == &st.counts.Granted:
+		st.counts.Lent++
 	}
 }
 
@@ -188,16 +190,16 @@
 	li.markSilent(now, st)
 	if !st.part.holds && st.refusals(now) == 0 {
 		if li.noneReachable(now, st) && li.takeIsolated(now, st) {
-			st.usage.Granted++
+			st.counts.Granted++
 			de.Kind = Granted
 			return de
 		}
-		st.usage.Unreachable++
+		st.counts.Unreachable++
 		de.Kind = Unreachable
 		de.RetryAfter = time.Duration((1 + jitter) * float64(unreachableRetry))
 		return de
 	}
-	st.count(at, &st.usage.Refused)
+	st.count(at, &st.counts.Refused)
 	de.Kind = Refused
 	de.RetryAfter = st.retryAfter(now, li.cfg.Bounds.Window, jitter)
 	return de
@@ -233,8 +235,8 @@
 	}
 	st.advance(now)
 	st.put(now, 1)
-	st.usage.Granted--
-	st.usage.Returned++
+	st.counts.Granted--
+	st.counts.Returned++
 }
 
 // sweep removes the buckets of accounts without requests. A bucket that is not full yet is kept, as
@@ -244,7 +246,8 @@
 	for name, st := range li.accounts {
 		st.advance(now)
 		full := !st.part.holds || st.level >= st.part.limit-tolerance
-		if now-max(st.demand.at, st.usage.Began) >= idleTime && full && st.waiting == 0 && len(st.calls) == 0 {
+		if now-max(st.demand.at, st.counts.began) >= idleTime && full && st.waiting == 0 && len(st.calls) == 0 {
+			li.removed.addCounts(&st.counts)
 			delete(li.accounts, name)
 		}
 	}
--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -65,9 +65,7 @@
 	is.True(drain(li, 0, ac, ho) > 0)
 	li.Return(0, "a")
 	is.Equal(drain(li, 0, ac, ho), 1)
-	us := li.Usage(0, 10)
-	is.Equal(len(us), 1)
-	is.Equal(us[0].Returned, int64(1))
+	is.Equal(li.UsageOf(0, ac).Returned, int64(1))
 }
 
 // A new version of the limit takes effect at once: a lowered burst must not be used up first.
@@ -97,9 +95,9 @@
 	ac := &acct.Account{Name: "a", Rate: 100, Burst: 100}
 	ho := alone()
 	take(li, 0, ac, ho)
-	is.Equal(li.Usage(0, 1)[0].Part, (100+16.0/5)/8) // two holders in each of 4 data centres
+	is.Equal(li.UsageOf(0, ac).Part, (100+16.0/5)/8) // two holders in each of 4 data centres
 	take(li, quota.SettleTime, ac, ho)
-	is.Equal(li.Usage(quota.SettleTime, 1)[0].Part, 100+16.0/5)
+	is.Equal(li.UsageOf(quota.SettleTime, ac).Part, 100+16.0/5)
 }
 
 // A data centre that is cut off from the store loses its entries, but its VMs still use their parts.
@@ -112,11 +110,11 @@
 	two := &quota.Holders{Fleet: &quota.Fleet{VMs: 2, DataCentres: 2, Listed: true}, Local: 1}
 	take(li, 0, ac, three)
 	take(li, 10*second, ac, three)
-	part := li.Usage(10*second, 1)[0].Part
+	part := li.UsageOf(10*second, ac).Part
 	take(li, 60*second, ac, two)
-	is.Equal(li.Usage(60*second, 1)[0].Part, part)
+	is.Equal(li.UsageOf(60*second, ac).Part, part)
 	take(li, 20*time.Minute, ac, two)
-	is.True(li.Usage(20*time.Minute, 1)[0].Part > part)
+	is.True(li.UsageOf(20*time.Minute, ac).Part > part)
 }
 
 // A VM that reaches no holder must tell clients that it cannot decide, not that they are above their
@@ -155,9 +153,13 @@
 	for i := range 20_000 {
 		take(li, 0, &acct.Account{Name: fmt.Sprint("account-", i), Rate: 1, Burst: 1}, ho)
 	}
-	is.Equal(len(li.Usage(0, 30_000)), 20_000)
+	largest, others := li.Usage(0, 30)
+	is.Equal(len(largest), 30)
+	is.Equal(others.Granted, int64(20_000-30))
 	take(li, 2*time.Minute, &acct.Account{Name: "a", Rate: 1, Burst: 1}, ho)
-	is.Equal(len(li.Usage(2*time.Minute, 30_000)), 1)
+	largest, others = li.Usage(2*time.Minute, 30)
+	is.Equal(len(largest), 1)
+	is.Equal(others.Granted, int64(20_000)) // counters never go down
 }
 
 // Take is called for each request: it must not allocate, and its cost must not depend on the number
--- a/core/quota/state.go
+++ b/core/quota/state.go
@@ -85,7 +85,7 @@
 	refusedAt time.Duration
 	// nextSlot is the earliest time for the retry of the next refused request.
 	nextSlot time.Duration
-	usage    Usage
+	counts   Usage
 }
 
 // state returns the up-to-date state of an account.
@@ -102,7 +102,7 @@
 		// Had the bucket existed since the last change in the fleet, it would have filled until
 		// now.
 		st.level = min(st.part.limit, st.part.start+st.part.refill*(now-li.fleetSince).Seconds())
-		st.usage.Began = now
+		st.counts.began = now
 	}
 	st.advance(now)
 	if st.rate != ac.Rate || st.burst != ac.Burst || st.holders != ho || st.epoch != li.epoch {
--- a/io/edge/checks.go
+++ b/io/edge/checks.go
@@ -35,7 +35,8 @@
 	return hz, nil
 }
 
-// listenMetrics opens the listener of the metrics, which are one value a line.
+// listenMetrics opens the listener of the metrics, which are one value a line, and of the use of
+// accounts, which is JSON.
 func (eg *Edge) listenMetrics() (*server.Hertz, error) {
 	hz, err := eg.newSmallServer(eg.set.MetricsAddr)
 	if err != nil {
@@ -43,7 +44,10 @@
 	}
 	hz.GET(eg.set.MetricsPath, func(_ context.Context, rc *app.RequestContext) {
 		rc.SetContentType("text/plain; charset=utf-8")
-		rc.Response.SetBodyString(eg.meter.Text())
+		rc.Response.SetBodyString(eg.meter.Text() + eg.entry.AccountCounters())
+	})
+	hz.GET(eg.set.MetricsPath+"/accounts", func(_ context.Context, rc *app.RequestContext) {
+		rc.JSON(consts.StatusOK, eg.entry.AccountUsage(rc.Query("account")))
 	})
 	return hz, nil
 }
--- a/io/entry/limit_test.go
+++ b/io/entry/limit_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -129,6 +130,10 @@
 	wait, err := strconv.ParseFloat(last.fields[0].value, 64)
 	is.NoErr(err)
 	is.True(wait > 0 && wait <= 5)
+	use := fl.vms[7].AccountUsage("a")
+	is.Equal(len(use.Holders), 4) // where the tokens of the whole fleet come from
+	is.Equal(use.Largest[0].Limit, 30.0)
+	is.True(strings.Contains(fl.vms[7].AccountCounters(), "account.overLimit.a "))
 	line := map[string]any{}
 	is.NoErr(json.Unmarshal(fl.log.line, &line))
 	is.Equal(line["account"], "a")
@@ -172,7 +177,7 @@
 		is.Equal(rs, nil)
 	}
 	is.Equal(fl.vms[7].takeToken(context.Background(), &request{}, fl.vms[7].cfg.View()), nil)
-	is.Equal(len(fl.vms[7].limits.quota.Usage(0, 10)), 0)
+	is.Equal(len(fl.vms[7].AccountUsage("").Largest), 0)
 	rp, err := fl.vms[0].Allow(context.Background(), &inner.AllowRequest{Account: "unknown", Want: 1})
 	is.NoErr(err)
 	is.True(!rp.GetHolds())
