entry: log lines name the account only if the request has one

Cause: a deployment without accounts would have had an empty field in each line.

Change: logAccount adds the field where there is an account, also in the line of a blocked request.

--- a/core/acct/doc.go
+++ b/core/acct/doc.go
@@ -4,10 +4,10 @@
 // # Usage
 //
 //	tb, err := acct.New(acct.Config{Accounts: accounts})
-//	cr, ok := tb.Lookup(key)
+//	de := tb.Authenticate(policy, acct.Attempt{Values: authorization, Public: rt.Public, Age: age})
 //	ac, ok := tb.Verify(name, digest) // on a VM to which a request was forwarded
 //
-// A Table is immutable. A Lookup does not allocate, and its cost does not depend on the number of
+// A Table is immutable, and Authenticate depends on its arguments only. A Lookup does not allocate, and its cost does not depend on the number of
 // accounts.
 //
 // # Keys
--- a/io/entry/account.go
+++ b/io/entry/account.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/phuslu/log"
 
 	"laburnumvane/core/acct"
 	"laburnumvane/core/plan"
@@ -137,6 +138,14 @@
 	return rq.account.Name
 }
 
+// logAccount adds the account to a log line, if the request has one.
+func (rq *request) logAccount(line *log.Entry) *log.Entry {
+	if rq.account == nil {
+		return line
+	}
+	return line.Str("account", rq.account.Name)
+}
+
 // priority returns the priority of a request: that of its account, if it has one, or else that of
 // its route.
 func (rq *request) priority(rt *route.Route) int {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -349,7 +349,7 @@
 }
 
 func (en *Entry) logRefused(rq *request, status int, reason string) {
-	en.cfg.Log.Info().Str("id", rq.id).Str("account", rq.accountName()).Str("host", rq.host).Str("path", rq.path).
+	rq.logAccount(en.cfg.Log.Info().Str("id", rq.id)).Str("host", rq.host).Str("path", rq.path).
 		Int("status", status).Str("reason", reason).Uint64("version", configVersion(en.cfg.View())).
 		Msg("refused")
 }
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -49,7 +49,7 @@
 		en.cfg.Meter.Count(meter.Sent, "homeNone")
 		return nil
 	}
-	line := en.cfg.Log.Info().Str("id", rq.id).Str("account", rq.accountName()).Str("route", rt.Name).Str("home", addr).
+	line := rq.logAccount(en.cfg.Log.Info().Str("id", rq.id)).Str("route", rt.Name).Str("home", addr).
 		Float64("ms", float64((now-rq.began).Microseconds())/1000)
 	en.routed.Add(1)
 	if err != nil || rp.GetStatus() >= consts.StatusInternalServerError {
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -12,9 +12,7 @@
 // what became of the attempts that did not serve.
 func (fl *flight) log(an fanout.Answer, status int) {
 	rq := fl.rq
-	en := fl.en.cfg.Log.Info().
-		Str("id", rq.id).
-		Str("account", rq.accountName()).
+	en := rq.logAccount(fl.en.cfg.Log.Info().Str("id", rq.id)).
 		Str("route", fl.rt.Name).
 		Uint64("version", configVersion(fl.vw)).
 		Str("outcome", an.Outcome.String()).
--- a/io/entry/poison.go
+++ b/io/entry/poison.go
@@ -33,7 +33,7 @@
 	rs := refusalResponse(consts.StatusServiceUnavailable, fanout.ReasonCrashes, "servers that run this request crash")
 	rs.setRetryAfter(poison.BlockDuration)
 	en.cfg.Meter.Count(meter.Refusal, fanout.ReasonCrashes)
-	en.cfg.Log.Info().Str("id", rq.id).Str("host", rq.host).Str("path", rq.path).
+	rq.logAccount(en.cfg.Log.Info().Str("id", rq.id)).Str("host", rq.host).Str("path", rq.path).
 		Str("fingerprint", rq.fingerprint().String()).Int("status", rs.status).
 		Str("reason", fanout.ReasonCrashes).Uint64("version", configVersion(en.cfg.View())).Msg("refused")
 	return rs
