quota, entry: fewer calls for accounts far above their limit; added limits hold

Also, a VM asked a holder again before 250 ms were over, and holders of an account above its limit passed fractions of tokens to each other.

--- a/core/quota/calls.go
+++ b/core/quota/calls.go
@@ -237,9 +237,6 @@
 	case rp.Granted < minLoan:
 		st.refusedBy, st.refusedAt = ca.Peer, now
 		ps.refusedUntil = now + refusalMemory
-		if rp.Wait > 0 && !ca.Borrow {
-			ps.refusedUntil = now + min(refusalMemory, rp.Wait)
-		}
 	}
 	if len(st.peers) > len(st.holders.Peers)+maxCalls {
 		clear(st.peers)
@@ -282,8 +279,9 @@
 // expect to need.
 func (st *state) lend(now time.Duration, want float64) float64 {
 	need := st.need(now)
-	if st.level < 1 {
-		// A fraction of a token is of no use here, but may complete one elsewhere.
+	if st.part.limit < 1 || st.level < 1 && st.demand.value(now) < st.part.total {
+		// A fraction is of no use here, but may complete a token elsewhere. Holders of an account
+		// that is above its limit keep theirs, as they would only pass fractions to each other.
 		need = 0
 	}
 	free := st.level - need
--- a/core/quota/request_test.go
+++ b/core/quota/request_test.go
@@ -168,7 +168,11 @@
 	}
 	ac := sv.accounts[ca.Account]
 	if !ac.Limited() {
-		reply(quota.Reply{Granted: ca.Want, Holds: true})
+		if ca.Borrow {
+			reply(quota.Reply{})
+			return
+		}
+		reply(quota.Reply{Granted: 1, Holds: true})
 		return
 	}
 	rp, next := sv.limiter.Serve(fl.Now(), ac, sv.holders(fl, ac.Name), ca.Want, ca.Borrow)
--- a/io/entry/limit.go
+++ b/io/entry/limit.go
@@ -149,8 +149,12 @@
 	switch {
 	case !ok:
 		return &inner.AllowReply{}, nil
+	case !ac.Limited() && rq.GetBorrow():
+		return &inner.AllowReply{}, nil
 	case !ac.Limited():
-		return &inner.AllowReply{Granted: rq.GetWant(), Holds: true}, nil
+		// The calling VM has a version with a limit, newer or older than this one. With more than
+		// it needs now, it could exceed a limit that was just added.
+		return &inner.AllowReply{Granted: min(1, rq.GetWant()), Holds: true}, nil
 	}
 	want, unit := float64(rq.GetWant()), 1.0
 	if rq.GetBorrow() {
