quota: an account that is always above its rate gets its burst in each window

Cause: a limit allows the rate and a burst in every window, but a token bucket gives the burst only once to an account that always sends more.

Change: a bucket that has been nearly empty for a whole window has not given out its burst in that window; it gains a burst per window in addition while it stays empty. The sum in any window stays at the rate and one burst. Tokens from other holders do not count as content up to the same level.

--- a/core/quota/calls.go
+++ b/core/quota/calls.go
@@ -295,5 +295,6 @@
 		return 0
 	}
 	st.level -= give
+	st.borrowed = max(0, st.borrowed-give)
 	return give
 }
--- a/core/quota/holders.go
+++ b/core/quota/holders.go
@@ -16,6 +16,9 @@
 	// one each for bursts, for the refill of a window and for tokens in flight, two for new
 	// buckets.
 	sliceCount = 5
+	// emptySlices is how many of these parts a bucket may hold that counts as empty. While it gains a
+	// burst per window, the part for bursts and one of those for new buckets are not used otherwise.
+	emptySlices = 2
 	// shrinkDelay is how long a data centre counts after its last VM disappeared. The VMs of a
 	// data centre that is cut off from the store for that long still use their parts.
 	shrinkDelay = 10 * time.Minute
@@ -63,6 +66,10 @@
 	// limit and refill are the bucket's capacity and its tokens per second; start is its initial
 	// level.
 	limit, refill, start float64
+	// empty is the level up to which the bucket counts as empty. If it has been empty for window, it
+	// gains burstRefill tokens per second in addition.
+	empty, burstRefill float64
+	window             time.Duration
 	// total is the refill of all parts together.
 	total float64
 	// isolated is the refill of the bucket of a VM that reaches no holder.
@@ -95,6 +102,7 @@
 	}
 	share := 1 / (centres * float64(local))
 	pa.limit, pa.refill, pa.start = burst*share, pa.total*share, slice*share
+	pa.empty, pa.burstRefill, pa.window = min(pa.limit/2, emptySlices*slice*share), ac.Burst*share/window, li.cfg.Bounds.Window
 	return pa
 }
 
--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -195,3 +195,27 @@
 		}
 	})
 }
+
+// A limit allows its rate and a burst in every window. An account that always sends more must get
+// both in each window: with the rate alone it would get five sixths of what its limit allows.
+func TestBusyAccountGetsBurstInEachWindow(t *testing.T) {
+	is := is.New(t)
+	li := quota.New(quota.Config{})
+	ac, ho := &acct.Account{Name: "a", Rate: 20, Burst: 20}, alone()
+	const step, window = 10 * ms, 5 * second
+	var granted []int
+	for now := time.Duration(0); now < 8*window; now += step {
+		granted = append(granted, drain(li, now, ac, ho))
+	}
+	perWindow := int(window / step)
+	for first := 0; first+perWindow <= len(granted); first++ {
+		sum := 0
+		for _, n := range granted[first : first+perWindow] {
+			sum += n
+		}
+		is.True(sum <= 152) // (20 x 5 + 20) x 1.1 + 20
+		if first >= 2*perWindow {
+			is.True(sum >= 120) // 20 x 5 + 20
+		}
+	}
+}
--- a/core/quota/state.go
+++ b/core/quota/state.go
@@ -66,6 +66,11 @@
 	// level is the bucket's content at a time; it does not change while this VM is no holder.
 	level float64
 	at    time.Duration
+	// borrowed is how much of level came from other holders.
+	borrowed float64
+	// emptySince is since when the bucket has held no more than part.empty, and at most the same of
+	// borrowed tokens.
+	emptySince time.Duration
 	// started is set once the bucket has had its initial level.
 	started bool
 	// extra are tokens beyond the bucket, until extraUntil.
@@ -96,7 +101,7 @@
 	}
 	st, ok := li.accounts[ac.Name]
 	if !ok {
-		st = &state{name: ac.Name, at: now, peers: make(map[string]peerState)}
+		st = &state{name: ac.Name, at: now, emptySince: now, peers: make(map[string]peerState)}
 		li.accounts[ac.Name] = st
 		li.apply(st, ac, ho)
 		// Had the bucket existed since the last change in the fleet, it would have filled until
@@ -115,7 +120,10 @@
 // grows only by refill.
 func (li *Limiter) apply(st *state, ac *acct.Account, ho *Holders) {
 	st.rate, st.burst, st.holders, st.epoch, st.centres = ac.Rate, ac.Burst, ho, li.epoch, li.dataCentres
-	st.part = li.partOf(ac, ho)
+	former := st.part
+	if st.part = li.partOf(ac, ho); st.part != former {
+		st.emptySince = st.at
+	}
 	if st.part.holds {
 		if !st.started {
 			st.level, st.started = st.part.start, true
@@ -128,15 +136,30 @@
 func (st *state) advance(now time.Duration) {
 	if now > st.at {
 		if st.part.holds {
-			st.level = min(st.part.limit, st.level+st.part.refill*(now-st.at).Seconds())
+			st.level = st.refilled((now - st.at).Seconds())
 		}
 		st.at = now
 	}
+	if st.level-min(st.borrowed, st.part.empty) > st.part.empty {
+		st.emptySince = now
+	}
 	if now >= st.extraUntil {
 		st.extra = 0
 	}
 }
 
+// refilled returns the level after some seconds without requests. A limit allows the rate and a burst
+// in every window. A bucket that has been empty for a whole window has not given out its burst in that
+// window, so it is refilled with a burst per window in addition, as long as it stays empty. However
+// the account sends, no window has more than its rate and one burst.
+func (st *state) refilled(seconds float64) float64 {
+	level := st.level + st.part.refill*seconds
+	if st.at-st.emptySince >= st.part.window {
+		level = max(level, min(st.part.empty+min(st.borrowed, st.part.empty), st.level+(st.part.refill+st.part.burstRefill)*seconds))
+	}
+	return min(st.part.limit, level)
+}
+
 // available returns the tokens that can be used now.
 func (st *state) available() float64 {
 	if !st.part.holds {
@@ -151,6 +174,7 @@
 	st.extra -= fromExtra
 	if st.part.holds {
 		st.level = max(0, st.level-(n-fromExtra))
+		st.borrowed = max(0, st.borrowed-(n-fromExtra))
 		moved := min(st.extra, st.part.limit-st.level)
 		st.level += moved
 		st.extra -= moved
@@ -162,6 +186,7 @@
 	if st.part.holds {
 		fits := max(0, min(n, st.part.limit-st.level))
 		st.level += fits
+		st.borrowed += fits
 		n -= fits
 	}
 	if n > 0 {
