--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -22,16 +22,14 @@
 	}
 }
 
-// fillGate starts requests until one has to wait.
-func fillGate(ga *admit.Gate[int], now time.Duration) (started int, waiting admit.Verdict[int]) {
+// fillGate starts requests until one has to wait, and returns its verdict.
+func fillGate(ga *admit.Gate[int]) admit.Verdict[int] {
 	for i := range 1000 {
-		vd := ga.Offer(now, arrivalAt(now, fmt.Sprint("account", i%100)), i)
-		if vd.Kind != admit.Admitted {
-			return started, vd
+		if vd := ga.Offer(0, arrivalAt(0, fmt.Sprint("account", i%100)), i); vd.Kind != admit.Admitted {
+			return vd
 		}
-		started++
 	}
-	return started, admit.Verdict[int]{}
+	return admit.Verdict[int]{}
 }
 
 func TestGateRefusals(t *testing.T) {
@@ -53,7 +51,7 @@
 			is := is.New(t)
 			ga := admit.NewGate[int](tc.cfg)
 			if tc.before > 0 {
-				_, vd := fillGate(ga, 0)
+				vd := fillGate(ga)
 				is.Equal(vd.Kind, admit.Queued)
 				is.True(ga.Withdraw(0, vd.Entry))
 			}
@@ -83,7 +81,7 @@
 func TestGateWithdraw(t *testing.T) {
 	is := is.New(t)
 	ga := admit.NewGate[int](admit.GateConfig{})
-	_, first := fillGate(ga, 0)
+	first := fillGate(ga)
 	second := ga.Offer(0, arrivalAt(0, "late"), 7)
 	is.Equal(second.Kind, admit.Queued)
 	is.True(ga.Withdraw(time.Millisecond, first.Entry))
--- a/core/admit/replay_test.go
+++ b/core/admit/replay_test.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"laburnumvane/core/admit"
 	"laburnumvane/internal/vtime"
 )
 
@@ -34,8 +33,6 @@
 	// retry counts its earlier attempts.
 	retry     int
 	startedAt time.Duration
-	left      int
-	entry     *admit.Entry[*replayRequest]
 }
 
 // replay is a VM in virtual time under a policy.
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -81,6 +82,17 @@
 	return &response{status: status, refusal: &wire.ErrorReply{Error: text, Reason: reason}}
 }
 
+// execute sends a request to servers and returns the response.
+func (en *Entry) execute(ctx context.Context, fl *flight) (*response, string) {
+	an := fl.run(ctx)
+	fl.reportArrival()
+	fl.late = an.Outcome != fanout.OutcomeServed || an.At > fl.rq.began+fl.rt.Target
+	rs := fl.response(an)
+	en.recordOutcome(an, fl.rq)
+	fl.log(an, rs.status)
+	return rs, an.Outcome.String()
+}
+
 // response builds the response to a request that was sent to servers.
 func (fl *flight) response(an fanout.Answer) *response {
 	switch an.Outcome {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -308,17 +308,6 @@
 	return rs, outcome
 }
 
-// execute sends a request to servers and returns the response.
-func (en *Entry) execute(ctx context.Context, fl *flight) (*response, string) {
-	an := fl.run(ctx)
-	fl.reportArrival()
-	fl.late = an.Outcome != fanout.OutcomeServed || an.At > fl.rq.began+fl.rt.Target
-	rs := fl.response(an)
-	en.recordOutcome(an, fl.rq)
-	fl.log(an, rs.status)
-	return rs, an.Outcome.String()
-}
-
 // refuseCutOff refuses a request that this VM cannot serve while it is cut off.
 func (en *Entry) refuseCutOff(rq *request) *response {
 	en.routed.Add(1)
