admit, docs: admission described; time spent on unneeded shards is not counted

Cause: a gather waits until its target for a slow shard that it does not need; counted as this VM's own time, that made admission refuse requests which could be answered.

--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -20,7 +20,14 @@
 //	}
 //	for _, gr := range mc.Step(now) { gr.Waiter.notify(gr.Start, gr.Reason, gr.RetryAfter) }
 //
-// A Machine is not safe for concurrent use; its owner guards it with a mutex.
+// A Gate decides on routed requests in the same way, by client account and by the capacity of this VM
+// (see docs/design/admission.md):
+//
+//	ga := admit.NewGate[*waiter](admit.GateConfig{})
+//	vd := ga.Offer(now, arrival, waiter) // then Step, as above
+//	ga.Done(now, arrival, took, 0)       // at the end of a request that was started
+//
+// A Machine or Gate is not safe for concurrent use; its owner guards it with a mutex.
 // Times are monotonic, measured from the start of the process. A time before that
 // of an earlier call counts as the earlier one.
 package admit
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -309,13 +309,14 @@
 // Late records how late a timer of this VM fired.
 func (ga *Gate[W]) Late(late time.Duration) { ga.pace.Late(late) }
 
-// Done ends a request that was started.
-func (ga *Gate[W]) Done(now time.Duration, ar Arrival, took time.Duration) {
+// Done ends a request that was started. Idle is the part of the time that it took in which it only
+// waited for parts that its answer did not need: it says nothing about how long others need.
+func (ga *Gate[W]) Done(now time.Duration, ar Arrival, took, idle time.Duration) {
 	ga.advance(now)
 	limited := ga.count > 0 || ga.inProgress+ar.Cost > ga.pace.Window()
 	ga.inProgress = max(0, ga.inProgress-ar.Cost)
 	ga.pace.End(ga.now, ar.Cost, took, limited)
-	ga.route(ar.Route).observe(max(1, took-ar.Servers))
+	ga.route(ar.Route).observe(max(1, took-idle-ar.Servers))
 }
 
 // observe records how long a request took beyond the time of the servers.
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -30,6 +30,9 @@
 	growth = 0.3
 	// maxCut bounds a single cut: to this share of the window.
 	maxCut = 0.7
+	// leastWeight is the least window whatever the weights: requests to one server mostly wait for
+	// it, and two at once would leave a VM idle.
+	leastWeight = 16
 	// maxWindow bounds the window, in multiples of the largest weight seen.
 	maxWindow = 1024
 	// maxAllowed bounds the allowed delay.
@@ -82,7 +85,7 @@
 // Begin records that a request of a weight is about to be decided on.
 func (es *Estimator) Begin(weight float64) {
 	if es.window == 0 {
-		es.window = es.cfg.Initial * weight
+		es.window = max(es.cfg.Initial*weight, leastWeight)
 	}
 	if weight > es.largest {
 		// What is known of small requests says little about large ones.
@@ -140,7 +143,7 @@
 	case room < 0 && now >= es.cutAt+time.Duration(es.took):
 		// Whether a cut sufficed shows only after the requests that were in progress have ended.
 		es.cutAt = now
-		es.window = max(es.window*max(maxCut, es.allowed()/es.delay), es.cfg.Least*es.largest)
+		es.window = max(es.window*max(maxCut, es.allowed()/es.delay), es.cfg.Least*es.largest, leastWeight)
 	}
 }
 
--- a/io/entry/admission.go
+++ b/io/entry/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 
 	"laburnumvane/core/acct"
 	"laburnumvane/core/admit"
+	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
 	"laburnumvane/core/route"
@@ -171,10 +173,26 @@
 func (fl *flight) endAdmission() {
 	now := fl.en.cfg.Clock()
 	fl.en.admission.update(now, func(ga *admit.Gate[chan admitVerdict]) {
-		ga.Done(now, fl.arrived, now-fl.admittedAt)
+		ga.Done(now, fl.arrived, now-fl.admittedAt, fl.idle())
 	})
 }
 
+// idle returns how long the request has waited for shards since its answer had the least coverage.
+// A gather waits until its target for a shard that is slow, whatever the load.
+func (fl *flight) idle() time.Duration {
+	var served []time.Duration
+	for _, ar := range fl.results {
+		if ar.verdict == fanout.Served {
+			served = append(served, ar.at)
+		}
+	}
+	if fl.rt.Gather == nil || len(served) < fl.minParts {
+		return 0
+	}
+	slices.Sort(served)
+	return max(0, fl.en.cfg.Clock()-served[fl.minParts-1])
+}
+
 // refuseAdmission returns the response to a request that is not admitted, and logs what the
 // decision was based on.
 func (en *Entry) refuseAdmission(fl *flight, ar admit.Arrival, reason admit.Reason, retryAfter time.Duration) *response {
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -38,6 +38,8 @@
 	attempt int
 	verdict fanout.Verdict
 	rs      relay.Result
+	// at is when the result was processed.
+	at time.Duration
 	// broken is set if the server closed the connection under the request.
 	broken bool
 }
@@ -222,6 +224,7 @@
 // record stores a result for the response and the log line, and returns the event for the
 // machine.
 func (fl *flight) record(ar attemptResult) fanout.Event {
+	ar.at = fl.en.cfg.Clock()
 	fl.results[ar.attempt] = ar
 	fl.countResult(ar)
 	fl.sendHint(minBrokenForHint)
