quota: tokens beyond a bucket expire although others arrive

Cause: each token that arrived beyond a bucket, or on a VM without one, renewed the life of all that were there.

Change: their common expiry is the mean of their remaining times.

go test ./core/quota -run Beyond: fails before, passes now.

--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -219,3 +219,20 @@
 		}
 	}
 }
+
+// A bucket is refilled while tokens beyond it are returned every 0.2 s. Each of them must expire after
+// 0.25 s, or their number grows as long as some are returned.
+func TestTokensBeyondBucketExpire(t *testing.T) {
+	is := is.New(t)
+	li := quota.New(quota.Config{})
+	// Another VM holds the tokens: this one has no bucket.
+	ho := &quota.Holders{Fleet: &quota.Fleet{VMs: 2, DataCentres: 1, Listed: true}, Rank: -1, Local: 1}
+	ac := &acct.Account{Name: "a", Rate: 1000, Burst: 1000}
+	take(li, 0, ac, ho)
+	now := time.Duration(0)
+	for range 100 {
+		now += 200 * ms
+		li.Reply(now, quota.Call{Account: "a", Peer: "x", Want: 5}, quota.Reply{Granted: 5, Holds: true})
+	}
+	is.True(li.UsageOf(now, ac).Level <= 15)
+}
--- a/core/quota/state.go
+++ b/core/quota/state.go
@@ -190,8 +190,11 @@
 		n -= fits
 	}
 	if n > 0 {
+		// The mean of the remaining times: the tokens that are here must not last longer each time
+		// that others come.
+		left := max(0, st.extraUntil-now).Seconds() * st.extra
 		st.extra += n
-		st.extraUntil = now + batchLife
+		st.extraUntil = now + time.Duration((left+n*batchLife.Seconds())/st.extra*float64(time.Second))
 	}
 }
 
