quota: a VM that becomes a holder again has no old tokens

Cause: a VM kept its level while it was no holder. The VM that replaced it filled a bucket of its own in that time, so an account could use both in one window; with a burst far above its rate this exceeds the limit.

Change: what the other VM may have got, an initial level and refill, is subtracted; an initial level remains. The count of borrowed tokens is at most the level after a cap too.

go test ./core/quota -run Former: fails before, passes now.

--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -236,3 +236,21 @@
 	}
 	is.True(li.UsageOf(now, ac).Level <= 15)
 }
+
+// A VM that becomes a holder again must not have the tokens that it had before: the VM that replaced
+// it has got them in the meantime, and both could be used in one window.
+func TestFormerHolderHasNoOldTokens(t *testing.T) {
+	is := is.New(t)
+	li := quota.New(quota.Config{})
+	ac, ho := &acct.Account{Name: "a", Rate: 10, Burst: 1000}, alone()
+	replaced := &quota.Holders{Fleet: ho.Fleet, Rank: -1, Local: 1, Peers: []quota.Peer{{Addr: "x", Local: true}}}
+	take(li, 0, ac, ho)
+	take(li, 200*second, ac, ho)
+	is.True(li.UsageOf(200*second, ac).Level > 900)
+	take(li, 201*second, ac, replaced)
+	take(li, 202*second, ac, ho)
+	is.True(li.UsageOf(202*second, ac).Level > 900) // the other had little time to fill its bucket
+	take(li, 203*second, ac, replaced)
+	take(li, 400*second, ac, ho)
+	is.True(li.UsageOf(400*second, ac).Level <= 25) // a fifth of the allowance of 125
+}
--- a/core/quota/state.go
+++ b/core/quota/state.go
@@ -71,7 +71,9 @@
 	// emptySince is since when the bucket has held no more than part.empty, and at most the same of
 	// borrowed tokens.
 	emptySince time.Duration
-	// started is set once the bucket has had its initial level.
+	// leftAt is when this VM ceased to be a holder; started is set once the bucket has had its
+	// initial level.
+	leftAt  time.Duration
 	started bool
 	// extra are tokens beyond the bucket, until extraUntil.
 	extra      float64
@@ -124,11 +126,20 @@
 	if st.part = li.partOf(ac, ho); st.part != former {
 		st.emptySince = st.at
 	}
+	if former.holds && !st.part.holds {
+		st.leftAt = st.at
+	}
 	if st.part.holds {
 		if !st.started {
 			st.level, st.started = st.part.start, true
+		} else if !former.holds {
+			// The VM that was a holder instead had an initial level and refill; both could be used
+			// in one window.
+			other := st.part.start + st.part.refill*(st.at-st.leftAt).Seconds()
+			st.level = max(min(st.level, st.part.start), st.level-other)
 		}
 		st.level = min(st.level, st.part.limit)
+		st.borrowed = min(st.borrowed, st.level)
 	}
 }
 
