--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -219,3 +219,56 @@
 		}
 	}
 }
+
+// Requests wait for servers and do not run. Their tokens come back after the bucket is full again: the
+// account must not get a second burst in one window.
+func TestTokensReturnedToFullBucketAreLost(t *testing.T) {
+	is := is.New(t)
+	li := quota.New(quota.Config{})
+	ac, ho := &acct.Account{Name: "a", Rate: 20, Burst: 20}, alone()
+	is.Equal(take(li, 0, ac, ho).Kind, quota.Granted)
+	li.Done("a")
+	take(li, 2*second, ac, ho)
+	li.Done("a")
+	taken := drain(li, 10*second, ac, ho)
+	is.True(taken > 20)
+	for range taken {
+		li.Return(15*second, "a")
+	}
+	is.True(drain(li, 15*second, ac, ho) <= 27) // 20 and a fifth of the allowance of 32
+}
+
+// A bucket is refilled while tokens beyond it are returned every 0.2 s. Each of them must expire after
+// 0.25 s, or their number grows as long as some are returned.
+func TestTokensBeyondBucketExpire(t *testing.T) {
+	is := is.New(t)
+	li := quota.New(quota.Config{})
+	// Another VM holds the tokens: this one has no bucket.
+	ho := &quota.Holders{Fleet: &quota.Fleet{VMs: 2, DataCentres: 1, Listed: true}, Rank: -1, Local: 1}
+	ac := &acct.Account{Name: "a", Rate: 1000, Burst: 1000}
+	take(li, 0, ac, ho)
+	now := time.Duration(0)
+	for range 100 {
+		now += 200 * ms
+		li.Reply(now, quota.Call{Account: "a", Peer: "x", Want: 5}, quota.Reply{Granted: 5, Holds: true})
+	}
+	is.True(li.UsageOf(now, ac).Level <= 15)
+}
+
+// A VM that becomes a holder again must not have the tokens that it had before: the VM that replaced
+// it has got them in the meantime, and both could be used in one window.
+func TestFormerHolderHasNoOldTokens(t *testing.T) {
+	is := is.New(t)
+	li := quota.New(quota.Config{})
+	ac, ho := &acct.Account{Name: "a", Rate: 10, Burst: 1000}, alone()
+	replaced := &quota.Holders{Fleet: ho.Fleet, Rank: -1, Local: 1, Peers: []quota.Peer{{Addr: "x", Local: true}}}
+	take(li, 0, ac, ho)
+	take(li, 200*second, ac, ho)
+	is.True(li.UsageOf(200*second, ac).Level > 900)
+	take(li, 201*second, ac, replaced)
+	take(li, 202*second, ac, ho)
+	is.True(li.UsageOf(202*second, ac).Level > 900) // the other had little time to fill its bucket
+	take(li, 203*second, ac, replaced)
+	take(li, 400*second, ac, ho)
+	is.True(li.UsageOf(400*second, ac).Level <= 25) // a fifth of the allowance of 125
+}
--- a/core/quota/state.go
+++ b/core/quota/state.go
@@ -71,8 +71,14 @@
 	// emptySince is since when the bucket has held no more than part.empty, and at most the same of
 	// borrowed tokens.
 	emptySince time.Duration
-	// started is set once the bucket has had its initial level.
+	// leftAt is when this VM ceased to be a holder; started is set once the bucket has had its
+	// initial level.
+	leftAt  time.Duration
 	started bool
+	// running is the number of granted requests of this VM that have not ended, and refilledFor how
+	// many of their tokens have been replaced by refill: these do not come back.
+	running     int
+	refilledFor float64
 	// extra are tokens beyond the bucket, until extraUntil.
 	extra      float64
 	extraUntil time.Duration
@@ -124,11 +130,20 @@
 	if st.part = li.partOf(ac, ho); st.part != former {
 		st.emptySince = st.at
 	}
+	if former.holds && !st.part.holds {
+		st.leftAt = st.at
+	}
 	if st.part.holds {
 		if !st.started {
 			st.level, st.started = st.part.start, true
+		} else if !former.holds {
+			// The VM that was a holder instead had an initial level and refill; both could be used
+			// in one window.
+			other := st.part.start + st.part.refill*(st.at-st.leftAt).Seconds()
+			st.level = max(min(st.level, st.part.start), st.level-other)
 		}
 		st.level = min(st.level, st.part.limit)
+		st.borrowed = min(st.borrowed, st.level)
 	}
 }
 
@@ -146,6 +161,33 @@
 	if now >= st.extraUntil {
 		st.extra = 0
 	}
+	st.refilledFor = min(float64(st.running), max(st.refilledFor, st.available()+float64(st.running)-st.capacity()))
+}
+
+// capacity returns how many tokens this VM can have without refill, loans or batches.
+func (st *state) capacity() float64 { return max(1, st.part.limit) }
+
+// endRun ends a granted request.
+func (st *state) endRun() {
+	st.running = max(0, st.running-1)
+	st.refilledFor = min(st.refilledFor, float64(st.running))
+}
+
+// takeBack ends a request that did not run and adds its token. The bucket is refilled while requests
+// wait for servers; if all their tokens came back too, requests that are refused again and again would
+// collect tokens without bound, and all would be used once the servers work again.
+func (st *state) takeBack(now time.Duration) {
+	lost := min(1, st.refilledFor)
+	st.refilledFor -= lost
+	st.endRun()
+	if lost == 1 {
+		return
+	}
+	st.put(now, 1-lost)
+	if st.level+float64(st.running) > st.part.empty {
+		// The tokens of running requests may come back in this window like those of a bucket.
+		st.emptySince = now
+	}
 }
 
 // refilled returns the level after some seconds without requests. A limit allows the rate and a burst
@@ -190,8 +232,11 @@
 		n -= fits
 	}
 	if n > 0 {
+		// The mean of the remaining times: the tokens that are here must not last longer each time
+		// that others come.
+		left := max(0, st.extraUntil-now).Seconds() * st.extra
 		st.extra += n
-		st.extraUntil = now + batchLife
+		st.extraUntil = now + time.Duration((left+n*batchLife.Seconds())/st.extra*float64(time.Second))
 	}
 }
 
