admit: the required goodput during a drop of the capacity is a test

Change: TestReplayCapacityDropGoodput asserts 0.95 during the drop and after it. TestReplayCapacityDrop keeps the bounds that are reached.

--- a/core/admit/load_test.go
+++ b/core/admit/load_test.go
@@ -171,40 +171,65 @@
 	}
 }
 
-// The capacity of this VM drops to a third for five seconds. Load: three quarters of the usual
-// capacity, 2.25 times what is left.
-func TestReplayCapacityDrop(t *testing.T) {
+// dropSeeds is the number of seeds with which a drop of the capacity is replayed.
+const dropSeeds = 3
+
+// capacityDrop replays a drop of this VM's capacity to a third for five seconds, at three quarters
+// of the usual capacity, 2.25 times what is left. It returns the goodput as a share of the best
+// possible: during the drop, during it from a second on, and after it.
+func capacityDrop(t *testing.T, seed uint64) (during, steady, after float64) {
+	t.Helper()
 	const rate, from, to = 120, 5 * time.Second, 10 * time.Second
-	for seed := uint64(1); seed <= 3; seed++ {
-		is := is.New(t)
-		rp := newReplay(seed, newGatePolicy())
-		for i := range 20 {
-			rp.load(fmt.Sprint("account", i), 0, rate/20.0, 0, replayEnd)
-		}
-		rp.run(from)
-		rp.speed = 1.0 / 3
-		rp.run(to)
-		rp.speed = 1
-		rp.run(replayEnd + time.Second)
-		speed := func(at time.Duration) float64 {
-			if at >= from && at < to {
-				return 1.0 / 3
-			}
-			return 1
+	rp := newReplay(seed, newGatePolicy())
+	for i := range 20 {
+		rp.load(fmt.Sprint("account", i), 0, rate/20.0, 0, replayEnd)
+	}
+	rp.run(from)
+	rp.speed = 1.0 / 3
+	rp.run(to)
+	rp.speed = 1
+	rp.run(replayEnd + time.Second)
+	speed := func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return 1.0 / 3
 		}
-		during := rp.good(from, to) / rp.bestPossible(from, to, speed)
-		// Until the change shows, this VM starts more than it can do.
-		learnt := from + time.Second
-		steady := rp.good(learnt, to) / rp.bestPossible(learnt, to, speed)
-		after := rp.good(to, replayEnd) / rp.bestPossible(to, replayEnd, speed)
-		t.Logf("%v; goodput during %.3f of the best, from a second on %.3f, after %.3f", rp.total(), during, steady, after)
-		// 0.95 is required all through; docs/design/admission.md says what is missing.
+		return 1
+	}
+	share := func(from, to time.Duration) float64 {
+		return rp.good(from, to) / rp.bestPossible(from, to, speed)
+	}
+	// Until the change shows, this VM starts more than it can do.
+	during, steady, after = share(from, to), share(from+time.Second, to), share(to, replayEnd)
+	t.Logf("seed %d: %v; goodput during %.3f of the best, from a second on %.3f, after %.3f", seed, rp.total(), during, steady, after)
+	return during, steady, after
+}
+
+// The capacity falls to a third for five seconds, and the VM starts more than it can do or does not
+// recover. These bounds are what is reached; TestReplayCapacityDropGoodput has the required one.
+func TestReplayCapacityDrop(t *testing.T) {
+	is := is.New(t)
+	for seed := uint64(1); seed <= dropSeeds; seed++ {
+		during, steady, after := capacityDrop(t, seed)
 		is.True(during >= 0.85)
 		is.True(steady >= 0.93)
 		is.True(after >= 0.95)
 	}
 }
 
+// The capacity falls to a third for five seconds, and requests are late or refused that could have
+// been answered in time: the requirements page states 0.95 of the best goodput for this load too.
+func TestReplayCapacityDropGoodput(t *testing.T) {
+	const required = 0.95
+	for seed := uint64(1); seed <= dropSeeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			is := is.New(t)
+			during, _, after := capacityDrop(t, seed)
+			is.True(after >= required)
+			is.True(during >= required)
+		})
+	}
+}
+
 // The VM starts under a surge. Load: five times the capacity in the first half second, then half
 // of it; clients that honour Retry-After are served on their retry.
 func TestReplayStartUnderSurge(t *testing.T) {
