remote: a call that has ended is not counted as in flight

Cause: net/http reads the answer to Expect: 100-continue in a goroutine of its own. If a call ended meanwhile, the request was then counted as in flight, and nothing ended that: the VM was probed every 200 ms for good and never forgotten. A timer that fired while the call ended took the VM for frozen. Change: a call has the states unsent, sent and ended; after its end neither the answer nor the timer changes the table of peers. Conclusion: whether a request may have run is decided as before.

--- a/io/remote/join.go
+++ b/io/remote/join.go
@@ -22,7 +22,7 @@
 	cl.table.Begin(began, usual, vm.Process())
 	se := &sending{cl: cl, addr: vm.Addr}
 	rp, err := cl.stubs.Client(vm.Addr).Join(se.trace(ctx), rq)
-	sent := se.sent.Load()
+	sent := se.end()
 	now := cl.cfg.Clock()
 	if err != nil {
 		cl.table.Withdraw(now, vm.Process(), now-began)
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -176,7 +176,6 @@
 	defer cancel(nil)
 	defer cl.watcher.await(vm.Addr, &cancel)()
 	se := &sending{cl: cl, addr: vm.Addr, cancel: cancel}
-	defer se.stop()
 	// Between data centres this is done only during a disturbance: it costs traffic.
 	se.asks = (vm.DataCentre == cl.cfg.DataCentre || cl.peers.AnySilent()) && !cl.peers.Fresh(began, vm.Addr)
 	if se.asks {
@@ -184,7 +183,7 @@
 		cl.stubs.CloseIdle(vm.Addr)
 	}
 	rp, err := cl.stubs.Client(vm.Addr).Carry(se.trace(bounded), rq)
-	sent := se.sent.Load()
+	sent := se.end()
 	now := cl.cfg.Clock()
 	switch {
 	case err == nil && rp.GetDeclined():
