place: a decline does not renew an old report

Cause: a decline set the time of the last report, so the wait that a VM had reported long ago got its full weight again once the VM was usable. Conclusion: a report loses weight with its own age only.

--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -37,6 +37,10 @@
 				tb.Decline(time.Second, "near", false)
 			}
 		}, time.Second + 700*ms, 0, 1},
+		{"declined long after a report", func(tb *place.Table) {
+			tb.Report(time.Second, "near", place.Load{Wait: 200 * ms})
+			tb.Decline(9*time.Second, "near", false)
+		}, 9*time.Second + 100*ms, 0, 0},
 		{"stops", func(tb *place.Table) { tb.Decline(time.Second, "near", true) }, time.Second + 1500*ms, 0, 1},
 		{"all declined", func(tb *place.Table) {
 			tb.Decline(time.Second, "near", false)
