place, remote: the choice by load is used while a VM is busy

Best of two ignores what the observed latencies tell of fast VMs.

Change: the table of reports decides only while a forward target reported a wait of 10 ms or declined a request recently (Busy); a fleet with room is served as before.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -14,6 +14,8 @@
 //
 // # Rules
 //
+// The table is used while one of the VMs is busy (Busy).
+//
 // The expected time at a VM is what this VM has observed there, or the wait that the VM reported
 // with its last answers if that is longer. A report loses weight with its age, because the load
 // changes many times a second. Two targets are drawn and the one with the lower expected time is
@@ -41,6 +43,9 @@
 	maxBusyTime = 1600 * time.Millisecond
 	// maxDoublings is the number of declines in a row after which maxBusyTime applies.
 	maxDoublings = 4
+	// busyWait is the wait from which on a VM counts as busy: a part of the shortest usual target, and
+	// more than a VM with room reports.
+	busyWait = 10 * time.Millisecond
 	// waitShare is how many times its reported wait a target may be slower than usual because it is
 	// busy. A latency beyond that comes from slow servers, which this VM would meet too, and knows
 	// less about: of 161 gathers that small VMs then ran themselves 60 were late.
@@ -133,6 +138,19 @@
 	return re
 }
 
+// Busy reports whether one of the VMs said recently that requests wait there, or declined one. While
+// none did, the observed latencies alone are the better choice: they show which VMs are fast.
+func (tb *Table) Busy(now time.Duration) bool {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for addr, re := range tb.records {
+		if now < re.usableAt || tb.wait(now, addr) >= busyWait {
+			return true
+		}
+	}
+	return false
+}
+
 // Choose returns the index of the target that runs the request, or Self; sooner is set if there are
 // targets, and this VM is expected to answer before them. Own is the time that the
 // request is expected to take on this VM; 0 if this VM should not run it unless there is no target.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -87,3 +87,30 @@
 	is.True(choice != place.Self)
 	is.True(!sooner)
 }
+
+// A fleet with room must be served as by latency alone: the choice by load knows nothing better then,
+// and cost a calm day 3 in 100 of its requests in time.
+func TestBusy(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		tell func(tb *place.Table)
+		now  time.Duration
+		want bool
+	}{
+		{"nothing known", func(*place.Table) {}, 0, false},
+		{"no wait", func(tb *place.Table) { tb.Report(0, "a", place.Load{Wait: 2 * ms}) }, 0, false},
+		{"one waits", func(tb *place.Table) {
+			tb.Report(0, "a", place.Load{})
+			tb.Report(0, "b", place.Load{Wait: 30 * ms})
+		}, 0, true},
+		{"long ago", func(tb *place.Table) { tb.Report(0, "b", place.Load{Wait: 30 * ms}) }, 3 * time.Second, false},
+		{"one stops", func(tb *place.Table) { tb.Decline(0, "b", true) }, time.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			tb := place.New(place.Config{})
+			tc.tell(tb)
+			is.Equal(tb.Busy(tc.now), tc.want)
+		})
+	}
+}
--- a/core/place/replay_test.go
+++ b/core/place/replay_test.go
@@ -102,7 +102,7 @@
 		targets = append(targets, place.Target{Addr: vm.up.Addr, Local: vm.up.DataCentre == fmt.Sprint(ca.dc), Cost: cost, Base: base})
 		ups = append(ups, vm.up)
 	}
-	if re.chooses {
+	if re.chooses && ca.place.Busy(re.now) {
 		own := ownTime * time.Duration(1+ca.ownBusy)
 		choice, _ := ca.place.Choose(re.now, targets, own+usual, re.rnd.Float64)
 		return choice
--- a/io/remote/choose.go
+++ b/io/remote/choose.go
@@ -22,11 +22,11 @@
 // choose returns the VM that runs a request, or nil if there is none. sooner is set if there are
 // some, and this VM is expected to answer before them.
 func (cl *Client) choose(vms, tried []*origin.Upstream, usual, own time.Duration) (vm *origin.Upstream, sooner bool) {
-	if cl.cfg.Off.Off(toggle.Placement) {
+	now := cl.cfg.Clock()
+	if cl.cfg.Off.Off(toggle.Placement) || !cl.place.Busy(now) {
 		vm, _ = cl.pick(vms, tried, usual)
 		return vm, false
 	}
-	now := cl.cfg.Clock()
 	var candidates []*origin.Upstream
 	var targets []place.Target
 	for _, up := range cl.usable(now, vms) {
