--- a/io/entry/limit_test.go
+++ b/io/entry/limit_test.go
@@ -176,6 +176,34 @@
 	is.True(rq.charged) // it may have run
 }
 
+// Requests that ran have ended: if they counted as running, the tokens of later requests that did not run
+// would not come back.
+func TestTokensComeBackAfterRequestsThatRan(t *testing.T) {
+	is := is.New(t)
+	fl := newLimitFleet(t, acct.Account{Name: "a", Rate: 30, Burst: 30}, none)
+	fl.vms[0].returnToken(&request{}, "notRun") // has no token
+	var rqs []*request
+	for _, fl.now = range []time.Duration{0, 10 * time.Second, 20 * time.Second} {
+		rq, rs := fl.take(0)
+		is.Equal(rs, nil)
+		fl.vms[0].returnToken(rq, "failed")
+	}
+	for range 6 {
+		rq, rs := fl.take(0)
+		is.Equal(rs, nil)
+		rqs = append(rqs, rq)
+	}
+	for i, rq := range rqs[:3] {
+		fl.vms[0].returnToken(rq, []string{"failed", "ok", ""}[i])
+	}
+	fl.now += 300 * time.Millisecond
+	for _, rq := range rqs[3:] {
+		fl.vms[0].returnToken(rq, "notRun")
+	}
+	ac, _ := fl.vms[0].cfg.View().Routes().Accounts().ByName("a")
+	is.True(fl.vms[0].limits.quota.UsageOf(fl.now, ac).Level > 7)
+}
+
 // Requests of many clients arrive at all VMs at once, and calls end while others begin. None may be lost,
 // wait for ever, or be admitted twice.
 func TestConcurrentRequestsKeepLimit(t *testing.T) {
