--- a/core/quota/holders.go
+++ b/core/quota/holders.go
@@ -19,6 +19,9 @@
 	// emptySlices is how many of these parts a bucket may hold that counts as empty. While it gains a
 	// burst per window, the part for bursts and one of those for new buckets are not used otherwise.
 	emptySlices = 2
+	// burstRefillShare is the share of a burst that such a bucket gains in a window. The rest leaves room
+	// for restarts and tokens in flight if all holders have as much as counts as empty.
+	burstRefillShare = 0.8
 	// shrinkDelay is how long a data centre counts after its last VM disappeared. The VMs of a
 	// data centre that is cut off from the store for that long still use their parts.
 	shrinkDelay = 10 * time.Minute
@@ -102,7 +105,7 @@
 	}
 	share := 1 / (centres * float64(local))
 	pa.limit, pa.refill, pa.start = burst*share, pa.total*share, slice*share
-	pa.empty, pa.burstRefill, pa.window = min(pa.limit/2, emptySlices*slice*share), ac.Burst*share/window, li.cfg.Bounds.Window
+	pa.empty, pa.burstRefill, pa.window = min(pa.limit/2, emptySlices*slice*share), burstRefillShare*ac.Burst*share/window, li.cfg.Bounds.Window
 	return pa
 }
 
--- a/core/quota/state.go
+++ b/core/quota/state.go
@@ -192,8 +192,8 @@
 
 // refilled returns the level after some seconds without requests. A limit allows the rate and a burst
 // in every window. A bucket that has been empty for a whole window has not given out its burst in that
-// window, so it is refilled with a burst per window in addition, as long as it stays empty. However
-// the account sends, no window has more than its rate and one burst.
+// window, so it is refilled with most of a burst per window in addition, as long as it stays empty.
+// However the account sends, no window has more than its rate and one burst.
 func (st *state) refilled(seconds float64) float64 {
 	level := st.level + st.part.refill*seconds
 	if st.at-st.emptySince >= st.part.window {
