admit: no request waits for longer than MaxWait

Cause: MaxWait was compared with the estimated wait only. A request with much time left waited until its deadline if nothing that was started ended. Change: the time by which an entry must start is at most MaxWait after its arrival.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -171,12 +171,15 @@
 		return ga.refuse(re, ar, ga.wait(fl, ar))
 	}
 	wait := ga.wait(fl, ar)
-	en := &Entry[W]{waiter: waiter, ar: ar, fl: fl, queued: true, startBy: ar.Deadline - need, targetBy: ar.Target - need}
+	en := &Entry[W]{
+		waiter: waiter, ar: ar, fl: fl, queued: true,
+		startBy: min(ar.Deadline-need, ga.now+ga.cfg.MaxWait), targetBy: ar.Target - need,
+	}
 	startBy := en.startBy
 	if ga.lasting() {
-		startBy = en.targetBy
+		startBy = min(startBy, en.targetBy)
 	}
-	if ga.now+wait > startBy || wait > ga.cfg.MaxWait {
+	if ga.now+wait > startBy {
 		re := ReasonWaitTooLong
 		if fl.queued > ownShare*ga.costAhead(fl) && len(ga.waiting) > 1 {
 			re = ReasonAccount
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -94,6 +94,25 @@
 	is.Equal(ga.State(20*time.Millisecond).Waiting, 0)
 }
 
+// Nothing that was started ends, and a request has much time left. It must not wait for longer than
+// MaxWait: what waits is bounded in time too.
+func TestGateMaxWait(t *testing.T) {
+	const maxWait = time.Second
+	is := is.New(t)
+	ga := admit.NewGate[int](admit.GateConfig{MaxWait: maxWait})
+	first := fillGate(ga)
+	is.True(ga.Withdraw(0, first.Entry))
+	ar := arrivalAt(0, "one")
+	ar.Target, ar.Deadline = time.Minute, time.Minute
+	vd := ga.Offer(0, ar, 7)
+	is.Equal(vd.Kind, admit.Queued)
+	is.True(vd.Entry.StartBy() <= maxWait)
+	is.Equal(len(ga.Step(maxWait-time.Millisecond)), 0)
+	grants := ga.Step(maxWait)
+	is.Equal(len(grants), 1)
+	is.Equal(grants[0].Reason, admit.ReasonQueueTimeout)
+}
+
 // Each of 20,000 accounts sends a few requests and stops. The memory must be bounded while they
 // send, and nothing remain after that.
 func TestGateForgetsAccounts(t *testing.T) {
