--- a/cmd/laburnumvane/soak_crash_test.go
+++ b/cmd/laburnumvane/soak_crash_test.go
@@ -53,6 +53,7 @@
 	rq.Header.Set("User-Agent", soakCrasher)
 	rq.Header.Set(platform.HeaderRequestID, nextSoakID())
 	rq.Header.Set(platform.HeaderDeadline, "1500")
+	so.accounts.authorize(rq, soakOpen)
 	rs, err := client.Do(rq)
 	if err != nil {
 		// The VM may be down.
--- a/cmd/laburnumvane/try.go
+++ b/cmd/laburnumvane/try.go
@@ -32,7 +32,8 @@
 		Description: `try starts stand-ins for the platform's store and for upstream servers, and
 three VMs of "gateway", all in one process on loopback. It sends requests while a
 server drains, the configuration changes and the store does not answer, and prints
-the responses that a client gets.
+the responses that a client gets. It then adds client accounts, removes a key and
+sends many times the limit of one account.
 
 Examples:
    laburnumvane try`,
@@ -57,6 +58,8 @@
 	vms   []fakes.VM
 	edges []*edge.Edge
 	sent  int
+	// key is the key of the requests; empty means that they have none.
+	key string
 }
 
 func (tr *tryRun) close() {
@@ -86,6 +89,7 @@
 	tr.waitUntil(func() bool { return tr.send("/new/2f").status == http.StatusOK })
 	fmt.Fprintf(tr.out, "a new route is in force after %v\n", time.Since(start).Round(time.Millisecond))
 	tr.sendAndPrint("a path without route", "/nowhere/")
+	tr.showAccounts()
 	return nil
 }
 
@@ -133,9 +137,12 @@
 	vm      int
 	status  int
 	missing string
-	bytes   int
-	took    time.Duration
-	err     error
+	// account is the account that servers got.
+	account    string
+	retryAfter string
+	bytes      int
+	took       time.Duration
+	err        error
 }
 
 // send sends a GET request to the next VM in turn.
@@ -149,6 +156,9 @@
 	}
 	rq.Host = fakes.Host
 	rq.Header.Set(platform.HeaderRequestID, fmt.Sprintf("try-%d", tr.sent))
+	if tr.key != "" {
+		rq.Header.Set("Authorization", "Bearer "+tr.key)
+	}
 	start := time.Now()
 	rs, err := http.DefaultClient.Do(rq)
 	if err != nil {
@@ -158,6 +168,7 @@
 	defer rs.Body.Close()
 	body, err := io.ReadAll(rs.Body)
 	an.status, an.missing, an.bytes, an.took, an.err = rs.StatusCode, rs.Header.Get(platform.HeaderMissing), len(body), time.Since(start), err
+	an.account, an.retryAfter = tr.accountSeen(rq.Header.Get(platform.HeaderRequestID)), rs.Header.Get("Retry-After")
 	return an
 }
 
@@ -171,5 +182,9 @@
 	if an.missing != "" {
 		missing = fmt.Sprintf(", %s of %d shards missing", an.missing, tryShards)
 	}
-	fmt.Fprintf(tr.out, "%s: vm-%d answers %d, %d bytes%s, %v\n", what, an.vm, an.status, an.bytes, missing, an.took.Round(100*time.Microsecond))
+	account := ""
+	if an.account != "" {
+		account = fmt.Sprintf(", account %q at the server", an.account)
+	}
+	fmt.Fprintf(tr.out, "%s: vm-%d answers %d, %d bytes%s%s, %v\n", what, an.vm, an.status, an.bytes, missing, account, an.took.Round(100*time.Microsecond))
 }
