--- a/cmd/laburnumvane/try_accounts.go
+++ b/cmd/laburnumvane/try_accounts.go
@@ -14,6 +14,9 @@
 	trySmall   = "key-of-small"
 	tryRemoved = "second-key-of-small"
 	tryHot     = "key-of-hot"
+	// trySmallRate is the limit of the first account, in requests a second. It admits the requests that
+	// wait for a change of the keys.
+	trySmallRate = 200
 	// tryRate is the limit of the hot account, in requests a second and in its burst.
 	tryRate = 10
 	// tryHotSeconds is how long the hot account sends tryHotFactor times its limit.
@@ -23,7 +26,7 @@
 
 func tryAccounts(smallKeys ...string) []fakes.Account {
 	return []fakes.Account{
-		{"name": "small", "api_keys": smallKeys, "rate_per_s": tryRate, "burst": tryRate},
+		{"name": "small", "api_keys": smallKeys, "rate_per_s": trySmallRate, "burst": trySmallRate},
 		{"name": "hot", "api_keys": []string{tryHot}, "rate_per_s": tryRate, "burst": tryRate},
 	}
 }
