--- a/core/place/replay_test.go
+++ b/core/place/replay_test.go
@@ -1,8 +1,8 @@
 package place_test
 
 import (
-	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -15,6 +15,7 @@
 	"laburnumvane/core/origin"
 	"laburnumvane/core/place"
 	"laburnumvane/core/steer"
+	"laburnumvane/internal/vtime"
 )
 
 // The replay below sends the requests of 60 small VMs in three data centres to six large VMs, in
@@ -38,27 +39,6 @@
 	binWidth    = time.Second
 )
 
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type events []event
-
-func (ev events) Len() int { return len(ev) }
-func (ev events) Less(i, j int) bool {
-	return ev[i].at < ev[j].at || ev[i].at == ev[j].at && ev[i].seq < ev[j].seq
-}
-func (ev events) Swap(i, j int) { ev[i], ev[j] = ev[j], ev[i] }
-func (ev *events) Push(x any)   { *ev = append(*ev, x.(event)) }
-func (ev *events) Pop() any {
-	old := *ev
-	last := old[len(old)-1]
-	*ev = old[:len(old)-1]
-	return last
-}
-
 // largeVM is one large VM; slowness divides its speed.
 type largeVM struct {
 	up       *origin.Upstream
@@ -78,19 +58,17 @@
 }
 
 type replay struct {
-	now   time.Duration
-	rnd   *rand.Rand
-	queue events
-	seq   int
-	vms   []*largeVM
+	now    time.Duration
+	rnd    *rand.Rand
+	agenda vtime.Agenda[func()]
+	vms    []*largeVM
 	// chooses is set if the callers use a place.Table.
 	chooses                  bool
 	total, late, remote, own int
 }
 
 func (re *replay) after(wait time.Duration, run func()) {
-	re.seq++
-	heap.Push(&re.queue, event{at: re.now + wait, seq: re.seq, run: run})
+	re.agenda.After(wait, run)
 }
 
 func (re *replay) choose(ca *caller) int {
@@ -184,6 +162,7 @@
 
 func runReplay(seed uint64, lo load, chooses bool) *replay {
 	re := &replay{now: time.Second, rnd: rand.New(rand.NewPCG(seed, 2)), chooses: chooses}
+	re.agenda.Next(re.now)
 	for k := range largeVMs {
 		vm := &largeVM{up: &origin.Upstream{ID: fmt.Sprint(k), Addr: fmt.Sprint(k), DataCentre: fmt.Sprint(k % dataCentres)}, slowness: 1, ga: gauge.New(gauge.Config{Cores: cores})}
 		if k == 0 {
@@ -201,10 +180,9 @@
 		}
 		re.after(time.Duration(re.rnd.Int64N(int64(time.Second))), func() { re.arrive(ca, rate) })
 	}
-	for len(re.queue) > 0 {
-		next := heap.Pop(&re.queue).(event)
-		re.now = next.at
-		next.run()
+	for run := range re.agenda.Until(math.MaxInt64) {
+		re.now = re.agenda.Now()
+		run()
 	}
 	return re
 }
--- a/core/probe/replay_test.go
+++ b/core/probe/replay_test.go
@@ -1,8 +1,8 @@
 package probe_test
 
 import (
-	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -14,6 +14,7 @@
 	"laburnumvane/core/origin"
 	"laburnumvane/core/probe"
 	"laburnumvane/core/steer"
+	"laburnumvane/internal/vtime"
 )
 
 // The replay below runs 60 small VMs in three data centres that forward requests to six large VMs,
@@ -61,32 +62,11 @@
 
 const none = -1
 
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type events []event
-
-func (ev events) Len() int { return len(ev) }
-func (ev events) Less(i, j int) bool {
-	return ev[i].at < ev[j].at || ev[i].at == ev[j].at && ev[i].seq < ev[j].seq
-}
-func (ev events) Swap(i, j int) { ev[i], ev[j] = ev[j], ev[i] }
-func (ev *events) Push(x any)   { *ev = append(*ev, x.(event)) }
-func (ev *events) Pop() any {
-	old := *ev
-	last := old[len(old)-1]
-	*ev = old[:len(old)-1]
-	return last
-}
-
 type replay struct {
 	now    time.Duration
 	rnd    *rand.Rand
-	queue  events
-	seq    int
+	agenda vtime.Agenda[func()]
+	sent   int
 	fa     fault
 	limits probe.Limits
 	vms    []*origin.Upstream
@@ -109,8 +89,7 @@
 }
 
 func (re *replay) after(wait time.Duration, run func()) {
-	re.seq++
-	heap.Push(&re.queue, event{at: re.now + wait, seq: re.seq, run: run})
+	re.agenda.After(wait, run)
 }
 
 func (re *replay) active() bool { return re.now >= faultAt && re.now < re.fa.until }
@@ -250,8 +229,8 @@
 	}
 	ca.peers.Begin(re.now, up.Addr)
 	ca.table.Begin(re.now, gather, up.Process())
-	re.seq++
-	id, done := re.seq, false
+	re.sent++
+	id, done := re.sent, false
 	lose := func() {
 		if !done {
 			done = true
@@ -308,6 +287,7 @@
 
 func runReplay(fa fault, li probe.Limits) *replay {
 	re := &replay{now: time.Second, rnd: rand.New(rand.NewPCG(replaySeed, 1)), fa: fa, limits: li}
+	re.agenda.Next(re.now)
 	for k := range largeVMs {
 		re.vms = append(re.vms, &origin.Upstream{ID: fmt.Sprint(k), Addr: fmt.Sprint(k), DataCentre: fmt.Sprint(k % dataCentres)})
 	}
@@ -319,10 +299,9 @@
 		}
 		re.after(time.Duration(re.rnd.Int64N(int64(time.Second))), ca.arrive)
 	}
-	for len(re.queue) > 0 {
-		next := heap.Pop(&re.queue).(event)
-		re.now = next.at
-		next.run()
+	for run := range re.agenda.Until(math.MaxInt64) {
+		re.now = re.agenda.Now()
+		run()
 	}
 	return re
 }
