--- a/io/relay/await_test.go
+++ b/io/relay/await_test.go
@@ -21,18 +21,7 @@
 	}{{"awaits", true}, {"does not await", false}} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer ln.Close()
-			go func() {
-				for {
-					nc, err := ln.Accept()
-					if err != nil {
-						return
-					}
-					go respondToAll(nc)
-				}
-			}()
+			addr := serveConns(t, respondToAll)
 			began := time.Now()
 			dials := 0
 			closed := make(chan struct{}, 2)
@@ -51,7 +40,7 @@
 				Closed: func() { closed <- struct{}{} },
 			})
 			defer po.Close()
-			up := &origin.Upstream{ID: "s1", Service: "s", Addr: ln.Addr().String()}
+			up := &origin.Upstream{ID: "s1", Service: "s", Addr: addr}
 			po.Sync(origin.New([]*origin.Upstream{up}), func(*origin.Upstream) relay.Limits { return relay.Limits{Max: 1} })
 			for _, id := range []string{"a", "b"} {
 				result := make(chan relay.Result, 1)
--- a/io/relay/used_test.go
+++ b/io/relay/used_test.go
@@ -17,23 +17,12 @@
 // request that may run only once goes to a server that never responds.
 func TestConnectionClosedAfterStatusCheckIsNotRejected(t *testing.T) {
 	is := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer ln.Close()
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer nc.Close()
-				if _, err := nc.Read(make([]byte, 1024)); err == nil {
-					_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-				}
-			}()
+	addr := serveConns(t, func(nc net.Conn) {
+		defer nc.Close()
+		if _, err := nc.Read(make([]byte, 1024)); err == nil {
+			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}
-	}()
+	})
 	closed := make(chan struct{}, 2)
 	po := relay.New(relay.Config{
 		Clock:    func() time.Duration { return time.Second },
@@ -41,7 +30,7 @@
 		Closed:   func() { closed <- struct{}{} },
 	})
 	defer po.Close()
-	up := &origin.Upstream{ID: "s1", Service: "s", Addr: ln.Addr().String()}
+	up := &origin.Upstream{ID: "s1", Service: "s", Addr: addr}
 	po.Sync(origin.New([]*origin.Upstream{up}), func(*origin.Upstream) relay.Limits { return relay.Limits{Max: 1} })
 	for range 2 {
 		result := make(chan relay.Result, 1)
--- a/io/relay/written_test.go
+++ b/io/relay/written_test.go
@@ -31,18 +31,7 @@
 // that may run only once goes to a server that never responds.
 func TestConnectionIsKeptIfResponseArrivesBeforeWriteReturns(t *testing.T) {
 	is := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer ln.Close()
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go respondToAll(nc)
-		}
-	}()
+	addr := serveConns(t, respondToAll)
 	began := time.Now()
 	var mu sync.Mutex
 	dials := 0
@@ -58,7 +47,7 @@
 		},
 	})
 	defer po.Close()
-	up := &origin.Upstream{ID: "s1", Service: "s", Addr: ln.Addr().String()}
+	up := &origin.Upstream{ID: "s1", Service: "s", Addr: addr}
 	po.Sync(origin.New([]*origin.Upstream{up}), func(*origin.Upstream) relay.Limits { return relay.Limits{Idle: 1, Max: 1} })
 	for _, id := range []string{"a", "b", "c"} {
 		result := make(chan relay.Result, 1)
@@ -86,3 +75,22 @@
 		}
 	}
 }
+
+// serveConns listens on loopback until the test ends, and calls serve for each connection. It
+// returns the address.
+func serveConns(t *testing.T, serve func(nc net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(nc)
+		}
+	}()
+	return ln.Addr().String()
+}
