--- a/io/node/config_bench_test.go
+++ b/io/node/config_bench_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"laburnumvane/core/spread"
+	"laburnumvane/internal/count"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/meter"
 	"laburnumvane/io/peer"
@@ -24,7 +24,7 @@
 	}
 	nd := &Node{addr: ln.Addr().String(), meter: meter.New(), log: &log.Logger{Level: log.PanicLevel}}
 	nd.peers = peer.NewClient(peer.ClientConfig{Timeout: time.Second})
-	cl := &countingListener{Listener: ln}
+	cl := count.New(ln)
 	sr := peer.NewServer(peer.ServerConfig{Listener: cl, Service: &peerService{nd: nd}})
 	go func() { _ = sr.Serve() }()
 	b.Cleanup(func() { _ = sr.Close() })
@@ -35,33 +35,5 @@
 			b.Fatal(err)
 		}
 	}
-	b.ReportMetric(float64(cl.bytes.Load())/float64(b.N), "B/op-both-ways")
-}
-
-// countingListener counts the bytes of all its connections, in both directions.
-type countingListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-func (cl *countingListener) Accept() (net.Conn, error) {
-	cn, err := cl.Listener.Accept()
-	return &countingConn{Conn: cn, bytes: &cl.bytes}, err
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (cc *countingConn) Read(p []byte) (int, error) {
-	n, err := cc.Conn.Read(p)
-	cc.bytes.Add(int64(n))
-	return n, err
-}
-
-func (cc *countingConn) Write(p []byte) (int, error) {
-	n, err := cc.Conn.Write(p)
-	cc.bytes.Add(int64(n))
-	return n, err
+	b.ReportMetric(float64(cl.Bytes())/float64(b.N), "B/op-both-ways")
 }
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -13,6 +13,7 @@
 
 	"laburnumvane/core/origin"
 	"laburnumvane/core/probe"
+	"laburnumvane/internal/count"
 	"laburnumvane/io/inner"
 	"laburnumvane/io/remote"
 )
@@ -62,7 +63,7 @@
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	counted := &countingListener{Listener: ln}
+	counted := count.New(ln)
 	srv := &http.Server{Handler: inner.NewHomeServer(&fakeVM{}), ReadHeaderTimeout: testTimeout}
 	go func() {
 		// Serve returns when the test closes the server.
@@ -75,7 +76,7 @@
 		_, err := cl.Allow(ln.Addr().String(), &inner.AllowRequest{Version: inner.Version, Account: "account-1234", Want: 1000, Borrow: true})
 		is.NoErr(err)
 	}
-	perCall := counted.bytes.Load() / calls
+	perCall := counted.Bytes() / calls
 	t.Logf("%d bytes for each call, in both directions", perCall)
 	is.True(perCall < 600)
 }
@@ -101,34 +102,6 @@
 	is.True(err != nil)
 }
 
-// countingListener counts the bytes of its connections.
-type countingListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-func (cl *countingListener) Accept() (net.Conn, error) {
-	co, err := cl.Listener.Accept()
-	return &countingConn{Conn: co, bytes: &cl.bytes}, err
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (cc *countingConn) Read(p []byte) (int, error) {
-	n, err := cc.Conn.Read(p)
-	cc.bytes.Add(int64(n))
-	return n, err
-}
-
-func (cc *countingConn) Write(p []byte) (int, error) {
-	n, err := cc.Conn.Write(p)
-	cc.bytes.Add(int64(n))
-	return n, err
-}
-
 // Join replies that all servers served.
 func (vm *fakeVM) Join(ctx context.Context, rq *inner.JoinRequest) (*inner.JoinReply, error) {
 	if vm.silent {
