--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -24,7 +23,6 @@
 	"laburnumvane/core/warmup"
 	"laburnumvane/io/entry"
 	"laburnumvane/io/follow"
-	"laburnumvane/io/inner"
 	"laburnumvane/io/meter"
 	"laburnumvane/io/relay"
 	"laburnumvane/io/remote"
@@ -284,37 +282,6 @@
 	}
 }
 
-// summaryInterval is how often the state of this VM is logged.
-const summaryInterval = 10 * time.Second
-
-// logSummary logs the counters that explain most complaints, for times at which the metrics
-// were not collected.
-func (eg *Edge) logSummary() {
-	now := eg.clock()
-	if now < eg.nextSummary {
-		return
-	}
-	eg.nextSummary = now + summaryInterval
-	count := func(family, reason string) int64 { return eg.meter.Value(family, reason) }
-	eg.cfg.Log.Info().
-		Int("inFlight", eg.entry.InFlight()).
-		Int64("connections", eg.conns.Load()).
-		Int64("opened", count(meter.Connection, "open")).
-		Int64("openFailed", count(meter.Connection, "openFailed")).
-		Int64("openReset", count(meter.Connection, "openReset")).
-		Int64("cut", count(meter.Connection, "cut")).
-		Int64("ended", count(meter.Connection, "ended")).
-		Int64("closing", count(meter.Connection, "closing")).
-		Int64("old", count(meter.Connection, "old")).
-		Int64("spare", count(meter.Connection, "spare")).
-		Int64("unasked", count(meter.Connection, "unasked")).
-		Int64("stray", count(meter.Connection, "stray")).
-		Int64("storeCalls", count(meter.Platform, "store")).
-		Int64("peerCalls", count(meter.Platform, "peer")).
-		Int64("ageMs", eg.follow.Age().Milliseconds()).
-		Msg("summary")
-}
-
 // updateReady decides whether the balancer may begin to send clients.
 func (eg *Edge) updateReady() {
 	vw := eg.view.Load()
@@ -371,73 +338,3 @@
 	}
 	return po
 }
-
-func (eg *Edge) listen() error {
-	clients, err := net.Listen("tcp", eg.set.ClientAddr)
-	if err != nil {
-		return &Error{Op: "edge.Start", Kind: KindListen, Err: err}
-	}
-	eg.entry = entry.New(entry.Config{
-		Listener:    clients,
-		DataCentre:  eg.set.Self.DataCentre,
-		Capacity:    eg.set.Capacity,
-		Names:       eg.cfg.Names,
-		Clock:       eg.clock,
-		View:        eg.view.Load,
-		Relay:       eg.pool,
-		Steer:       eg.steer,
-		Load:        eg.cfg.Decoder.Load,
-		WarmUp:      eg.warmUp,
-		HomeClient:  eg.homeClient,
-		Gauge:       eg.gauge,
-		Poison:      eg.poison,
-		SharePoison: eg.poisonWriter.add,
-		SendHint:    eg.sendHint,
-		Meter:       eg.meter,
-		Log:         eg.cfg.Log,
-		Off:         eg.set.Off,
-		CopyAge:     eg.follow.AppliedAge,
-		Keys:        eg.keyPolicy(),
-		Quota:       eg.set.Quota,
-		DataCentres: len(eg.set.Regions),
-	})
-	innerLn, err := net.Listen("tcp", eg.set.InnerAddr)
-	if err != nil {
-		return &Error{Op: "edge.Start", Kind: KindListen, Err: err}
-	}
-	eg.inner = &http.Server{Handler: eg.innerHandler(), ReadHeaderTimeout: innerHeaderTimeout}
-	checks, err := eg.listenChecks()
-	if err != nil {
-		return err
-	}
-	eg.checks = checks
-	if eg.set.MetricsAddr != "" {
-		if eg.metrics, err = eg.listenMetrics(); err != nil {
-			return err
-		}
-	}
-	eg.serve("clients", eg.entry.Serve)
-	eg.serve("checks", eg.checks.Run)
-	eg.serve("inner", func() error { return eg.inner.Serve(innerLn) })
-	if eg.metrics != nil {
-		eg.serve("metrics", eg.metrics.Run)
-	}
-	return nil
-}
-
-// innerHandler returns the handler of the protocols between VMs.
-func (eg *Edge) innerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(inner.FeedPathPrefix, inner.NewFeedServer(eg.follow))
-	mux.Handle(inner.HomePathPrefix, inner.NewHomeServer(eg.entry))
-	return mux
-}
-
-// serve runs a listener in the background and logs an error if it ends before the stop.
-func (eg *Edge) serve(name string, run func() error) {
-	go func() {
-		if err := run(); err != nil && !eg.leaving.Load() {
-			eg.cfg.Log.Error().Str("listener", name).Err(err).Msg("listener failed")
-		}
-	}()
-}
