admit, remote: spells of slow servers end; a failed call for tokens drops its connections

Two requests that found slow servers minutes apart counted as lasting slowness, and three of four later ones were refused (TestGateForgetsSlowServers, red before). A call for tokens on a connection that went silent was tried again on the same connection. Entry.Load had no caller.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -126,8 +126,9 @@
 
 // routeState is what is known of the servers of a route.
 type routeState struct {
-	// slowSince is since when they have been too slow for the target; 0 if they are not.
-	slowSince time.Duration
+	// slowSince is since when they have been too slow for the target; 0 if they are not. slowAt is
+	// when that was seen last.
+	slowSince, slowAt time.Duration
 	// credit is the number of trials that are due.
 	credit float64
 	// local is how long requests took beyond the time of the servers, and deviation by how much
@@ -193,14 +194,22 @@
 	return Verdict[W]{Kind: Queued, Entry: en}
 }
 
+// slowExpiry is how long after a request that found the servers too slow another one is taken for the
+// same spell. Slow spells of servers last for half a second.
+const slowExpiry = time.Second
+
 // tooSlow returns why a request cannot be answered in time even if it starts at once; empty if it
 // can.
 func (ga *Gate[W]) tooSlow(ar Arrival, need time.Duration) Reason {
 	rs := ga.route(ar.Route)
-	if ga.now+ar.Servers <= ar.Target {
+	switch {
+	case ga.now+ar.Servers <= ar.Target:
 		rs.slowSince = 0
-	} else if rs.slowSince == 0 {
+	case rs.slowSince == 0 || ga.now-rs.slowAt > slowExpiry:
 		rs.slowSince = max(1, ga.now)
+		rs.slowAt = ga.now
+	default:
+		rs.slowAt = ga.now
 	}
 	switch {
 	case ga.now >= ar.Deadline:
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -185,3 +185,18 @@
 		is.True(share >= tc.least && share <= tc.most)
 	}
 }
+
+// Two requests that found slow servers, a minute apart, are no lasting slowness: three of four later
+// ones would be refused although the servers are as fast as usual in between.
+func TestGateForgetsSlowServers(t *testing.T) {
+	is := is.New(t)
+	ga := admit.NewGate[int](admit.GateConfig{})
+	slow := func(now time.Duration) admit.Arrival {
+		return admit.Arrival{Route: "r", Cost: 1, Servers: 300 * time.Millisecond, Target: now + 100*time.Millisecond, Deadline: now + 2*time.Second}
+	}
+	for k := range 8 {
+		now := time.Duration(k) * time.Minute
+		vd := ga.Offer(now, slow(now), k)
+		is.Equal(vd.Reason, admit.Reason(""))
+	}
+}
--- a/io/entry/admission.go
+++ b/io/entry/admission.go
@@ -203,16 +203,3 @@
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
-
-// Load returns this VM's work in progress as a share of its capacity, and how long a request waits
-// before it is sent. Both are 0 while requests are not admitted by account.
-func (en *Entry) Load() (share float64, wait time.Duration) {
-	ad := en.admission
-	ad.mu.Lock()
-	defer ad.mu.Unlock()
-	st := ad.gate.State(en.cfg.Clock())
-	if st.Window == 0 {
-		return 0, 0
-	}
-	return st.InProgress / st.Window, st.Wait
-}
--- a/io/remote/allow.go
+++ b/io/remote/allow.go
@@ -25,6 +25,8 @@
 		return &inner.AllowReply{}, nil
 	}
 	if err != nil {
+		// The next call must not wait for a connection that went silent.
+		cl.stubs.Remove(addr)
 		return nil, &Error{Op: "carry.Allow", Kind: KindLost, Addr: addr, Err: err}
 	}
 	return rp, nil
