probe, steer, place: usual names for the time of the last answer

hear, heard and heardAt become recordAnswer, answered, lastAnswerAt, respondedAt and lastReplyAt. No change of behaviour; tests of the three packages pass.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -82,8 +82,8 @@
 
 type record struct {
 	load Load
-	// at is when load was reported; heardAt is when the VM last reported or declined.
-	at, heardAt time.Duration
+	// at is when load was reported; lastReplyAt is when the VM last reported or declined.
+	at, lastReplyAt time.Duration
 	// declines counts the requests declined in a row; the VM is not used before usableAt.
 	declines int
 	usableAt time.Duration
@@ -103,7 +103,7 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	re := tb.record(now, addr)
-	re.load, re.at, re.heardAt, re.declines = lo, now, now, 0
+	re.load, re.at, re.lastReplyAt, re.declines = lo, now, now, 0
 }
 
 // Decline records that a VM declined a request because it is busy or, if stops is set, because it
@@ -118,7 +118,7 @@
 	}
 	re.usableAt = now + wait
 	re.declines++
-	re.heardAt = now
+	re.lastReplyAt = now
 }
 
 func (tb *Table) record(now time.Duration, addr string) *record {
@@ -128,12 +128,12 @@
 	}
 	if len(tb.records) >= maxRemembered {
 		for other, old := range tb.records {
-			if now-old.heardAt > forgetAfter {
+			if now-old.lastReplyAt > forgetAfter {
 				delete(tb.records, other)
 			}
 		}
 	}
-	re = &record{at: now, heardAt: now}
+	re = &record{at: now, lastReplyAt: now}
 	tb.records[addr] = re
 	return re
 }
--- a/core/probe/peer.go
+++ b/core/probe/peer.go
@@ -43,13 +43,13 @@
 // peer is what is known of one VM.
 type peer struct {
 	vm VM
-	// inFlight counts the requests that were sent and not answered, silentSince is when the VM was
-	// last heard or got the first of them.
+	// inFlight counts the requests that were sent and not answered, silentSince is when the VM
+	// last answered or got the first of them.
 	inFlight    int
 	silentSince time.Duration
-	// heardAt is when it last answered anything; heard is false if it never has.
-	heardAt time.Duration
-	heard   bool
+	// lastAnswerAt is when it last answered anything; answered is set once it has.
+	lastAnswerAt time.Duration
+	answered     bool
 	// wantedAt is when a request last considered the VM.
 	wantedAt time.Duration
 	replies  latency
@@ -68,9 +68,9 @@
 	gaveUp bool
 }
 
-// hear records that the VM answered.
-func (pe *peer) hear(now time.Duration) {
-	pe.heardAt, pe.heard, pe.silentSince = now, true, now
+// recordAnswer records that the VM answered.
+func (pe *peer) recordAnswer(now time.Duration) {
+	pe.lastAnswerAt, pe.answered, pe.silentSince = now, true, now
 	pe.evidence, pe.failures = 0, 0
 	pe.silent, pe.frozen, pe.gaveUp = false, false, false
 }
--- a/core/probe/table.go
+++ b/core/probe/table.go
@@ -16,8 +16,8 @@
 	// waiting to be read. They have as long until the tick is repeated, at most maxGrace.
 	lateTick = 10 * time.Millisecond
 	maxGrace = 100 * time.Millisecond
-	// recentlyHeard is how long after an answer a VM is not probed because of its neighbours.
-	recentlyHeard = 20 * time.Millisecond
+	// recentAnswer is how long after an answer a VM is not probed because of its neighbours.
+	recentAnswer = 20 * time.Millisecond
 	// maxNeighbours is how many VMs of a data centre are probed because one is unreachable.
 	maxNeighbours = 8
 )
@@ -132,7 +132,7 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	pe, ok := tb.peers[addr]
-	return ok && pe.heard && now-pe.heardAt <= tb.li.FreshFor && pe.evidence == 0
+	return ok && pe.answered && now-pe.lastAnswerAt <= tb.li.FreshFor && pe.evidence == 0
 }
 
 // ConnectLimit returns how long a connection to a VM may take to open.
@@ -160,7 +160,7 @@
 func (tb *Table) Continue(now time.Duration, addr string, took time.Duration) {
 	tb.update(addr, func(pe *peer) {
 		pe.probes.observe(took)
-		pe.hear(now)
+		pe.recordAnswer(now)
 	})
 }
 
@@ -179,7 +179,7 @@
 	tb.update(addr, func(pe *peer) {
 		pe.inFlight = max(0, pe.inFlight-1)
 		pe.replies.observe(took)
-		pe.hear(now)
+		pe.recordAnswer(now)
 	})
 }
 
@@ -228,7 +228,7 @@
 	before := pe.silent
 	if oc == Alive {
 		pe.probes.observe(took)
-		pe.hear(now)
+		pe.recordAnswer(now)
 		pe.notBefore = now + tb.li.ProbeInterval
 		return false, before
 	}
@@ -257,7 +257,7 @@
 	var others []*peer
 	for _, other := range tb.peers {
 		if other != pe && other.vm.DataCentre == pe.vm.DataCentre && other.evidence == 0 &&
-			(!other.heard || now-other.heardAt > recentlyHeard) {
+			(!other.answered || now-other.lastAnswerAt > recentAnswer) {
 			others = append(others, other)
 		}
 	}
--- a/core/quota/calls.go
+++ b/core/quota/calls.go
@@ -21,7 +21,7 @@
 	// maxRefusals is how many holders refuse a request of a VM that is no holder before it is
 	// refused. Each of them has tried to borrow.
 	maxRefusals = 2
-	// minLoan is the least number of tokens that are worth a call.
+	// minLoan is the least number of tokens for which a call is made.
 	minLoan = 0.02
 	// minUsefulLoan is the least level at which a holder that needs its tokens lends some.
 	minUsefulLoan = 2
@@ -50,7 +50,7 @@
 	Holds bool
 }
 
-// outstanding returns the number of calls that are worth waiting for and the time of the last one.
+// outstanding returns the number of calls whose reply may still be in time, and the time of the last one.
 func (st *state) outstanding(now time.Duration) (n int, last time.Duration) {
 	for _, ca := range st.calls {
 		if now-ca.at < MaxWait {
--- a/core/steer/check.go
+++ b/core/steer/check.go
@@ -12,7 +12,7 @@
 	// check is extended.
 	reserveRatio = 2
 	// recentSpan: of the servers that did not respond to a check, those are preferred that
-	// responded at most this long before the one heard from last.
+	// responded at most this long before the latest one.
 	recentSpan = time.Second
 )
 
@@ -130,7 +130,7 @@
 // were not asked, if others responded; those that responded to this check or recently; the rest.
 // A server that has never responded thus comes last.
 func (ck *Check) Rank(ups []*origin.Upstream) [][]*origin.Upstream {
-	recent := ck.cfg.Table.recentlyHeard(ups)
+	recent := ck.cfg.Table.recentResponders(ups)
 	groups := make([][]*origin.Upstream, lastGroup+1)
 	for _, up := range ups {
 		group := lastGroup
@@ -165,19 +165,19 @@
 	return true
 }
 
-// recentlyHeard returns the servers that responded at most recentSpan before the one heard from
-// last.
-func (tb *Table) recentlyHeard(ups []*origin.Upstream) (recent []*origin.Upstream) {
+// recentResponders returns the servers that responded at most recentSpan before the
+// latest response.
+func (tb *Table) recentResponders(ups []*origin.Upstream) (recent []*origin.Upstream) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	last := time.Duration(0)
 	for _, up := range ups {
 		if st, seen := tb.stats[up.Process()]; seen {
-			last = max(last, st.heardAt)
+			last = max(last, st.respondedAt)
 		}
 	}
 	for _, up := range ups {
-		if st, seen := tb.stats[up.Process()]; seen && st.heardAt > 0 && last-st.heardAt <= recentSpan {
+		if st, seen := tb.stats[up.Process()]; seen && st.respondedAt > 0 && last-st.respondedAt <= recentSpan {
 			recent = append(recent, up)
 		}
 	}
--- a/core/steer/load.go
+++ b/core/steer/load.go
@@ -42,7 +42,7 @@
 	defer tb.mu.Unlock()
 	tb.reportsLoad[up.Service] = true
 	st := tb.statsOf(up.Process())
-	st.heardAt = now
+	st.respondedAt = now
 	previous := st.report
 	st.report = loadReport{load: lo, at: now, slowSince: now}
 	if lo.Slowdown < slowThreshold {
--- a/core/steer/stats.go
+++ b/core/steer/stats.go
@@ -11,8 +11,8 @@
 	// silentSince is when the server last answered, or when it got a request while it had none in
 	// flight.
 	silentSince time.Duration
-	// heardAt is when the last response of the server arrived; 0 if none has.
-	heardAt time.Duration
+	// respondedAt is when the last response of the server arrived; 0 if none has.
+	respondedAt time.Duration
 	// longestUsual is the largest usual latency among recent requests, so that a server that is
 	// busy with a long request does not count as silent for a short one.
 	longestUsual   time.Duration
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -254,7 +254,7 @@
 	st.inFlight = max(0, st.inFlight-1)
 	switch rs.Verdict {
 	case fanout.Served, fanout.Failed, fanout.Refused:
-		st.heardAt = now
+		st.respondedAt = now
 	}
 	switch rs.Verdict {
 	case fanout.Served:
