--- a/io/meter/families.go
+++ b/io/meter/families.go
@@ -92,13 +92,10 @@
 		"serversBusy", "accountShare", "vmBusy",
 	}
 	configFailures := []string{"noConfig", "unknownSearch", "noUpstreams"}
-	// Routed requests: reasons for incomplete answers, for refusals, and results of attempts.
-	routedFailures := []string{"target", "noUpstream", "attempts", "mayHaveRun", "clientGone", "crashesServers"}
-	accountRefusals := []string{"noKey", "malformedKey", "duplicateKey", "unknownKey", "staleAccounts", "mayBeRevoked"}
-	routedRefusals := []string{"noRequestId", "noConfiguration", "noRoom", "cutOff", "homeLost", "crashesServers", "awaitedTrial", "overLimit", "noLimitHolder"}
+	routedFailures, routedRefusals := routedReasons()
 	verdicts := []string{"failed", "refused", "elsewhere", "lost", "unsent", "doubted"}
 	return map[string][]string{
-		Refusal:    concat(listenerRefusals, configFailures, limits, ticketReasons(), routedRefusals, accountRefusals, []string{"leaving"}),
+		Refusal:    concat(listenerRefusals, configFailures, limits, ticketReasons(), routedRefusals, []string{"leaving"}),
 		Operator:   concat(listenerRefusals, operators),
 		Admitted:   {"urgent", "interactive", "batch"},
 		Outcome:    {"complete", "partial", "notRun", "unknown", "served", "failed", "gone"},
@@ -180,3 +177,14 @@
 func Gauges() []string {
 	return []string{InFlight, Connections, Workers, InnerIn, InnerOut}
 }
+
+// routedReasons lists the reasons for incomplete answers to routed requests and those for refusing
+// them.
+func routedReasons() (failures, refusals []string) {
+	failures = []string{"target", "noUpstream", "attempts", "mayHaveRun", "clientGone", "crashesServers"}
+	refusals = concat(
+		[]string{"noKey", "malformedKey", "duplicateKey", "unknownKey", "staleAccounts", "mayBeRevoked"},
+		[]string{"noRequestId", "noConfiguration", "noRoom", "cutOff", "homeLost", "crashesServers", "awaitedTrial", "overLimit", "noLimitHolder"},
+	)
+	return failures, refusals
+}
