--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -220,7 +220,8 @@
 			return ""
 		}
 		return ReasonServers
-	case ga.now+need > ar.Deadline && ga.inProgress > 0:
+	case ga.now+need > ar.Deadline && ga.inProgress > 0 && ga.pace.Behind():
+		// While this VM is not behind, earlier requests took long because of single servers.
 		return ReasonLocal
 	}
 	return ""
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -200,3 +200,21 @@
 		is.Equal(vd.Reason, admit.Reason(""))
 	}
 }
+
+// A server of a route hangs, and its requests take until their deadlines. A VM with a free processor
+// must not conclude that it is itself too slow, and refuse the next ones.
+func TestGateDoesNotBlameItselfForHangingServers(t *testing.T) {
+	is := is.New(t)
+	ga := admit.NewGate[int](admit.GateConfig{})
+	now := time.Duration(0)
+	for k := range 20 {
+		ar := admit.Arrival{Route: "r", Cost: 1, Servers: 50 * time.Millisecond, Target: now + 500*time.Millisecond, Deadline: now + time.Second}
+		other := admit.Arrival{Route: "other", Cost: 1, Target: now + 500*time.Millisecond, Deadline: now + time.Second}
+		ga.Offer(now, other, k)
+		is.Equal(ga.Offer(now, ar, k).Reason, admit.Reason(""))
+		ga.Sent(now, 1, 0)
+		now += 1200 * time.Millisecond
+		ga.Done(now, other, 10*time.Millisecond, 0)
+		ga.Done(now, ar, 1200*time.Millisecond, 0)
+	}
+}
