boot: requests that arrive before the first configuration wait for it

Cause: a VM that boots refused what arrived before its first copy of the store (503 noConfiguration).

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -100,8 +100,10 @@
 	applied chan struct{}
 	// controlEnded is closed when the control goroutine no longer receives changes.
 	controlEnded chan struct{}
-	cancel       context.CancelFunc
-	tasks        sync.WaitGroup
+	// configured is closed once the first configuration is in force.
+	configured chan struct{}
+	cancel     context.CancelFunc
+	tasks      sync.WaitGroup
 }
 
 // Start opens the listeners and begins to follow the store.
@@ -118,6 +120,7 @@
 		changes:      make(chan follow.Change),
 		applied:      make(chan struct{}),
 		controlEnded: make(chan struct{}),
+		configured:   make(chan struct{}),
 	}
 	eg.vmKey, _ = cfg.Decoder.VMEntry(eg.set.Name, eg.set.Self, eg.set.Capacity)
 	eg.extra.Store(&eg.set.Extra)
@@ -192,6 +195,7 @@
 		Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		OnChange:       eg.applyChange,
 		OnSourceChange: eg.logSource,
+		OnBootFailed:   func() { eg.entry.RecordBootRefusal() },
 		LinkMbps:       eg.set.LinkMbps,
 		List:           eg.listVMs,
 		Enlist:         eg.registrar.register,
--- a/io/edge/listen.go
+++ b/io/edge/listen.go
@@ -20,6 +20,7 @@
 		Names:       eg.cfg.Names,
 		Clock:       eg.clock,
 		View:        eg.view.Load,
+		Configured:  eg.configured,
 		Relay:       eg.pool,
 		Steer:       eg.steer,
 		Load:        eg.cfg.Decoder.Load,
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -40,6 +40,8 @@
 	// followedSince. nextSilentCheck is when to check again which of them are silent.
 	followed                       bool
 	followedSince, nextSilentCheck time.Duration
+	// configured is set once view has a configuration.
+	configured bool
 }
 
 // vmRecord is a VM as described by its entry.
@@ -303,4 +305,8 @@
 		// Open connections at once: until it is ready, the VM serves nothing.
 		st.eg.pool.Tick()
 	}
+	if st.view.Routes() != nil && !st.configured {
+		st.configured = true
+		close(st.eg.configured)
+	}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"laburnumvane/core/acct"
+	"laburnumvane/core/boot"
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/gauge"
 	"laburnumvane/core/lead"
@@ -72,8 +73,10 @@
 	Capacity float64
 	Clock    func() time.Duration
 	View     func() *plan.View
-	Relay    Relay
-	Steer    *steer.Table
+	// Configured is closed once View has a configuration.
+	Configured <-chan struct{}
+	Relay      Relay
+	Steer      *steer.Table
 	// Load parses a server's load report.
 	Load func(text string) (steer.Load, error)
 	// WarmUp limits the requests of this VM to servers that are warming up.
@@ -112,10 +115,12 @@
 	limits  *accountLimits
 	// admission replaces valves if the configuration has accounts.
 	admission *admission
-	lead      *lead.Lead
-	leaving   atomic.Bool
-	moving    atomic.Bool
-	inFlight  atomic.Int64
+	// boot holds the requests that arrive before the first configuration.
+	boot     *boot.Hold
+	lead     *lead.Lead
+	leaving  atomic.Bool
+	moving   atomic.Bool
+	inFlight atomic.Int64
 	// forwarded counts those of inFlight that other VMs forwarded.
 	forwarded atomic.Int64
 	// routed counts the requests that matched a route, unserved those of them that were not
@@ -141,6 +146,7 @@
 	en := &Entry{
 		cfg: cfg, budgets: newBudgets(), lead: lead.New(lead.Config{Capacity: cfg.Capacity}),
 		limits: newAccountLimits(cfg.Quota, cfg.DataCentres), admission: newAdmission(),
+		boot: boot.New(boot.Config{Started: cfg.Clock()}),
 	}
 	en.ending, en.end = context.WithCancel(context.Background())
 	gc := guard.Config{
@@ -234,12 +240,12 @@
 	if en.ending.Err() != nil {
 		return refuse(consts.StatusServiceUnavailable, declinedLeaving, "this VM ends")
 	}
+	if rf := en.awaitConfiguration(ctx, rq); rf != nil {
+		return rf
+	}
 	rq.copyAge = en.cfg.CopyAge()
 	vw := en.cfg.View()
 	tb := vw.Routes()
-	if tb == nil {
-		return refuse(consts.StatusServiceUnavailable, reasonNoRoutes, "this VM knows no configuration yet")
-	}
 	rt, ok := tb.Match(rq.host, rq.path)
 	if !ok {
 		return refuse(consts.StatusNotFound, guard.ReasonNoRoute, "there is no such route")
--- a/io/follow/boot.go
+++ b/io/follow/boot.go
@@ -60,6 +60,9 @@
 	st := mirror.Step{From: mirror.FromStore}
 	if err := fo.applyStore(re.update, re.err); err != nil {
 		bo.Failed(fo.cfg.Clock(), st, mirror.Outcome{Failed: true})
+		if fo.cfg.OnBootFailed != nil {
+			fo.cfg.OnBootFailed()
+		}
 		return
 	}
 	if bo.Announces(st) {
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -83,6 +83,8 @@
 	Rand       *rand.Rand
 	// OnChange is called for each change, on Run's goroutine.
 	OnChange func(Change)
+	// OnBootFailed is called when the store did not give this VM its first copy; it may be nil.
+	OnBootFailed func()
 	// OnSourceChange is called when the source of updates changes, with the error that caused it, if
 	// one did.
 	OnSourceChange func(to mirror.Step, age time.Duration, err error)
