fanout: an eighth of the shards may have a hedge at a time

Cause: when clients return at once after all VMs were killed, all servers are late for half a second, and each request over 36 shards sent 10 to 13 hedges, usually 1.6. The losers' connections are closed and replaced, which takes a slot for 6 ms each. Change: over more than 24 shards, a hedge that is due waits while an eighth of the shards have one in progress.

--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -362,6 +362,10 @@
 		if sh.hedgeAt == 0 || now < sh.hedgeAt || now < mc.guard.hedgeNotBefore {
 			continue
 		}
+		if mc.hasMaxHedges() {
+			sh.hedgeAt = now + mc.cfg.HedgeAfter
+			continue
+		}
 		sh.hedgeAt = 0
 		switch {
 		case mc.send(now, i, CauseHedge, 0, false):
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -134,6 +134,7 @@
 		Target:       fl.target,
 		HardDeadline: fl.hardDeadline,
 		HedgeAfter:   hedgeAfter,
+		MaxHedges:    fanout.MaxHedges(len(fl.services)),
 		MinTimeLeft:  minAttemptTime,
 		Suspect:      rq.suspect,
 		TrialGap:     trialSettleTime,
