io/relay: requests without another server wait for a connection being opened

TestFaultyAnswers/refused failed under load: an idempotent request got 503 although the second of two servers was healthy. Cause: the first server had no capacity, and the connection to the second one was still being opened (opening took long, and a new connection is watched for as long as opening it took). After hedgeAfter the entry withdraws attempts that wait for a connection, the withdrawn server counts as tried, and the remaining attempts go to the first server again until there are none left.

AwaitConn is now also set for an attempt of a request that may be repeated, if no other server is left, and Call.Queued is false while such a call waits for a connection that is being opened or will be at the end of the back-off. A saturated server's queue is left as before. Gathered requests are unchanged: whether a shard can be done without is known in core/fanout only.

--- a/io/entry/status.go
+++ b/io/entry/status.go
@@ -131,10 +131,12 @@
 	return nil, false
 }
 
-// isOnlyChoice reports whether an attempt's server is the only one left that responded to the status
-// check or recently.
+// isOnlyChoice reports whether an attempt's server is the only one left: after a status check, of
+// those that responded to it or recently. Without it, a request that one server refused for lack of
+// capacity was refused as a whole while the connection to the other server was being opened. A
+// gathered request can do without a shard.
 func (fl *flight) isOnlyChoice(now time.Duration, ac fanout.Action) bool {
-	if fl.check == nil {
+	if fl.rt.Gather != nil {
 		return false
 	}
 	warm, _ := fl.warmAndCold(now, ac.Shard)
@@ -142,7 +144,13 @@
 	for k := range ac.Attempt {
 		tried = append(tried, fl.machine.Upstream(k))
 	}
-	return fl.check.OnlyChoice(ac.Upstream, warm, tried)
+	if fl.check != nil {
+		return fl.check.OnlyChoice(ac.Upstream, warm, tried)
+	}
+	tried = append(tried, ac.Upstream)
+	return !slices.ContainsFunc(warm, func(up *origin.Upstream) bool {
+		return up.Accepting() && !slices.ContainsFunc(tried, func(other *origin.Upstream) bool { return other.ID == up.ID })
+	})
 }
 
 // askStatus asks servers for their status. A response is recorded whenever it arrives, because a
--- a/io/relay/await.go
+++ b/io/relay/await.go
@@ -28,3 +28,11 @@
 	sv.dialAfterBackoff(now)
 	return failed
 }
+
+// opensConn reports whether a connection is being opened, or will be at the end of the back-off.
+func (sv *Server) opensConn() bool {
+	now := sv.cfg.Clock()
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.dialing > 0 || sv.open == 0 && now < sv.dialAfter
+}
--- a/io/relay/await_test.go
+++ b/io/relay/await_test.go
@@ -56,3 +56,35 @@
 		})
 	}
 }
+
+// A request waits for a connection that is being opened. If it has no other server, it must not be
+// taken for one that waits in vain and be withdrawn.
+func TestRequestWithoutOtherServerIsNotQueued(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		await bool
+	}{{"no other server", true}, {"other servers", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			accept := make(chan struct{})
+			began := time.Now()
+			po := relay.New(relay.Config{
+				Clock:    func() time.Duration { return time.Since(began) },
+				HeaderID: "Id",
+				Dial: func(string, time.Duration) (net.Conn, error) {
+					<-accept
+					return nil, net.ErrClosed
+				},
+			})
+			defer po.Close()
+			up := &origin.Upstream{ID: "s1", Service: "s", Addr: "127.0.0.1:1"}
+			po.Sync(origin.New([]*origin.Upstream{up}), func(*origin.Upstream) relay.Limits { return relay.Limits{Max: 1} })
+			result := make(chan relay.Result, 1)
+			ca := po.Send(up, relay.Request{ID: "a", AwaitConn: tc.await, Done: func(rs relay.Result) { result <- rs }})
+			is.Equal(ca.Queued(), !tc.await)
+			close(accept)
+			is.Equal((<-result).Err.Kind, relay.KindDial)
+			is.True(!ca.Queued())
+		})
+	}
+}
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -19,8 +19,8 @@
 	// FreshConn asks for a connection that was used recently: the server may have silently
 	// dropped an idle one, and a request that is lost on it may not be sent again.
 	FreshConn bool
-	// AwaitConn lets the request wait until a connection may be opened again after a rejected
-	// one. Without it the request fails at once, to be sent to another server.
+	// AwaitConn lets the request wait for a connection that is being opened, or may be opened
+	// again soon after a rejected one. Without it the request goes to another server.
 	AwaitConn bool
 	// Done is called once, with either Reply or Err set. It must not block.
 	Done func(Result)
@@ -73,11 +73,13 @@
 	ca.finish(Result{Err: &Error{Op: op, Kind: kind, Addr: ca.sv.addr, Sent: sent, Err: err}})
 }
 
-// Queued reports whether the request has not been written yet.
+// Queued reports whether the request has not been written yet, so that another server may be asked
+// instead. A request that has no other server is not Queued while a connection is being opened.
 func (ca *Call) Queued() bool {
 	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	return !ca.written && !ca.done
+	waits := !ca.written && !ca.done
+	ca.mu.Unlock()
+	return waits && !(ca.rq.AwaitConn && ca.sv.opensConn())
 }
 
 func (ca *Call) isDone() bool {
