--- a/core/fanout/config.go
+++ b/core/fanout/config.go
@@ -46,8 +46,8 @@
 	// HedgeAfter is how long an attempt may take before a second server is asked as well; 0 turns
 	// hedging off.
 	HedgeAfter time.Duration
-	// MaxHedges is the maximum number of shards that have a hedge in progress at the same time; 0
-	// means no limit.
+	// MaxHedges is the maximum number of shards that have a hedge in progress at the same time while
+	// more than twice as many are late; 0 means no limit.
 	MaxHedges int
 	// MinTimeLeft is the minimum duration of an attempt; none is sent when less is left until
 	// HardDeadline.
--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -41,6 +41,8 @@
 	failed bool
 	// hedgeAt is when a hedge is sent; 0 if none is planned.
 	hedgeAt time.Duration
+	// late is set once a hedge was due.
+	late bool
 	// due is set while an attempt waits to be sent, possibly for the result of a trial.
 	// lastVerdict is the verdict on the previous attempt; 0 if there was none.
 	due         bool
@@ -355,11 +357,20 @@
 	mc.reason = reason
 }
 
+// hedgeDue reports whether the attempt of a shard is late.
+func (mc *Machine) hedgeDue(now time.Duration, sh *shard) bool {
+	return sh.hedgeAt > 0 && now >= sh.hedgeAt && now >= mc.guard.hedgeNotBefore
+}
+
 // hedge sends a further attempt for each shard whose attempt is late.
 func (mc *Machine) hedge(now time.Duration) {
 	for i := range mc.shards {
 		sh := &mc.shards[i]
-		if sh.hedgeAt == 0 || now < sh.hedgeAt || now < mc.guard.hedgeNotBefore {
+		sh.late = sh.late || mc.hedgeDue(now, sh)
+	}
+	for i := range mc.shards {
+		sh := &mc.shards[i]
+		if !mc.hedgeDue(now, sh) {
 			continue
 		}
 		if mc.hasMaxHedges() {
