--- a/cmd/laburnumvane/check.go
+++ b/cmd/laburnumvane/check.go
@@ -11,6 +11,7 @@
 
 	"laburnumvane/core/team"
 	"laburnumvane/io/setup"
+	"laburnumvane/platform"
 )
 
 // checkReply is what check prints with --json.
@@ -36,17 +37,26 @@
 
 // fileResult is the result of checking one configuration file.
 type fileResult struct {
-	File   string      `json:"file"`
-	Team   string      `json:"team,omitempty"`
-	OK     bool        `json:"ok"`
-	Faults []fileFault `json:"faults,omitempty"`
+	File string `json:"file"`
+	Team string `json:"team,omitempty"`
+	// Gateway is set if the file is a configuration of gateway instead of a team's.
+	Gateway *gatewayFile `json:"gateway,omitempty"`
+	OK      bool         `json:"ok"`
+	Faults  []fileFault  `json:"faults,omitempty"`
 }
 
 // fileFault is one fault in a configuration file.
 type fileFault struct {
-	Kind    team.Kind `json:"kind"`
-	Path    string    `json:"path,omitempty"`
-	Message string    `json:"message"`
+	Kind    string `json:"kind"`
+	Path    string `json:"path,omitempty"`
+	Message string `json:"message"`
+}
+
+// gatewayFile describes a configuration of gateway; it is zero if the file could not be decoded.
+type gatewayFile struct {
+	Version  uint64 `json:"version"`
+	Accounts int    `json:"accounts"`
+	Routes   int    `json:"routes"`
 }
 
 func checkCommand() *cli.Command {
@@ -60,7 +70,9 @@
 Nothing is started and no connection is made. All faults are listed, each with
 the path of its field or the name of its flag.
 
-A file is checked for the team that it names itself, or for --team.
+A file is checked for the team that it names itself, or for --team. A file with
+"tenants" or "routes" is a configuration of "gateway": its client accounts are
+checked. Keys of accounts are not printed; their place in the file is.
 
 Exit codes: 0 no fault, 1 a file that cannot be read, 2 a fault in settings or
 files.
@@ -68,6 +80,7 @@
 Examples:
    laburnumvane check wash.json partners.json
    laburnumvane check --team wash - < wash.json
+   laburnumvane check gateway.json
    laburnumvane check --data-centre north --region home \
       --kv 10.0.0.5:7800 --vm-list 10.0.0.5:7801
    laburnumvane check --json`,
@@ -141,18 +154,32 @@
 }
 
 func checkDocument(file, name string, raw []byte) fileResult {
+	if platform.IsManifest(raw) {
+		return checkGateway(file, raw)
+	}
 	res := fileResult{File: file, Team: name}
 	if res.Team == "" {
 		res.Team = teamNamedIn(raw)
 	}
 	_, err := team.Parse(res.Team, raw)
 	for _, flt := range team.Faults(err) {
-		res.Faults = append(res.Faults, fileFault{Kind: flt.Kind, Path: flt.Path, Message: flt.Msg})
+		res.Faults = append(res.Faults, fileFault{Kind: string(flt.Kind), Path: flt.Path, Message: flt.Msg})
 	}
 	res.OK = err == nil
 	return res
 }
 
+// checkGateway checks the client accounts of a configuration of gateway.
+func checkGateway(file string, raw []byte) fileResult {
+	mc := platform.CheckManifest(raw)
+	res := fileResult{File: file, OK: len(mc.Faults) == 0}
+	for _, flt := range mc.Faults {
+		res.Faults = append(res.Faults, fileFault{Kind: flt.Kind, Path: flt.Path, Message: flt.Msg})
+	}
+	res.Gateway = &gatewayFile{Version: mc.Version, Accounts: mc.Accounts, Routes: mc.Routes}
+	return res
+}
+
 // teamNamedIn returns the team named in a document, or "" if the document cannot be decoded.
 // team.Parse then reports the reason.
 func teamNamedIn(raw []byte) string {
@@ -174,7 +201,11 @@
 		printSettings(out, rep.Settings)
 	}
 	for _, doc := range rep.Files {
-		if doc.OK {
+		switch {
+		case doc.OK && doc.Gateway != nil:
+			gf := doc.Gateway
+			fmt.Fprintf(out, "%s: ok, gateway version %d, accounts: %d, routes: %d\n", doc.File, gf.Version, gf.Accounts, gf.Routes)
+		case doc.OK:
 			fmt.Fprintf(out, "%s: ok, team %s\n", doc.File, doc.Team)
 		}
 		for _, flt := range doc.Faults {
--- a/cmd/laburnumvane/main_test.go
+++ b/cmd/laburnumvane/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"os"
 	"strings"
 	"testing"
 
@@ -146,6 +147,10 @@
 		{args: "check testdata/wash.json testdata/faulty.json"},
 		{args: "check --team hr testdata/wash.json --json"},
 		{args: "check -", stdin: "nonsense"},
+		{args: "check testdata/gateway.json testdata/gateway-faulty.json testdata/wash.json"},
+		{args: "check testdata/gateway.json testdata/gateway-faulty.json --json"},
+		{args: "check -", stdin: `{"tenants":[{"name":"a","api_keys":"marked-key-9"}]}`},
+		{args: "check -", stdin: `{"tenants":[{"name":"a","api_keys":["marked-key-9]}]}`},
 		{args: "check testdata/absent.json"},
 		{args: "check"},
 		{args: "check --data-centre north --region home --kv 127.0.0.1:7800 --vm-list 127.0.0.1:7801 testdata/wash.json"},
@@ -153,6 +158,33 @@
 	}))
 }
 
+// A key of an account in the output of check ends up in logs of pipelines. The documents have keys in
+// all places where a fault can be, and in places where no key belongs.
+func TestCheckPrintsNoKey(t *testing.T) {
+	is := is.New(t)
+	var documents []string
+	for _, name := range []string{"gateway.json", "gateway-faulty.json"} {
+		raw, err := os.ReadFile("testdata/" + name)
+		is.NoErr(err)
+		documents = append(documents, string(raw))
+	}
+	documents = append(documents,
+		`{"tenants":[{"name":"a","api_keys":"marked-key"}]}`, `{"tenants":["marked-key"]}`, `{"tenants":"marked-key"}`,
+		`{"tenants":{"marked-key":{}}}`, `{"tenants":[{"name":"a","api_keys":[["marked-key"]]}]}`,
+		`{"tenants":[{"name":"a","api_keys":{"marked-key":1}}]}`, `{"tenants":[{"name":"a","rate_per_s":"marked-key"}]}`,
+		`{"tenants":[{"name":"a","api_keys":["marked-key]}]}`, `{"tenants":[{"name":"a","api_keys":[marked-key]}]}`,
+		`{"version":"marked-key","tenants":[]}`, `{"tenants":[]} "marked-key"`, `{"team":"marked-key","tenants":[]}`,
+	)
+	for _, text := range documents {
+		for _, flag := range []string{"--json", "--json=false"} {
+			var out, errOut bytes.Buffer
+			run(t.Context(), []string{"laburnumvane", "check", flag, "-"}, strings.NewReader(text), &out, &errOut)
+			is.True(out.Len() > 0)
+			is.True(!strings.Contains(out.String()+errOut.String(), "marked-key")) // text
+		}
+	}
+}
+
 func TestSession_Usage(t *testing.T) {
 	golden.Check(t, "usage", session(t, []step{
 		{args: "serach"},
--- a/core/acct/error.go
+++ b/core/acct/error.go
@@ -24,6 +24,8 @@
 	// Path is the place of the fault, such as accounts[3].keys[0]. Keys themselves are secret and
 	// never part of an error.
 	Path string
+	// First is the place where a duplicate name or key occurs first.
+	First string
 }
 
 // Error returns operation, kind and place on one line.
--- a/core/acct/table.go
+++ b/core/acct/table.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"unicode"
 )
@@ -60,54 +61,89 @@
 
 // New returns the table of a configuration, or an *Error that names the first fault.
 func New(cfg Config) (*Table, error) {
-	tb := &Table{
-		byKey:    make(map[string]Credential),
-		byName:   make(map[string]*Account, len(cfg.Accounts)),
-		byDigest: make(map[Digest]*Account),
-		accounts: make([]*Account, 0, len(cfg.Accounts)),
-	}
+	tb := newTable(cfg)
 	for i := range cfg.Accounts {
-		if err := tb.add(i, cfg.Accounts[i]); err != nil {
-			return nil, err
+		if faults := tb.add(i, cfg.Accounts[i]); len(faults) > 0 {
+			return nil, faults[0]
 		}
 	}
 	return tb, nil
 }
 
-func (tb *Table) add(i int, ac Account) error {
-	fault := func(kind Kind, field string) error {
-		return &Error{Op: "acct.New", Kind: kind, Path: fmt.Sprintf("accounts[%d].%s", i, field)}
+// Faults lists all faults of a configuration in its order; New succeeds if there are none.
+func Faults(cfg Config) []*Error {
+	var all []*Error
+	tb := newTable(cfg)
+	for i := range cfg.Accounts {
+		all = append(all, tb.add(i, cfg.Accounts[i])...)
 	}
-	if ac.Name == "" {
-		return fault(KindMissing, "name")
+	return all
+}
+
+func newTable(cfg Config) *Table {
+	return &Table{
+		byKey:    make(map[string]Credential),
+		byName:   make(map[string]*Account, len(cfg.Accounts)),
+		byDigest: make(map[Digest]*Account),
+		accounts: make([]*Account, 0, len(cfg.Accounts)),
 	}
-	if strings.ContainsFunc(ac.Name, unicode.IsControl) {
-		// The name is sent in a header.
-		return fault(KindInvalid, "name")
+}
+
+// add adds the account at index i of the configuration and returns its faults. An account with faults
+// is added too, so that a later one is compared with it.
+func (tb *Table) add(i int, ac Account) []*Error {
+	tb.accounts = append(tb.accounts, &ac)
+	var faults []*Error
+	fault := func(kind Kind, field, first string) {
+		faults = append(faults, &Error{Op: "acct.New", Kind: kind, Path: fmt.Sprintf("accounts[%d].%s", i, field), First: first})
 	}
-	if _, taken := tb.byName[ac.Name]; taken {
-		return fault(KindDuplicate, "name")
+	if kind, first := tb.checkName(ac.Name); kind != "" {
+		fault(kind, "name", first)
+	} else {
+		tb.byName[ac.Name] = &ac
 	}
 	if invalid(ac.Rate) {
-		return fault(KindRange, "rate")
+		fault(KindRange, "rate", "")
 	}
 	if invalid(ac.Burst) {
-		return fault(KindRange, "burst")
+		fault(KindRange, "burst", "")
 	}
-	tb.byName[ac.Name] = &ac
-	tb.accounts = append(tb.accounts, &ac)
 	for k, key := range ac.Keys {
-		if key == "" {
-			return fault(KindMissing, fmt.Sprintf("keys[%d]", k))
-		}
-		if _, taken := tb.byKey[key]; taken {
-			return fault(KindDuplicate, fmt.Sprintf("keys[%d]", k))
+		if kind, first := tb.checkKey(key); kind != "" {
+			fault(kind, fmt.Sprintf("keys[%d]", k), first)
+			continue
 		}
 		dg := DigestOf(key)
 		tb.byKey[key] = Credential{Account: &ac, Digest: dg}
 		tb.byDigest[dg] = &ac
 	}
-	return nil
+	return faults
+}
+
+// checkName returns the fault of a name, if any, and the place of the same name before it.
+func (tb *Table) checkName(name string) (kind Kind, first string) {
+	if name == "" {
+		return KindMissing, ""
+	}
+	if strings.ContainsFunc(name, unicode.IsControl) {
+		// The name is sent in a header.
+		return KindInvalid, ""
+	}
+	if other, taken := tb.byName[name]; taken {
+		return KindDuplicate, fmt.Sprintf("accounts[%d].name", slices.Index(tb.accounts, other))
+	}
+	return "", ""
+}
+
+// checkKey returns the fault of a key, if any, and the place of the same key before it.
+func (tb *Table) checkKey(key string) (kind Kind, first string) {
+	if key == "" {
+		return KindMissing, ""
+	}
+	if cr, taken := tb.byKey[key]; taken {
+		return KindDuplicate, fmt.Sprintf("accounts[%d].keys[%d]", slices.Index(tb.accounts, cr.Account), slices.Index(cr.Account.Keys, key))
+	}
+	return "", ""
 }
 
 func invalid(f float64) bool { return f < 0 || math.IsNaN(f) || math.IsInf(f, 0) }
--- a/core/acct/table_test.go
+++ b/core/acct/table_test.go
@@ -76,6 +76,34 @@
 	}
 }
 
+// An operator who mends a document must see all its faults at once, in its order; a faulty account is
+// no reason to pass over those after it. A duplicate names the place of the first occurrence, as the
+// key itself is secret.
+func TestAllFaultsAreListed(t *testing.T) {
+	is := is.New(t)
+	cfg := acct.Config{Accounts: []acct.Account{
+		{Name: "a", Keys: []string{"secret", "", "secret"}, Rate: -1, Burst: -1},
+		{Keys: []string{"other", "secret"}},
+		{Name: "a", Keys: []string{"other"}},
+		{Name: "b", Keys: []string{"third"}},
+	}}
+	var lines []string
+	for _, flt := range acct.Faults(cfg) {
+		lines = append(lines, fmt.Sprintf("%s %s %s", flt.Path, flt.Kind, flt.First))
+	}
+	is.Equal(lines, []string{
+		"accounts[0].rate range ",
+		"accounts[0].burst range ",
+		"accounts[0].keys[1] missing ",
+		"accounts[0].keys[2] duplicate accounts[0].keys[0]",
+		"accounts[1].name missing ",
+		"accounts[1].keys[1] duplicate accounts[0].keys[0]",
+		"accounts[2].name duplicate accounts[0].name",
+		"accounts[2].keys[0] duplicate accounts[1].keys[0]",
+	})
+	is.Equal(len(acct.Faults(acct.Config{Accounts: cfg.Accounts[3:]})), 0)
+}
+
 // The cost of a lookup must not grow with the number of accounts, and it must not allocate: it is
 // made for each request.
 func BenchmarkLookup(b *testing.B) {
