entry: an account's status names the VM, the age of its data and the holders

The reply of /metrics/accounts did not say which VM gave it, how old the copy of the store behind it was, or which VMs hold parts of the listed accounts, so that a command could not show these. An account without a limit has no holders.

--- a/io/entry/limit_test.go
+++ b/io/entry/limit_test.go
@@ -85,6 +85,7 @@
 			cfg: Config{
 				Clock: func() time.Duration { return fl.now }, View: func() *plan.View { return vw },
 				HomeClient: client, Meter: meter.New(), Log: &log.Logger{Writer: fl.log},
+				CopyAge: func() time.Duration { return 1500 * time.Millisecond },
 			},
 			budgets: newBudgets(), limits: newAccountLimits(acct.Bounds{}, 2),
 		}
@@ -141,6 +142,9 @@
 	use := fl.vms[7].AccountUsage("a")
 	is.Equal(len(use.Holders), 4) // where the tokens of the whole fleet come from
 	is.Equal(use.Largest[0].Limit, 30.0)
+	is.Equal(use.VM, "vm-7")
+	is.Equal(use.CopyAgeMs, int64(1500))
+	is.Equal(fl.vms[7].AccountUsage("").Largest[0].Holders, use.Holders)
 	is.True(strings.Contains(fl.vms[7].AccountCounters(), "account.overLimit.a "))
 	line := map[string]any{}
 	is.NoErr(json.Unmarshal(fl.log.line, &line))
@@ -264,6 +268,9 @@
 	}
 	is.Equal(fl.vms[7].takeToken(context.Background(), &request{}, fl.vms[7].cfg.View()), nil)
 	is.Equal(len(fl.vms[7].AccountUsage("").Largest), 0)
+	is.Equal(len(fl.vms[7].AccountUsage("a").Largest), 1)
+	is.Equal(len(fl.vms[7].AccountUsage("a").Holders), 0) // there is no limit to have a part of
+	is.Equal(len(fl.vms[7].AccountUsage("unknown").Largest), 0)
 	rp, err := fl.vms[0].Allow(context.Background(), &inner.AllowRequest{Account: "unknown", Want: 1})
 	is.NoErr(err)
 	is.True(!rp.GetHolds())
