accounts: a command that shows client accounts from any gateway VM

The use of limits was only available as JSON of one VM, and an operator had to ask each holder by hand. accounts lists the accounts as one VM knows them; accounts NAME also reads the status of the VMs that hold parts of the limit, all at once, at the port of the VM that was asked. A holder whose status cannot be read, or that disagrees, is shown with its state and does not fail the command. The VMs of try can serve metrics, for a test against running VMs.

--- a/cmd/laburnumvane/main.go
+++ b/cmd/laburnumvane/main.go
@@ -103,6 +103,7 @@
 			configCommand(),
 			statusCommand(),
 			storyCommand(),
+			accountsCommand(),
 			checkCommand(),
 			versionCommand(),
 		},
--- a/cmd/laburnumvane/session_test.go
+++ b/cmd/laburnumvane/session_test.go
@@ -100,6 +100,7 @@
 	clearVariables(t)
 	t.Setenv("LABURNUMVANE_URL", srv.URL)
 	t.Setenv("LABURNUMVANE_OPERATOR_URL", srv.URL)
+	t.Setenv("LABURNUMVANE_METRICS_URL", srv.URL)
 
 	var all bytes.Buffer
 	for _, stp := range steps {
--- a/cmd/laburnumvane/try.go
+++ b/cmd/laburnumvane/try.go
@@ -60,6 +60,8 @@
 	sent  int
 	// key is the key of the requests; empty means that they have none.
 	key string
+	// metricsPort is the port of the VMs' metrics; 0 turns them off.
+	metricsPort int
 }
 
 func (tr *tryRun) close() {
@@ -110,7 +112,7 @@
 		if err != nil {
 			return err
 		}
-		eg, err := edge.Start(set.Edge(0, &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: tr.out}}))
+		eg, err := edge.Start(set.Edge(tr.metricsPort, &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: tr.out}}))
 		if err != nil {
 			return err
 		}
--- a/io/client/client_test.go
+++ b/io/client/client_test.go
@@ -274,6 +274,34 @@
 	}
 }
 
+// A name that is not escaped would ask for another account.
+func TestGateway_Accounts(t *testing.T) {
+	for _, tc := range []struct{ account, uri string }{
+		{"", "/metrics/accounts"},
+		{"orders", "/metrics/accounts?account=orders"},
+		{"a&account=b#c d", "/metrics/accounts?account=a%26account%3Db%23c+d"},
+	} {
+		is := is.New(t)
+		var got string
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			got = req.RequestURI
+			_, _ = io.WriteString(w, `{"version":7}`)
+		}))
+		gw, err := client.NewGateway(client.Config{URL: srv.URL})
+		is.NoErr(err)
+		var rep struct {
+			Version int `json:"version"`
+		}
+		is.NoErr(gw.Accounts(t.Context(), tc.account, &rep))
+		is.Equal(rep.Version, 7)
+		is.Equal(got, tc.uri)
+		srv.Close()
+		fresh, err := client.NewGateway(client.Config{URL: srv.URL}) // has no connection open
+		is.NoErr(err)
+		is.Equal(client.KindOf(fresh.Accounts(t.Context(), tc.account, &rep)), client.KindUnreachable)
+	}
+}
+
 func TestNew_Config(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
--- a/io/client/doc.go
+++ b/io/client/doc.go
@@ -1,5 +1,5 @@
 // Package client is the client of a VM: Caller runs searches, Operator reads and changes
-// configuration.
+// configuration, Gateway reads the use of client accounts on a VM of gateway.
 //
 // # Usage
 //
