quota: a holder that alone is cut off from the store gives up its parts in time

A holder kept its parts while it was cut off from the store, also after its entry had lapsed and another VM had the same parts. It now gives them up 18 s after the store was last known to have its entry; other VMs count it for 20 s after they have seen that the entry is gone. So that an outage of the store leaves the parts with their holders, a holder asks the VMs of its data centre that could take its place for the age of their copies and keeps a part while none of them has a newer one (AllowRequest with want 0, copy_age_ms).

--- a/core/plan/holders.go
+++ b/core/plan/holders.go
@@ -13,6 +13,10 @@
 const (
 	// holdersPerCentre is how many VMs of a data centre can have a part of an account's limit.
 	holdersPerCentre = 2
+	// successorsPerCentre is how many more of this VM's data centre are listed, which take the place of
+	// holders. A cut between VMs of a data centre that has both holders and all of these on one side, and
+	// the store on the other, is not noticed while the store is thought to be down.
+	successorsPerCentre = 2
 	// maxCachedHolders bounds the memory for the holders of accounts. Of 20,000 accounts a few
 	// hundred are active.
 	maxCachedHolders = 4096
@@ -102,7 +106,17 @@
 	ho := &quota.Holders{Fleet: &ht.fleet, Rank: -1}
 	key := xxhash.Sum64String(account)
 	for _, ce := range ht.centres {
-		for position, vm := range ce.best(key) {
+		count := holdersPerCentre
+		if ce.local {
+			count += successorsPerCentre
+		}
+		for position, vm := range ce.best(key, count) {
+			if position >= holdersPerCentre {
+				if vm.addr != ht.self.Addr {
+					ho.Successors = append(ho.Successors, vm.addr)
+				}
+				continue
+			}
 			if ce.local {
 				ho.Local++
 			}
@@ -116,11 +130,11 @@
 	return ho
 }
 
-// best returns the holders in a data centre. It reads its VMs once, as sorting the VMs of a large
-// fleet for each account would take too long.
-func (ce *holderCentre) best(key uint64) []holderVM {
-	found := make([]holderVM, 0, holdersPerCentre)
-	scores := [holdersPerCentre]uint64{}
+// best returns the VMs of a data centre that rank first for an account. It reads its VMs once, as sorting
+// the VMs of a large fleet for each account would take too long.
+func (ce *holderCentre) best(key uint64, count int) []holderVM {
+	found := make([]holderVM, 0, count)
+	scores := [holdersPerCentre + successorsPerCentre]uint64{}
 	pick := func(vms []holderVM) {
 		first := len(found)
 		for _, vm := range vms {
@@ -129,10 +143,10 @@
 			for i > first && (score > scores[i-1] || score == scores[i-1] && vm.addr < found[i-1].addr) {
 				i--
 			}
-			if i == holdersPerCentre {
+			if i == count {
 				continue
 			}
-			if len(found) < holdersPerCentre {
+			if len(found) < count {
 				found = append(found, holderVM{})
 			}
 			copy(found[i+1:], found[i:])
@@ -141,7 +155,7 @@
 		}
 	}
 	pick(ce.vms[:ce.large])
-	if len(found) < holdersPerCentre {
+	if len(found) < count {
 		pick(ce.vms[ce.large:])
 	}
 	return found
--- a/core/plan/holders_test.go
+++ b/core/plan/holders_test.go
@@ -134,3 +134,30 @@
 		})
 	}
 }
+
+// A holder whose copy of the store is old asks the VMs that could take its place. If it did not know one of
+// them, both could use the same part of a limit.
+func TestSuccessorsAreTheNextHolders(t *testing.T) {
+	for _, large := range []int{0, 1, 3} {
+		t.Run(fmt.Sprint(large, " large in each data centre"), func(t *testing.T) {
+			is := is.New(t)
+			fleet, capacity := accountFleet(30, 3, large)
+			for a := range 20 {
+				name := fmt.Sprint("account-", a)
+				for n, self := range fleet {
+					ho := plan.New(plan.Config{Self: self}).WithFleet(fleet, capacity).Holders(name)
+					if ho.Rank < 0 {
+						continue
+					}
+					is.Equal(len(ho.Successors), 2)
+					is.True(!slices.Contains(ho.Successors, self.Addr))
+					// Without this VM the other holder and the first successor are the holders.
+					rest := slices.Delete(slices.Clone(fleet), n, n+1)
+					other := plan.New(plan.Config{Self: self}).WithFleet(rest, capacity).Holders(name)
+					local := []string{ho.Peers[0].Addr, ho.Successors[0]}
+					is.True(slices.Contains(local, other.Peers[0].Addr) && slices.Contains(local, other.Peers[1].Addr))
+				}
+			}
+		})
+	}
+}
--- a/core/quota/calls.go
+++ b/core/quota/calls.go
@@ -52,6 +52,9 @@
 	Wait time.Duration
 	// Holds is set if the called VM is a holder of the account.
 	Holds bool
+	// CopyAge is the age of the called VM's copy of the store; 0 if it is unknown. Only calls without Want
+	// have it.
+	CopyAge time.Duration
 }
 
 // outstanding returns the number of calls whose reply is waited for, and the time of the last one. A
@@ -248,6 +251,10 @@
 	} else {
 		li.noteFailed(now, ca.Peer)
 	}
+	if ca.Want == 0 {
+		li.tenure.confirm(ca, now, rp.CopyAge)
+		return
+	}
 	st, ok := li.accounts[ca.Account]
 	if !ok {
 		return
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -41,6 +41,8 @@
 	// target is the time that requests may wait for a slow holder; 0 means that they have none, and are
 	// not sent to frozen VMs.
 	target time.Duration
+	// storeDown is since when the store does not respond; 0 if it does.
+	storeDown time.Duration
 	// oneOwner replaces the holders by a single one for each account.
 	oneOwner bool
 	// accounts is the configuration in force, accountNames its order.
@@ -77,6 +79,10 @@
 	view        *plan.View
 	accounts    map[string]*acct.Account
 	waiters     map[string][]func()
+	// listed is set if the VM's copy of the store has its entry. alone is set while the VM reaches neither
+	// the store nor another VM; its copy is from copyAt then.
+	listed, alone bool
+	copyAt        time.Duration
 	// owners holds the holders of each account if there is one owner; calls counts the calls to
 	// and from the VM.
 	owners     map[string]*quota.Holders
@@ -133,10 +139,11 @@
 	sv.limiter = quota.New(quota.Config{Bounds: fl.bounds, DataCentres: fl.centres})
 	started := sv.started
 	fl.After(after, func() {
-		if sv.started != started {
+		if sv.started != started || sv.alone {
 			return
 		}
 		fl.update(sv)
+		fl.observe(sv)
 		if !fl.entries[sv.vm.Addr] {
 			fl.entries[sv.vm.Addr] = true
 			fl.spread()
@@ -146,6 +153,7 @@
 
 // update gives a VM the current state of the store.
 func (fl *fleet) update(sv *simVM) {
+	sv.copyAt, sv.listed = fl.Now(), fl.entries[sv.vm.Addr]
 	var vms []rank.VM
 	capacity := map[string]float64{}
 	for _, other := range fl.vms {
@@ -171,13 +179,37 @@
 func (fl *fleet) spread() {
 	for _, sv := range fl.vms {
 		fl.After(fl.upTo(propagation), func() {
-			if sv.running && sv.view != nil {
+			if sv.running && sv.view != nil && !sv.alone {
 				fl.update(sv)
 			}
 		})
 	}
 }
 
+// copyAge returns the age of a VM's copy of the store.
+func (fl *fleet) copyAge(sv *simVM) time.Duration {
+	switch {
+	case sv.alone:
+		return fl.Now() - sv.copyAt
+	case fl.storeDown > 0:
+		return fl.Now() - fl.storeDown
+	}
+	return 0
+}
+
+// observe has a VM observe the state of the store four times per second.
+func (fl *fleet) observe(sv *simVM) {
+	for _, ca := range sv.limiter.ObserveStore(fl.Now(), fl.copyAge(sv), sv.listed) {
+		fl.call(sv, ca)
+	}
+	started := sv.started
+	fl.After(250*ms, func() {
+		if sv.started == started {
+			fl.observe(sv)
+		}
+	})
+}
+
 func (fl *fleet) kill(sv *simVM) {
 	sv.running = false
 	sv.started++
@@ -206,7 +238,7 @@
 }
 
 func (fl *fleet) isCut(a, b *simVM) bool {
-	return fl.cut[[2]string{a.vm.DataCentre, b.vm.DataCentre}] || fl.cut[[2]string{b.vm.DataCentre, a.vm.DataCentre}]
+	return a.alone || b.alone || fl.cut[[2]string{a.vm.DataCentre, b.vm.DataCentre}] || fl.cut[[2]string{b.vm.DataCentre, a.vm.DataCentre}]
 }
 
 // deliver runs a message at its destination unless it is lost. A frozen VM gets it later.
--- a/core/quota/holders.go
+++ b/core/quota/holders.go
@@ -57,6 +57,9 @@
 	Rank int
 	// Local is the number of holders in this VM's data centre.
 	Local int
+	// Successors are the addresses of the VMs of this data centre that rank after its holders, the next
+	// ones only.
+	Successors []string
 }
 
 // SettleTime is how long a VM's entry must have been in its copy of the store before the VM relies
@@ -81,8 +84,8 @@
 	perCentre int
 }
 
-// partOf computes this VM's part of an account's limit.
-func (li *Limiter) partOf(ac *acct.Account, ho *Holders) part {
+// partOf computes this VM's part of an account's limit; it has none unless keeps is set.
+func (li *Limiter) partOf(ac *acct.Account, ho *Holders, keeps bool) part {
 	window := li.cfg.Bounds.Window.Seconds()
 	slice := li.cfg.Bounds.Allowance(ac) / sliceCount
 	centres := float64(li.dataCentres)
@@ -95,7 +98,7 @@
 		// Before that the number of VMs is not known.
 		pa.isolated = slice / window / float64(max(1, ho.Fleet.VMs)) * isolatedFactor
 	}
-	pa.holds = ho.Rank >= 0 && ho.Rank < pa.perCentre
+	pa.holds = keeps && ho.Rank >= 0 && ho.Rank < pa.perCentre
 	if !pa.holds {
 		return pa
 	}
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -47,6 +47,7 @@
 	removed Usage
 	// silent holds the VMs that did not respond.
 	silent map[string]silence
+	tenure tenure
 	// isolatedSince is when this VM began to reach no holder; negative means that it reaches some.
 	isolatedSince time.Duration
 	// fleet was observed last, fleetSince when it changed, and listedSince when this VM's entry
@@ -63,7 +64,10 @@
 // New creates a Limiter without buckets.
 func New(cfg Config) *Limiter {
 	cfg.Bounds = cfg.Bounds.WithDefaults()
-	return &Limiter{cfg: cfg, accounts: make(map[string]*state), silent: make(map[string]silence), isolatedSince: -1}
+	return &Limiter{
+		cfg: cfg, accounts: make(map[string]*state), silent: make(map[string]silence), isolatedSince: -1,
+		tenure: tenure{confirmed: make(map[string]time.Duration), asked: make(map[string]time.Duration)},
+	}
 }
 
 // Kind is the result of a Take.
@@ -84,7 +88,8 @@
 // Call is a call to be made to another VM. Its Peer is empty if there is none to be made.
 type Call struct {
 	Account, Peer string
-	// Want is the number of tokens. It is a whole number unless Borrow is set.
+	// Want is the number of tokens. It is a whole number unless Borrow is set. With 0 the call only asks
+	// for the age of the other VM's copy of the store.
 	Want   float64
 	Borrow bool
 	at     time.Duration
--- a/core/quota/request_test.go
+++ b/core/quota/request_test.go
@@ -175,6 +175,10 @@
 }
 
 func (fl *fleet) serve(sv *simVM, ca quota.Call, reply func(quota.Reply)) {
+	if ca.Want == 0 {
+		reply(quota.Reply{CopyAge: fl.copyAge(sv) + ms})
+		return
+	}
 	if sv.view == nil || sv.accounts[ca.Account] == nil {
 		reply(quota.Reply{})
 		return
--- a/core/quota/state.go
+++ b/core/quota/state.go
@@ -62,7 +62,9 @@
 	// epoch is the Limiter's when the part was computed, and centres its number of data centres.
 	epoch, centres int
 	holders        *Holders
-	part           part
+	// keeps is set if this VM may use its part.
+	keeps bool
+	part  part
 	// level is the bucket's content at a time; it does not change while this VM is no holder.
 	level float64
 	at    time.Duration
@@ -107,7 +109,7 @@
 	}
 	st, ok := li.accounts[ac.Name]
 	if !ok {
-		st = &state{name: ac.Name, at: now, emptySince: now, peers: make(map[string]peerState)}
+		st = &state{name: ac.Name, at: now, emptySince: now, peers: make(map[string]peerState), keeps: li.keeps(now, ho)}
 		li.accounts[ac.Name] = st
 		li.apply(st, ac, ho)
 		// Had the bucket existed since the last change in the fleet, it would have filled until
@@ -116,7 +118,8 @@
 		st.counts.began = now
 	}
 	st.advance(now)
-	if st.rate != ac.Rate || st.burst != ac.Burst || st.holders != ho || st.epoch != li.epoch {
+	if keeps := li.keeps(now, ho); st.rate != ac.Rate || st.burst != ac.Burst || st.holders != ho || st.epoch != li.epoch || st.keeps != keeps {
+		st.keeps = keeps
 		li.apply(st, ac, ho)
 	}
 	return st
@@ -127,7 +130,7 @@
 func (li *Limiter) apply(st *state, ac *acct.Account, ho *Holders) {
 	st.rate, st.burst, st.holders, st.epoch, st.centres = ac.Rate, ac.Burst, ho, li.epoch, li.dataCentres
 	former := st.part
-	if st.part = li.partOf(ac, ho); st.part != former {
+	if st.part = li.partOf(ac, ho, st.keeps); st.part != former {
 		st.emptySince = st.at
 	}
 	if former.holds && !st.part.holds {
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -7,6 +7,7 @@
 	"laburnumvane/core/mirror"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
+	"laburnumvane/core/quota"
 	"laburnumvane/core/rank"
 	"laburnumvane/core/toggle"
 	"laburnumvane/io/follow"
@@ -229,11 +230,14 @@
 }
 
 // observeStore passes the age of the store's copy, and whether this VM's entry is in the store,
-// to the warm-up limiter.
+// to the warm-up limiter and to the limits of accounts.
 func (st *state) observeStore(now time.Duration) {
 	_, listed := st.vms[st.eg.vmKey]
 	_, lapsed := st.lapsed[st.eg.vmKey]
 	st.eg.warmUp.ObserveStore(now, st.eg.follow.Age(), listed && !lapsed)
+	// Other VMs count this one for vmForgetTime after they have seen that its entry is gone.
+	const _ = uint(vmForgetTime - quota.KeepTime - time.Second)
+	st.eg.entry.ObserveStore(now, st.eg.follow.AppliedAge(), listed && !lapsed)
 }
 
 // tick removes expired state.
--- a/io/entry/limit.go
+++ b/io/entry/limit.go
@@ -162,11 +162,23 @@
 		Granted: float64(rp.GetGranted()) / unit,
 		Wait:    microseconds(rp.GetWaitUs()),
 		Holds:   rp.GetHolds(),
+		CopyAge: time.Duration(rp.GetCopyAgeMs()) * time.Millisecond,
 	})
 }
 
+// ObserveStore records the age of this VM's copy of the store, and whether its own entry is there, for the
+// parts of limits that this VM has.
+func (en *Entry) ObserveStore(now, age time.Duration, listed bool) {
+	for _, ca := range en.limits.quota.ObserveStore(now, age, listed) {
+		go en.callHolder(ca)
+	}
+}
+
 // Allow implements inner.Home: it grants tokens out of this VM's part of an account's limit.
 func (en *Entry) Allow(ctx context.Context, rq *inner.AllowRequest) (*inner.AllowReply, error) {
+	if rq.GetWant() == 0 {
+		return &inner.AllowReply{CopyAgeMs: uint64(max(0, en.cfg.CopyAge().Milliseconds())) + 1}, nil
+	}
 	vw := en.cfg.View()
 	ac, ok := findAccount(vw, rq.GetAccount())
 	switch {
