admit, pace: count only work on this VM; the drop of the capacity

Cause: requests that wait for servers held the window, so that the processor was idle while something waited, and the window was kept from easier times, so that too much was started when the capacity fell to a third.

Change: a request does not count from when it was written until its servers are expected to have answered; this is taken back while the delay is above what is allowed. The window shrinks while it is not used up. The allowed delay is 6 ms or half of the time of a request (before 8 ms, 0.7). A backlog counts as lasting after 124 ms in place of 95 ms, measured against what was done lately if that is more than the estimate. recordSent lets waiting requests start.

TestWindow: a window that is not used up must now shrink to the least. TestReplayMeasuredServers also passes without the limit on the discount; it guards the load, not that line.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -16,11 +16,15 @@
 const (
 	// accountQueueShare is the part of the queue that one account may fill.
 	accountQueueShare = 0.25
-	// lastingAfter is how long requests must wait without interruption, or a route's servers be
-	// too slow for its target, until requests are accepted only if they can meet their target.
-	// Before that the deadline counts: a short surge is better answered late than refused.
-	lastingAfter = 95 * time.Millisecond
-	// lastingAtMost is the same whatever arrives. demandTime is the time over which the cost of
+	// lastingAfter is how long requests must wait without interruption until requests are accepted
+	// only if they can meet their target, if as much arrives as this VM can do. Before that the
+	// deadline counts: a short surge is better answered late than refused. With 95 ms, more than 1
+	// in 100 requests are refused at 0.85 of the capacity.
+	lastingAfter = 123500 * time.Microsecond
+	// slowAfter is how long a route's servers must be too slow for its target until requests are
+	// refused for it.
+	slowAfter = 95 * time.Millisecond
+	// lastingAtMost is the same as lastingAfter whatever arrives. demandTime is the time over which the cost of
 	// what arrives is averaged.
 	lastingAtMost = 500 * time.Millisecond
 	demandTime    = time.Second
@@ -109,8 +113,10 @@
 	waiting []*flow[W]
 	count   int
 	bytes   int
-	// inProgress is the cost that was started and has not ended.
+	// inProgress is the cost that was started and has not ended, away the part of it that waits
+	// for servers.
 	inProgress      float64
+	away            absences
 	offered, served pace.Sum
 	// demand is the cost of what arrived lately.
 	demand pace.Sum
@@ -214,7 +220,7 @@
 	switch {
 	case ga.now >= ar.Deadline:
 		return ReasonDeadlineTooClose
-	case ga.now+ar.Servers > ar.Deadline, rs.slowSince > 0 && ga.now-rs.slowSince >= lastingAfter:
+	case ga.now+ar.Servers > ar.Deadline, rs.slowSince > 0 && ga.now-rs.slowSince >= slowAfter:
 		if rs.credit += trialShare; rs.credit >= 1 {
 			rs.credit--
 			return ""
@@ -257,14 +263,9 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// hasRoom reports whether a request can start now.
-func (ga *Gate[W]) hasRoom(cost float64) bool {
-	return ga.inProgress == 0 || ga.inProgress+cost <= ga.pace.Window()
-}
-
 // wait estimates how long a new request of a flow waits.
 func (ga *Gate[W]) wait(fl *flow[W], ar Arrival) time.Duration {
-	over := max(0, ga.inProgress+ar.Cost-ga.pace.Window())
+	over := max(0, ga.working()+ar.Cost-ga.pace.Window())
 	rate := ga.pace.Rate()
 	if !ga.neglected(fl) {
 		urgent := 0.0
@@ -285,7 +286,9 @@
 	if ga.count == 0 {
 		return false
 	}
-	backlog, excess := ga.now-ga.backlogSince, ga.demand.Rate(ga.now, demandTime)/ga.pace.Rate()
+	// What was done lately can be done, even if the window is small at the moment.
+	able := max(ga.pace.Rate(), ga.pace.Work(ga.now))
+	backlog, excess := ga.now-ga.backlogSince, ga.demand.Rate(ga.now, demandTime)/able
 	return backlog >= lastingAtMost || excess > 1 && float64(backlog)*excess*excess >= float64(lastingAfter)
 }
 
@@ -313,34 +316,6 @@
 	return true
 }
 
-// Sent records how long a started request took until its first sub-requests were written.
-func (ga *Gate[W]) Sent(now time.Duration, cost float64, took time.Duration) {
-	ga.advance(now)
-	ga.pace.Sent(ga.now, cost, took)
-}
-
-// Late records how late a timer of this VM fired.
-func (ga *Gate[W]) Late(late time.Duration) { ga.pace.Late(late) }
-
-// Done ends a request that was started. Idle is the part of the time that it took in which it only
-// waited for parts that its answer did not need: it says nothing about how long others need.
-func (ga *Gate[W]) Done(now time.Duration, ar Arrival, took, idle time.Duration) {
-	ga.advance(now)
-	limited := ga.count > 0 || ga.inProgress+ar.Cost > ga.pace.Window()
-	ga.inProgress = max(0, ga.inProgress-ar.Cost)
-	ga.pace.End(ga.now, ar.Cost, took, limited)
-	ga.route(ar.Route).observe(max(1, took-idle-ar.Servers))
-}
-
-// observe records how long a request took beyond the time of the servers.
-func (rs *routeState) observe(local time.Duration) {
-	if rs.local == 0 {
-		rs.local = local
-	}
-	rs.deviation += ((local - rs.local).Abs() - rs.deviation) / localWeight
-	rs.local += (local - rs.local) / localWeight
-}
-
 func (ga *Gate[W]) refuseEntry(re Reason, en *Entry[W]) {
 	vd := ga.refuse(re, en.ar, ga.wait(en.fl, en.ar))
 	ga.grants = append(ga.grants, Grant[W]{Waiter: en.waiter, Reason: vd.Reason, RetryAfter: vd.RetryAfter})
@@ -350,4 +325,7 @@
 	return Verdict[W]{Kind: Refused, Reason: re, RetryAfter: ga.retryAfter(ar, wait)}
 }
 
-func (ga *Gate[W]) advance(now time.Duration) { ga.now = max(ga.now, now) }
+func (ga *Gate[W]) advance(now time.Duration) {
+	ga.now = max(ga.now, now)
+	ga.away.advance(ga.now)
+}
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -86,7 +86,7 @@
 	is.Equal(second.Kind, admit.Queued)
 	is.True(ga.Withdraw(time.Millisecond, first.Entry))
 	is.True(!ga.Withdraw(time.Millisecond, first.Entry)) // it has left already
-	ga.Done(20*time.Millisecond, arrivalAt(0, "account0"), 20*time.Millisecond, 0)
+	ga.Done(20*time.Millisecond, arrivalAt(0, "account0"), admit.Run{})
 	grants := ga.Step(20 * time.Millisecond)
 	is.Equal(len(grants), 1)
 	is.Equal(grants[0].Waiter, 7)
@@ -94,6 +94,27 @@
 	is.Equal(ga.State(20*time.Millisecond).Waiting, 0)
 }
 
+// The servers answer while this VM has nothing to do. What waits must start meanwhile, and nothing
+// more once their answers are due.
+func TestGateStartsWhileServersAnswer(t *testing.T) {
+	is := is.New(t)
+	ga := admit.NewGate[int](admit.GateConfig{})
+	vd := fillGate(ga)
+	is.Equal(vd.Kind, admit.Queued)
+	for k := range 3 {
+		is.Equal(ga.Offer(0, arrivalAt(0, fmt.Sprint("other", k)), k).Kind, admit.Queued)
+	}
+	is.Equal(len(ga.Step(0)), 0)
+	sent := arrivalAt(0, "account0")
+	ga.Sent(time.Millisecond, sent, 0)
+	is.Equal(len(ga.Step(time.Millisecond)), 1)
+	ga.Away(2*time.Millisecond, sent)
+	is.Equal(len(ga.Step(2*time.Millisecond)), 1)
+	is.Equal(len(ga.Step(30*time.Millisecond)), 0) // the answers are due
+	ga.Done(30*time.Millisecond, sent, admit.Run{Sent: time.Millisecond})
+	is.Equal(len(ga.Step(30*time.Millisecond)), 0) // two too many are in progress
+}
+
 // Nothing that was started ends, and a request has much time left. It must not wait for longer than
 // MaxWait: what waits is bounded in time too.
 func TestGateMaxWait(t *testing.T) {
@@ -123,7 +144,7 @@
 		now += 100 * time.Microsecond
 		ar := arrivalAt(now, fmt.Sprint("account", i%20_000))
 		if vd := ga.Offer(now, ar, i); vd.Kind == admit.Admitted {
-			ga.Done(now, ar, time.Millisecond, 0)
+			ga.Done(now, ar, admit.Run{Started: now - time.Millisecond})
 		}
 		is.True(ga.State(now).Kept <= 4096)
 	}
@@ -168,14 +189,14 @@
 			if now < 2*time.Second {
 				// The slowness is not known yet.
 				if vd.Kind == admit.Admitted {
-					ga.Done(now, ar, servers, 0)
+					ga.Done(now, ar, admit.Run{Started: now - servers})
 				}
 				continue
 			}
 			offered++
 			if vd.Kind == admit.Admitted {
 				admitted++
-				ga.Done(now, ar, servers, 0)
+				ga.Done(now, ar, admit.Run{Started: now - servers})
 			} else {
 				is.Equal(vd.Reason, admit.ReasonServers)
 			}
@@ -212,9 +233,9 @@
 		other := admit.Arrival{Route: "other", Cost: 1, Target: now + 500*time.Millisecond, Deadline: now + time.Second}
 		ga.Offer(now, other, k)
 		is.Equal(ga.Offer(now, ar, k).Reason, admit.Reason(""))
-		ga.Sent(now, 1, 0)
+		ga.Sent(now, ar, 0)
 		now += 1200 * time.Millisecond
-		ga.Done(now, other, 10*time.Millisecond, 0)
-		ga.Done(now, ar, 1200*time.Millisecond, 0)
+		ga.Done(now, other, admit.Run{Started: now - 10*time.Millisecond})
+		ga.Done(now, ar, admit.Run{Started: now - 1200*time.Millisecond})
 	}
 }
--- a/core/admit/load_test.go
+++ b/core/admit/load_test.go
@@ -117,6 +117,23 @@
 	return rates
 }
 
+// The latency of servers that this VM measures includes its own delay. It must not take that for
+// time in which it can start other requests, or the delay grows without bound.
+func TestReplayMeasuredServers(t *testing.T) {
+	for _, times := range []float64{2, 5} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			is := is.New(t)
+			rp := newReplay(seed, newGatePolicy())
+			rp.measured = replayServers
+			equalAccounts(rp, times)
+			rp.run(replayEnd + time.Second)
+			share := goodputShare(rp)
+			t.Logf("times %v: %v; goodput %.3f of the best, latency measured %v", times, rp.total(), share, rp.measured)
+			is.True(share >= 0.95)
+		}
+	}
+}
+
 // One account sends ten times its usual rate; the others are served as if it were not there.
 // Load: the largest account at 340 requests a second, a VM that can do 160.
 func TestReplayGreedyAccount(t *testing.T) {
@@ -204,18 +221,6 @@
 	return during, steady, after
 }
 
-// The capacity falls to a third for five seconds, and the VM starts more than it can do or does not
-// recover. These bounds are what is reached; TestReplayCapacityDropGoodput has the required one.
-func TestReplayCapacityDrop(t *testing.T) {
-	is := is.New(t)
-	for seed := uint64(1); seed <= dropSeeds; seed++ {
-		during, steady, after := capacityDrop(t, seed)
-		is.True(during >= 0.85)
-		is.True(steady >= 0.93)
-		is.True(after >= 0.95)
-	}
-}
-
 // The capacity falls to a third for five seconds, and requests are late or refused that could have
 // been answered in time: the requirements page states 0.95 of the best goodput for this load too.
 func TestReplayCapacityDropGoodput(t *testing.T) {
@@ -223,8 +228,9 @@
 	for seed := uint64(1); seed <= dropSeeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			is := is.New(t)
-			during, _, after := capacityDrop(t, seed)
+			during, steady, after := capacityDrop(t, seed)
 			is.True(after >= required)
+			is.True(steady >= required)
 			is.True(during >= required)
 		})
 	}
--- a/core/admit/policies_test.go
+++ b/core/admit/policies_test.go
@@ -19,12 +19,13 @@
 func (rq *replayRequest) arrival(rp *replay) admit.Arrival {
 	return admit.Arrival{
 		Account: rq.account, Priority: rq.priority, Route: "search", Cost: replayCost, Bytes: 1000,
-		Servers: rp.servers, Target: rq.arrived + replayTarget, Deadline: rq.arrived + replayTimeout,
+		Servers: rp.expected(), Target: rq.arrived + replayTarget, Deadline: rq.arrived + replayTimeout,
 	}
 }
 
 func (po *gatePolicy) arrive(rp *replay, rq *replayRequest) {
-	vd := po.gate.Offer(rp.Now(), rq.arrival(rp), rq)
+	rq.offered = rq.arrival(rp)
+	vd := po.gate.Offer(rp.Now(), rq.offered, rq)
 	switch vd.Kind {
 	case admit.Admitted:
 		rp.start(rq)
@@ -47,13 +48,15 @@
 }
 
 func (po *gatePolicy) sent(rp *replay, rq *replayRequest) {
-	po.gate.Sent(rp.Now(), replayCost, rp.Now()-rq.startedAt)
+	rq.sentAt = rp.Now()
+	po.gate.Sent(rp.Now(), rq.offered, rp.Now()-rq.startedAt)
+	po.step(rp)
 }
 
 func (po *gatePolicy) timer(_ *replay, late time.Duration) { po.gate.Late(late) }
 
 func (po *gatePolicy) done(rp *replay, rq *replayRequest, _ bool) {
-	po.gate.Done(rp.Now(), rq.arrival(rp), rp.Now()-rq.startedAt, 0)
+	po.gate.Done(rp.Now(), rq.offered, admit.Run{Started: rq.startedAt, Sent: rq.sentAt})
 	po.step(rp)
 }
 
--- a/core/admit/replay_test.go
+++ b/core/admit/replay_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"laburnumvane/core/admit"
 	"laburnumvane/internal/vtime"
 )
 
@@ -33,6 +34,9 @@
 	// retry counts its earlier attempts.
 	retry     int
 	startedAt time.Duration
+	sentAt    time.Duration
+	// offered is what the gate was told of it.
+	offered admit.Arrival
 }
 
 // replay is a VM in virtual time under a policy.
@@ -44,6 +48,9 @@
 	// the least coverage needs.
 	speed   float64
 	servers time.Duration
+	// measured is the average latency of the servers as this VM sees it, its own delay included; 0
+	// if the policy is told the true one.
+	measured time.Duration
 	// freeAt is when the processor has done the slices that are queued.
 	freeAt time.Duration
 	// retries decides whether a refused client comes back, and after what time.
@@ -141,11 +148,24 @@
 	rp.phase(replaySlices, func() {
 		rp.policy.sent(rp, rq)
 		rp.After(time.Duration(float64(rp.servers)*(0.7+0.6*rp.rnd.Float64())), func() {
-			rp.phase(replaySlices, func() { rp.finish(rq) })
+			rp.phase(1, func() {
+				if rp.measured > 0 {
+					rp.measured += (rp.Now() - rq.sentAt - rp.measured) / 10
+				}
+				rp.phase(replaySlices-1, func() { rp.finish(rq) })
+			})
 		})
 	})
 }
 
+// expected returns how long the servers take as far as this VM knows.
+func (rp *replay) expected() time.Duration {
+	if rp.measured > 0 {
+		return rp.measured
+	}
+	return rp.servers
+}
+
 func (rp *replay) finish(rq *replayRequest) {
 	ta, took := rp.tally(rq.account), rp.Now()-rq.arrived
 	switch {
--- a/core/admit/waiting.go
+++ b/core/admit/waiting.go
@@ -35,7 +35,7 @@
 // the flows that come last. Otherwise requests that are overtaken would wait until they are late.
 // It reports whether the given entry is among them; the others get a Grant.
 func (ga *Gate[W]) trim(en *Entry[W], within time.Duration) bool {
-	for seconds((ga.queued()+max(0, ga.inProgress-ga.pace.Window()))/ga.pace.Rate()) > within && ga.count > 1 {
+	for seconds((ga.queued()+max(0, ga.working()-ga.pace.Window()))/ga.pace.Rate()) > within && ga.count > 1 {
 		last := ga.waiting[0]
 		for _, fl := range ga.waiting[1:] {
 			if ga.before(last, fl) {
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -7,19 +7,20 @@
 
 // Defaults of a Config.
 const (
-	// DefaultDelay is the delay of the run queue that is allowed: a tenth of the usual targets.
-	DefaultDelay = 8 * time.Millisecond
+	// DefaultDelay is the delay of the run queue that is allowed. With 8 ms, requests in progress
+	// took so long that those of small accounts could not meet their targets beside a large one.
+	DefaultDelay = 6 * time.Millisecond
 	// DefaultInitial and DefaultLeast are the window at the start and the smallest one, in
 	// multiples of the largest weight seen.
 	DefaultInitial = 8
-	DefaultLeast   = 2
+	DefaultLeast   = 1.5
 )
 
 const (
 	// workShare: this share of the time that this VM needs for the largest request is allowed as
-	// delay too. With less, a VM that needs 20 ms has so few requests in progress that it is idle
-	// while they wait for servers.
-	workShare = 0.7
+	// delay too. With 0.3, a VM that needs 20 ms is idle now and then; with 0.7 its requests are
+	// late.
+	workShare = 0.5
 	// delayWeight and tookWeight are the weights of a new observation in the averages.
 	delayWeight = 0.1
 	tookWeight  = 0.1
@@ -28,6 +29,9 @@
 	maxDelay = 200 * time.Millisecond
 	// growth is the largest increase of the window, as a share of the work that ended.
 	growth = 0.3
+	// unusedCut is the decrease of a window that is not used up, as a share of the work that ended.
+	// A window that was kept from easier times admits too much when the capacity falls.
+	unusedCut = 0.2
 	// maxCut bounds a single cut: to this share of the window.
 	maxCut = 0.7
 	// leastWeight is the least window whatever the weights: requests to one server mostly wait for
@@ -57,8 +61,8 @@
 	// largest is the largest weight seen.
 	largest float64
 	window  float64
-	// delay is the average delay of the run queue, took the average duration of a request
-	// weighted by its weight; both in nanoseconds.
+	// delay is the average delay of the run queue, took the average time that a request is in
+	// progress on this VM, weighted by its weight; both in nanoseconds.
 	delay, took float64
 	// least and earlier are the least time in nanoseconds until a unit of weight was sent, since
 	// leastSince and before; 0 if none was.
@@ -129,7 +133,8 @@
 	return max(float64(es.cfg.Delay), min(workShare*es.largest/es.Rate()*float64(time.Second), float64(maxAllowed)))
 }
 
-// End records the end of a request. Limited is set if requests wait for the window.
+// End records the end of a request. Took is how long it was in progress on this VM, and limited is
+// set if requests wait for the window.
 func (es *Estimator) End(now time.Duration, weight float64, took time.Duration, limited bool) {
 	es.work.Add(now, workTime, weight)
 	if es.took == 0 {
@@ -140,6 +145,8 @@
 	switch {
 	case room > 0 && limited:
 		es.window = min(es.window+growth*room*weight, maxWindow*es.largest)
+	case room > 0:
+		es.window = max(es.window-unusedCut*weight, min(es.window, es.cfg.Least*es.largest), leastWeight)
 	case room < 0 && now >= es.cutAt+time.Duration(es.took):
 		// Whether a cut sufficed shows only after the requests that were in progress have ended.
 		es.cutAt = now
@@ -162,6 +169,9 @@
 // Delay returns the delay of the run queue.
 func (es *Estimator) Delay() time.Duration { return time.Duration(es.delay) }
 
+// Load returns the delay as a share of what is allowed.
+func (es *Estimator) Load() float64 { return es.delay / es.allowed() }
+
 // Behind reports whether the delay is above what is allowed.
 func (es *Estimator) Behind() bool { return es.delay > es.allowed() }
 
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -23,7 +23,8 @@
 }
 
 // The window grows only while it limits the work and the delay is allowed, is cut while it is not,
-// and never falls below what keeps a VM with little processor time busy.
+// and never falls below what keeps a VM with little processor time busy. A window that is not used
+// up must shrink too: if the capacity falls, this VM starts more than it can do by as much.
 func TestWindow(t *testing.T) {
 	const took = 40 * time.Millisecond
 	cases := []struct {
@@ -33,7 +34,7 @@
 		check   func(before, after float64) bool
 	}{
 		{"room and limited", time.Millisecond, true, func(b, a float64) bool { return a > 2*b }},
-		{"room and not limited", time.Millisecond, false, func(b, a float64) bool { return a == b }},
+		{"room and not limited", time.Millisecond, false, func(_, a float64) bool { return a == pace.DefaultLeast*gather }},
 		{"delayed", 100 * time.Millisecond, true, func(_, a float64) bool { return a == pace.DefaultLeast*gather }},
 	}
 	for _, tc := range cases {
--- a/io/entry/admission.go
+++ b/io/entry/admission.go
@@ -128,16 +128,19 @@
 	}
 }
 
-// recordSent records how long this VM took to send an admitted request.
+// recordSent records that an admitted request was sent, and how long this VM took for that.
 func (fl *flight) recordSent() {
-	// A status check waits for servers, not for this VM.
-	if fl.admittedAt == 0 || !fl.rt.Idempotent {
+	if fl.admittedAt == 0 {
 		return
 	}
-	ad := fl.en.admission
-	ad.mu.Lock()
-	defer ad.mu.Unlock()
-	ad.gate.Sent(fl.firstSentAt, fl.arrived.Cost, fl.firstSentAt-fl.admittedAt)
+	fl.en.admission.update(fl.en.cfg.Clock(), func(ga *admit.Gate[chan admitVerdict]) {
+		if fl.rt.Idempotent {
+			ga.Sent(fl.firstSentAt, fl.arrived, fl.firstSentAt-fl.admittedAt)
+			return
+		}
+		// A status check waits for servers, not for this VM.
+		ga.Away(fl.firstSentAt, fl.arrived)
+	})
 }
 
 // recordTimer records how late a timer fired.
@@ -155,7 +158,7 @@
 func (fl *flight) endAdmission() {
 	now := fl.en.cfg.Clock()
 	fl.en.admission.update(now, func(ga *admit.Gate[chan admitVerdict]) {
-		ga.Done(now, fl.arrived, now-fl.admittedAt, fl.idle())
+		ga.Done(now, fl.arrived, admit.Run{Started: fl.admittedAt, Sent: fl.firstSentAt, Idle: fl.idle()})
 	})
 }
 
