admit, steer: refuse for slow servers only if they are slow for their load

Cause: if a route's servers stayed slower than its target, three of four of its requests were refused, although the servers had spare capacity and a late answer still has part of its value.

Change: steer.Table.UnloadedCoverage is the coverage without what waits for servers (reported queues, refusals, windows that are used up).

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -21,8 +21,8 @@
 	// deadline counts: a short surge is better answered late than refused. With 95 ms, more than 1
 	// in 100 requests are refused at 0.85 of the capacity.
 	lastingAfter = 123500 * time.Microsecond
-	// slowAfter is how long a route's servers must be too slow for its target until requests are
-	// refused for it.
+	// slowAfter is how long a route's servers must be too slow for its target, for their load, until
+	// requests are refused for it.
 	slowAfter = 95 * time.Millisecond
 	// lastingAtMost is the same as lastingAfter whatever arrives. demandTime is the time over which the cost of
 	// what arrives is averaged.
@@ -31,6 +31,10 @@
 	// trialShare is the share of the requests refused for slow servers that is run all the same,
 	// so that this VM learns when the servers have recovered.
 	trialShare = 0.25
+	// loadRatio: servers that take this many times as long as without load are slow for their load,
+	// even if they would be too slow for the target without it. With 2, a slow server with one
+	// request ahead would count.
+	loadRatio = 3
 	// localWeight is the divisor of the moving averages of local times.
 	localWeight = 16
 	// deviations is how many mean deviations are allowed for in the local time.
@@ -73,7 +77,8 @@
 	Cost  float64
 	Bytes int
 	// Servers is how long the servers take to answer with the least coverage, as far as is known.
-	Servers time.Duration
+	// Unloaded is the same if nothing else were sent to them.
+	Servers, Unloaded time.Duration
 	// Target is the time by which an answer has its full value, Deadline that after which it has
 	// none.
 	Target, Deadline time.Duration
@@ -132,8 +137,8 @@
 
 // routeState is what is known of the servers of a route.
 type routeState struct {
-	// slowSince is since when they have been too slow for the target; 0 if they are not. slowAt is
-	// when that was seen last.
+	// slowSince is since when they have been too slow for the target because of their load; 0 if
+	// they are not. slowAt is when that was seen last.
 	slowSince, slowAt time.Duration
 	// credit is the number of trials that are due.
 	credit float64
@@ -209,7 +214,7 @@
 func (ga *Gate[W]) tooSlow(ar Arrival, need time.Duration) Reason {
 	rs := ga.route(ar.Route)
 	switch {
-	case ga.now+ar.Servers <= ar.Target:
+	case ga.now+ar.Servers <= ar.Target || !ar.slowForLoad(ga.now):
 		rs.slowSince = 0
 	case rs.slowSince == 0 || ga.now-rs.slowAt > slowExpiry:
 		rs.slowSince = max(1, ga.now)
@@ -233,6 +238,12 @@
 	return ""
 }
 
+// slowForLoad reports whether servers that are too slow for the target would be faster if less were
+// sent to them. If not, a late answer is all that there is to be had, and a refusal helps nobody.
+func (ar Arrival) slowForLoad(now time.Duration) bool {
+	return now+ar.Unloaded <= ar.Target || ar.Servers >= loadRatio*ar.Unloaded
+}
+
 // full returns why a request may not wait; empty if it may.
 func (ga *Gate[W]) full(fl *flow[W], ar Arrival) Reason {
 	switch {
--- a/core/steer/expect.go
+++ b/core/steer/expect.go
@@ -12,6 +12,11 @@
 // answered: of the expected latencies of their best servers, the minParts-th smallest. The elements
 // of shards list the servers of each. Enough is false if fewer shards have a server that may be picked.
 func (tb *Table) Coverage(now, usual time.Duration, shards [][]*origin.Upstream, minParts int) (after time.Duration, enough bool) {
+	return tb.coverage(shards, minParts, func(up *origin.Upstream) float64 { return tb.expected(now, usual, up) })
+}
+
+// coverage is Coverage with the latencies of a function, which is called with the lock held.
+func (tb *Table) coverage(shards [][]*origin.Upstream, minParts int, latency func(up *origin.Upstream) float64) (after time.Duration, enough bool) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	latencies := make([]float64, 0, len(shards))
@@ -19,7 +24,7 @@
 		least := math.Inf(1)
 		for _, up := range ups {
 			if up.Accepting() {
-				least = min(least, tb.expected(now, usual, up))
+				least = min(least, latency(up))
 			}
 		}
 		if !math.IsInf(least, 1) {
--- a/io/entry/admission.go
+++ b/io/entry/admission.go
@@ -75,7 +75,9 @@
 	}
 	// Without enough servers the request ends at once without being sent, with the reason that
 	// there are none.
-	servers, _ := fl.en.cfg.Steer.Coverage(now, fl.latency.usualLatency(), shards, fl.minParts)
+	usual := fl.latency.usualLatency()
+	servers, _ := fl.en.cfg.Steer.Coverage(now, usual, shards, fl.minParts)
+	unloaded, _ := fl.en.cfg.Steer.UnloadedCoverage(now, usual, shards, fl.minParts)
 	return admit.Arrival{
 		Account:  fl.rq.accountName(),
 		Priority: fl.rq.priority(fl.rt),
@@ -83,6 +85,7 @@
 		Cost:     float64(max(1, len(fl.services))),
 		Bytes:    len(fl.rq.body) + len(fl.head),
 		Servers:  servers,
+		Unloaded: unloaded,
 		Target:   fl.target,
 		Deadline: fl.hardDeadline - minAttemptTime,
 	}
@@ -196,7 +199,8 @@
 		Int("status", rs.status).Str("reason", string(reason)).Uint64("version", configVersion(fl.vw)).
 		Int("priority", ar.Priority).Float64("retryAfterMs", milliseconds(retryAfter)).
 		Float64("leftMs", milliseconds(ar.Deadline-now)).Float64("targetMs", milliseconds(ar.Target-now)).
-		Float64("serversMs", milliseconds(ar.Servers)).Float64("waitMs", milliseconds(st.Wait)).
+		Float64("serversMs", milliseconds(ar.Servers)).Float64("unloadedMs", milliseconds(ar.Unloaded)).
+		Float64("waitMs", milliseconds(st.Wait)).
 		Int("waiting", st.Waiting).Int("accounts", st.Accounts).Float64("share", share).
 		Float64("inProgress", st.InProgress).Float64("window", st.Window).
 		Float64("rate", st.Rate).Float64("work", st.Work).
