admit: keep only the routes of the configuration in effect

Cause: the gate kept the state of each route name that it had ever seen, so that its memory grew with each renamed route.

Change: Gate.SetRoutes takes the routes of the version in effect; the state of others is dropped, and their last requests are decided on without one. The entry calls it when the table of the view differs from the last one.

TestGateForgetsRoutes: 1,000 versions, two routes kept at any time, and the state of a route that stays is not lost.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -128,25 +128,15 @@
 	// backlogSince is since when requests have waited without interruption.
 	backlogSince time.Duration
 	routes       map[string]*routeState
-	started      map[int]*pace.Sum
-	retry        retrySlots
+	// routesSet is set once SetRoutes was called: routes holds those of the configuration.
+	routesSet bool
+	started   map[int]*pace.Sum
+	retry     retrySlots
 	// trimmed lists the entries that were removed and have not got a Grant yet.
 	trimmed []*Entry[W]
 	grants  []Grant[W]
 }
 
-// routeState is what is known of the servers of a route.
-type routeState struct {
-	// slowSince is since when they have been too slow for the target because of their load; 0 if
-	// they are not. slowAt is when that was seen last.
-	slowSince, slowAt time.Duration
-	// credit is the number of trials that are due.
-	credit float64
-	// local is how long requests took beyond the time of the servers, and deviation by how much
-	// that varies, both on average; local is 0 until one has ended.
-	local, deviation time.Duration
-}
-
 // NewGate returns a Gate without requests.
 func NewGate[W any](cfg GateConfig) *Gate[W] {
 	defaultInt(&cfg.MaxWaiting, DefaultMaxWaiting)
@@ -263,15 +253,6 @@
 	return ga.pace.Delay() + seconds(ar.Cost/ga.pace.Rate())
 }
 
-func (ga *Gate[W]) route(name string) *routeState {
-	rs, ok := ga.routes[name]
-	if !ok {
-		rs = &routeState{}
-		ga.routes[name] = rs
-	}
-	return rs
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // wait estimates how long a new request of a flow waits.
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -155,6 +155,33 @@
 	is.Equal(ga.State(now).Kept, 1)
 }
 
+// Each version of the configuration has other route names, and requests of the previous one are still
+// in progress. The gate must keep nothing of routes that are gone, or its memory grows with each
+// change, and must not forget those that stay.
+func TestGateForgetsRoutes(t *testing.T) {
+	is := is.New(t)
+	ga := admit.NewGate[int](admit.GateConfig{})
+	arrivalOf := func(route string, now time.Duration) admit.Arrival {
+		ar := arrivalAt(now, "one")
+		ar.Route, ar.Servers, ar.Target = route, 300*time.Millisecond, now+gateTarget
+		return ar
+	}
+	now := time.Duration(0)
+	reason := admit.Reason("")
+	for k := range 1000 {
+		ga.SetRoutes([]string{"stays", fmt.Sprint("route", k)})
+		for _, name := range []string{fmt.Sprint("route", k-1), fmt.Sprint("route", k)} {
+			ar := arrivalOf(name, now)
+			ga.Offer(now, ar, 0)
+			ga.Done(now+time.Millisecond, ar, admit.Run{Started: now})
+		}
+		reason = ga.Offer(now, arrivalOf("stays", now), 0).Reason
+		now += 10 * time.Millisecond
+		is.Equal(ga.State(now).Routes, 2)
+	}
+	is.Equal(reason, admit.ReasonServers) // that its servers were slow is still known
+}
+
 // One of 36 shards takes three or eight times as long, and a request needs it. If its server has spare capacity,
 // requests were refused (three of four) though refusals change nothing and a late answer still has
 // part of its value. If it is overloaded, admission must stop, but for a few trials. Load: a tenth of
@@ -168,19 +195,19 @@
 		minParts    int
 		load        *steer.Load
 		refused     bool
-		slowdown    time.Duration
+		slow        time.Duration
 		least, most float64
 	}{
-		{"not needed", 35, nil, false, 3, 1, 1},
-		{"needed, no report", 36, nil, false, 3, 1, 1},
-		{"needed, much slower, one request ahead", 36, nil, false, 8, 1, 1},
-		{"needed, spare capacity reported", 36, &spare, false, 8, 1, 1},
-		{"needed, queue reported", 36, &queue, false, 3, 0.2, 0.35},
-		{"needed, refuses", 36, nil, true, 3, 0.2, 0.35},
+		{"not needed", 35, nil, false, 3 * usual, 1, 1},
+		{"needed, no report", 36, nil, false, 3 * usual, 1, 1},
+		{"needed, much slower, one request ahead", 36, nil, false, 8 * usual, 1, 1},
+		{"needed, spare capacity reported", 36, &spare, false, 8 * usual, 1, 1},
+		{"needed, queue reported", 36, &queue, false, 3 * usual, 0.2, 0.35},
+		{"needed, refuses", 36, nil, true, 3 * usual, 0.2, 0.35},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			ss := newSlowShard(tc.load, tc.refused, usual, tc.slowdown*usual)
+			ss := newSlowShard(tc.load, tc.refused, usual, tc.slow)
 			admitted, offered := 0, 0
 			for now := time.Second; now < 5*time.Second; now += 60 * time.Millisecond {
 				ss.observe(now)
--- a/core/admit/progress.go
+++ b/core/admit/progress.go
@@ -101,12 +101,3 @@
 	ga.pace.End(ga.now, ar.Cost, max(1, took-away), limited)
 	ga.route(ar.Route).observe(max(1, took-rn.Idle-ar.Servers))
 }
-
-// observe records how long a request took beyond the time of the servers.
-func (rs *routeState) observe(local time.Duration) {
-	if rs.local == 0 {
-		rs.local = local
-	}
-	rs.deviation += ((local - rs.local).Abs() - rs.deviation) / localWeight
-	rs.local += (local - rs.local) / localWeight
-}
--- a/core/admit/retry.go
+++ b/core/admit/retry.go
@@ -53,8 +53,9 @@
 type State struct {
 	// Waiting counts requests and Accounts those accounts that have some waiting.
 	Waiting, Accounts int
-	// Kept counts the accounts that had requests lately, by priority.
-	Kept int
+	// Kept counts the accounts that had requests lately, by priority, and Routes the routes of
+	// which something is kept.
+	Kept, Routes int
 	// InProgress and Window are costs; Rate and Work costs per second: what this VM can do, and
 	// what it completed.
 	InProgress, Window, Rate, Work float64
@@ -69,7 +70,7 @@
 func (ga *Gate[W]) State(now time.Duration) State {
 	ga.advance(now)
 	st := State{
-		Waiting: ga.count, Accounts: len(ga.waiting), Kept: ga.flows.size(), InProgress: ga.inProgress, Window: ga.pace.Window(),
+		Waiting: ga.count, Accounts: len(ga.waiting), Kept: ga.flows.size(), Routes: len(ga.routes), InProgress: ga.inProgress, Window: ga.pace.Window(),
 		Work: ga.pace.Work(ga.now), Delay: ga.pace.Delay(), Behind: ga.pace.Behind(),
 	}
 	if st.Window > 0 {
--- a/io/entry/admission.go
+++ b/io/entry/admission.go
@@ -13,6 +13,7 @@
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
+	"laburnumvane/core/route"
 	"laburnumvane/core/toggle"
 	"laburnumvane/io/meter"
 )
@@ -28,6 +29,8 @@
 type admission struct {
 	mu   sync.Mutex
 	gate *admit.Gate[chan admitVerdict]
+	// routes are the routes that the gate knows.
+	routes *route.Table
 }
 
 // admitVerdict ends the wait of a request.
@@ -53,7 +56,11 @@
 	ar := fl.arrival(now)
 	ready := make(chan admitVerdict, 1)
 	var vd admit.Verdict[chan admitVerdict]
-	ad.update(now, func(ga *admit.Gate[chan admitVerdict]) { vd = ga.Offer(now, ar, ready) })
+	routes := en.cfg.View().Routes()
+	ad.update(now, func(ga *admit.Gate[chan admitVerdict]) {
+		ad.setRoutes(routes)
+		vd = ga.Offer(now, ar, ready)
+	})
 	switch vd.Kind {
 	case admit.Refused:
 		return en.refuseAdmission(fl, ar, vd.Reason, vd.RetryAfter)
@@ -67,6 +74,20 @@
 	return nil
 }
 
+// setRoutes tells the gate the routes of the configuration in effect, so that it forgets others. The
+// lock must be held.
+func (ad *admission) setRoutes(routes *route.Table) {
+	if routes == ad.routes {
+		return
+	}
+	ad.routes = routes
+	var names []string
+	for _, rt := range routes.Routes() {
+		names = append(names, rt.Name)
+	}
+	ad.gate.SetRoutes(names)
+}
+
 // arrival describes a request to the gate.
 func (fl *flight) arrival(now time.Duration) admit.Arrival {
 	shards := make([][]*origin.Upstream, len(fl.services))
--- a/io/entry/admission_test.go
+++ b/io/entry/admission_test.go
@@ -111,6 +111,21 @@
 	is.Equal(en.cfg.Meter.Value(meter.Refusal, string(admit.ReasonDeadlineTooClose)), int64(1))
 }
 
+// A new version of the configuration has other routes. The gate must forget those of the old one,
+// whose last requests are still admitted.
+func TestAdmissionForgetsRoutes(t *testing.T) {
+	is := is.New(t)
+	en, flightOf := admissionEntry(t)
+	old := flightOf("old")
+	old.rt = &route.Route{Name: "gone", Timeout: time.Second, Target: 80 * time.Millisecond}
+	vw := plan.New(plan.Config{Routes: route.New(route.Config{Version: 2, Routes: []route.Route{{Name: "all"}, {Name: "other", Prefix: "/other"}}})})
+	en.cfg.View = func() *plan.View { return vw }
+	ctx, disconnect := context.WithCancel(t.Context())
+	disconnect()
+	en.admit(ctx, old)
+	is.Equal(en.admission.gate.State(time.Second).Routes, 2)
+}
+
 // Without accounts, and with the mechanism off, the valves decide as before.
 func TestUsesAdmission(t *testing.T) {
 	is := is.New(t)
