core/budget: tokens can be kept for more important requests

Cause: hedges for shards that a response can do without take the same tokens as retries without which a gather fails. Change: SpendAbove takes a token only if a given number is left after it.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -78,10 +78,15 @@
 }
 
 // Spend takes one token and reports whether one was available.
-func (bu *Budget) Spend() bool {
+func (bu *Budget) Spend() bool { return bu.SpendAbove(0) }
+
+// SpendAbove takes one token if at least reserve tokens are left after it, and reports whether it
+// did.
+func (bu *Budget) SpendAbove(reserve float64) bool {
+	least := scale + int64(reserve*scale)
 	for {
 		have := bu.units.Load()
-		if have < scale {
+		if have < least {
 			return false
 		}
 		// Subtracting first and adding back on failure would temporarily hide tokens from other
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -84,3 +84,15 @@
 	bu.Earn(10)
 	is.Equal(bu.Tokens(), 1350) // a small round adds nothing beyond its own maximum, and removes nothing
 }
+
+// Less important requests must leave tokens for more important ones.
+func TestBudgetReserve(t *testing.T) {
+	is := is.New(t)
+	bu := budget.New(budget.Config{Share: 0.5, Burst: 3})
+	is.True(bu.SpendAbove(2))
+	is.True(!bu.SpendAbove(2))
+	is.True(bu.SpendAbove(1))
+	is.True(!bu.SpendAbove(0.5))
+	is.True(bu.Spend())
+	is.Equal(bu.Tokens(), 0)
+}
