core/valve: the valve also opens by time

Cause: after a shortage, the valve needed about twenty requests that found capacity; at ten requests per second it refused for two more seconds. Change: without a lack of capacity for 250 ms, the admitted share rises to 1 within another 250 ms (Advance). A request that ends late counts by the time at which it lacked capacity (RecordShort). The reduced share is remembered for 2 s, since a pause of half a second also occurs during a shortage at ten requests per second. Record and Admit without Advance behave as before.

--- a/core/valve/valve.go
+++ b/core/valve/valve.go
@@ -4,10 +4,11 @@
 // # Usage
 //
 //	va := valve.New(valve.Config{})
+//	va.Advance(now)
 //	if !va.Admit(level, rnd.Float64()) {
 //		// refuse, with a Retry-After
 //	}
-//	va.Record(short)
+//	va.RecordShort(now, lackedAt) // or va.Record(false), if it did not lack capacity
 //
 // # Why
 //
@@ -22,12 +23,20 @@
 // Each request that was late or failed for lack of capacity reduces the admitted share by a
 // factor; each other one increases it by a step. The two balance when about one request in five
 // lacks capacity. Failures of other kinds do not count, since admitting fewer requests would not
-// prevent them.
+// prevent them; fanout.Machine decides which those are.
+//
+// The valve also opens by time: without a request that lacked capacity, all are admitted after
+// half a second. At ten requests per second, the steps alone would take seconds. Such a pause can
+// also occur during a shortage, so the share that was admitted before is kept for some time, and
+// applies again from the next request that lacks capacity.
 //
 // A Valve is safe for concurrent use.
 package valve
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Defaults of a Config.
 const (
@@ -46,6 +55,12 @@
 	// slow, admitting fewer does not help: with two of 36 shards slow for five of forty seconds,
 	// 62 VMs answered 82 of 100 requests in time with 0.3, and 85 with 0.5.
 	DefaultMinShare = 0.5
+	// reopenStart and reopenEnd are the times since the last lack of capacity between which the
+	// valve opens completely.
+	reopenStart = 250 * time.Millisecond
+	reopenEnd   = 500 * time.Millisecond
+	// forgetAfter is how long after the last lack of capacity the reduced share is forgotten.
+	forgetAfter = 2 * time.Second
 )
 
 // Config holds the parameters of a Valve; fields that are 0 take the defaults.
@@ -69,6 +84,8 @@
 	// increase.
 	streak int
 	step   float64
+	// now is the latest time known, and shortAt when capacity was last lacking.
+	now, shortAt time.Duration
 }
 
 // New returns a valve that admits all requests.
@@ -88,20 +105,50 @@
 	return &Valve{cfg: cfg, share: 1, step: cfg.Step}
 }
 
+// Advance sets the current time.
+func (va *Valve) Advance(now time.Duration) {
+	va.mu.Lock()
+	defer va.mu.Unlock()
+	va.now = max(va.now, now)
+	if va.now-va.shortAt >= forgetAfter {
+		va.share, va.streak, va.step = 1, 0, va.cfg.Step
+	}
+}
+
 // Admit reports whether to admit a request. Level is 0 for the most urgent kind that shares the
 // servers; less urgent kinds are refused first. Draw is a uniform random number in [0, 1).
 func (va *Valve) Admit(level int, draw float64) bool {
 	va.mu.Lock()
 	defer va.mu.Unlock()
-	admitted := va.share
+	share := va.admittedShare()
+	admitted := share
 	if level > 0 {
-		admitted *= va.share
+		admitted *= share
 	}
 	return draw < max(admitted, va.cfg.MinShare)
 }
 
+// admittedShare returns the share that is admitted now.
+func (va *Valve) admittedShare() float64 {
+	opening := float64(va.now-va.shortAt-reopenStart) / float64(reopenEnd-reopenStart)
+	return va.share + (1-va.share)*min(1, max(0, opening))
+}
+
+// RecordShort adds an admitted request that was late or failed, and lacked capacity for the last
+// time at lackedAt. The request may end long after that; it is ignored if the valve is open again
+// by then.
+func (va *Valve) RecordShort(now, lackedAt time.Duration) {
+	va.Advance(now)
+	if now-lackedAt < reopenEnd {
+		va.Record(true)
+		va.mu.Lock()
+		defer va.mu.Unlock()
+		va.shortAt = max(va.shortAt, lackedAt)
+	}
+}
+
 // Record adds the result of an admitted request; short is set if it was late or failed for lack
-// of capacity.
+// of capacity. Without the time of that lack, the valve opens by requests alone.
 func (va *Valve) Record(short bool) {
 	va.mu.Lock()
 	defer va.mu.Unlock()
@@ -122,5 +169,5 @@
 func (va *Valve) Share() float64 {
 	va.mu.Lock()
 	defer va.mu.Unlock()
-	return va.share
+	return va.admittedShare()
 }
--- a/core/valve/valve_test.go
+++ b/core/valve/valve_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -114,3 +115,59 @@
 	}
 	is.Equal(va.Share(), 1.0)
 }
+
+// After a shortage, the valve went on refusing until enough requests had found capacity: about
+// twenty, which takes two seconds at ten requests per second.
+func TestReopensByTime(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(seed, seed))
+	va := valve.New(valve.Config{})
+	end := 10 * time.Second
+	for now := end - 5*time.Second; now <= end; now += 100 * ms {
+		va.RecordShort(now, now)
+	}
+	is.Equal(va.Share(), valve.DefaultMinShare)
+	// Requests that were sent during the shortage still end late.
+	for now := end + 50*ms; now < end+time.Second; now += 100 * ms {
+		va.RecordShort(now, end)
+	}
+	for now := end + 500*ms; now < end+5*time.Second; now += 100 * ms {
+		va.Advance(now)
+		is.True(va.Admit(1, rnd.Float64()))
+	}
+}
+
+// At ten requests per second, half a second without a lack of capacity also occurs by chance during
+// a shortage. The next lack of capacity then has to restore the reduced share, or the valve would
+// never close.
+func TestClosesAgainAfterPause(t *testing.T) {
+	is := is.New(t)
+	va := valve.New(valve.Config{})
+	for range 100 {
+		va.RecordShort(10*time.Second, 10*time.Second)
+	}
+	va.Advance(10600 * ms)
+	is.Equal(va.Share(), 1.0)
+	va.RecordShort(10600*ms, 10600*ms)
+	is.Equal(va.Share(), valve.DefaultMinShare)
+	va.Advance(13 * time.Second)
+	va.RecordShort(13*time.Second, 13*time.Second)
+	is.True(va.Share() > 0.9) // the shortage before is forgotten
+}
+
+// Less than half a second after a lack of capacity, the share must not jump: all VMs would send
+// everything at the same moment.
+func TestReopensGradually(t *testing.T) {
+	is := is.New(t)
+	va := valve.New(valve.Config{})
+	for range 100 {
+		va.RecordShort(10*time.Second, 10*time.Second)
+	}
+	last := va.Share()
+	for now := 10 * time.Second; now <= 10500*ms; now += 10 * ms {
+		va.Advance(now)
+		is.True(va.Share() >= last && va.Share() < last+0.05)
+		last = va.Share()
+	}
+	is.Equal(last, 1.0)
+}
