--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -19,7 +19,7 @@
 	// lastingAfter is how long requests must wait without interruption until requests are accepted
 	// only if they can meet their target, if as much arrives as this VM can do. Before that the
 	// deadline counts: a short surge is better answered late than refused.
-	lastingAfter = 100 * time.Millisecond
+	lastingAfter = 110 * time.Millisecond
 	// slowAfter is how long a route's servers must be too slow for its target, for their load, until
 	// requests are refused for it.
 	slowAfter = 95 * time.Millisecond
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -30,7 +30,9 @@
 	// growth is the largest increase of the window, as a share of the work that ended.
 	growth = 0.3
 	// unusedCut is the decrease of a window that is not used up, as a share of the work that ended.
-	// A window that was kept from easier times admits too much when the capacity falls.
+	// A window that was kept from easier times admits too much when the capacity falls. It does not
+	// fall below the initial one: with a window of two requests, one in ten waited for more than
+	// 7 ms on VMs that were nearly idle.
 	unusedCut = 0.15
 	// maxCut bounds a single cut: to this share of the window.
 	maxCut = 0.7
@@ -146,7 +148,7 @@
 	case room > 0 && limited:
 		es.window = min(es.window+growth*room*weight, maxWindow*es.largest)
 	case room > 0:
-		es.window = max(es.window-unusedCut*weight, min(es.window, es.cfg.Least*es.largest), leastWeight)
+		es.window = max(es.window-unusedCut*weight, min(es.window, es.cfg.Initial*es.largest), leastWeight)
 	case room < 0 && now >= es.cutAt+time.Duration(es.took):
 		// Whether a cut sufficed shows only after the requests that were in progress have ended.
 		es.cutAt = now
