io/follow, core/mirror: seeds learn of a VM that the store serves; known changes are skipped

Two consequences of asking other VMs while a call to the store is in progress.

At the first start of a fleet, the store may fall silent before it has returned the entries of the VMs. A VM that gets its first list of VMs from the store itself now tells its seeds, which then know its address.

A change that came from another VM while the store was asked was applied again with the store's answer: an entry that was written and removed meanwhile would appear and be removed once more. Events up to the replica's revision are skipped (TestChangesThatAreKnownAreSkipped fails without).

--- a/core/mirror/replica.go
+++ b/core/mirror/replica.go
@@ -71,6 +71,10 @@
 	}
 	changed := make([]Event, 0, len(up.Events))
 	for _, ev := range up.Events {
+		// Another source may have sent it while the store was asked.
+		if ev.Revision <= re.asOf {
+			continue
+		}
 		if re.put(ev) {
 			changed = append(changed, ev)
 		}
--- a/core/mirror/replica_test.go
+++ b/core/mirror/replica_test.go
@@ -148,3 +148,20 @@
 	}
 	return out
 }
+
+// Guards against applying a change twice. While a VM waits for the store, it gets the same changes
+// from another VM: an entry was written and removed. If the store's answer were applied once more,
+// the removed server would appear again, and its removal would be reported as a second one.
+func TestChangesThatAreKnownAreSkipped(t *testing.T) {
+	is := is.New(t)
+	re := mirror.NewReplica(mirror.DefaultHistory)
+	re.Apply(mirror.Update{Full: true, AsOf: 1})
+	up := mirror.Update{AsOf: 3, Events: []mirror.Event{
+		{Item: mirror.Item{Key: "a", Revision: 2}},
+		{Item: mirror.Item{Key: "a", Revision: 3}, Removed: true},
+	}}
+	is.Equal(len(re.Apply(up)), 2)
+	is.Equal(len(re.Apply(up)), 0)
+	up.AsOf, up.Events = 4, append(up.Events, mirror.Event{Item: mirror.Item{Key: "b", Revision: 4}})
+	is.Equal(re.Apply(up), up.Events[2:])
+}
--- a/io/follow/boot.go
+++ b/io/follow/boot.go
@@ -101,7 +101,7 @@
 func (fo *Follower) followFirstSource(ctx context.Context) {
 	until := fo.cfg.Clock() + firstSourceTime
 	for fo.firstSource != "" && ctx.Err() == nil && fo.cfg.Clock() < until {
-		fo.applyPeers()
+		fo.applyPeers(ctx)
 		if len(fo.dataCentres) > 0 {
 			return
 		}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -251,7 +251,7 @@
 	fo.followFirstSource(ctx)
 	ca := newStoreCall(fo)
 	for ctx.Err() == nil {
-		fo.applyPeers()
+		fo.applyPeers(ctx)
 		fo.notifyStaleCallers(ctx)
 		if as := fo.takeFreshCaller(); as.addr != "" {
 			fo.selector.Suggest(as.addr, fo.cfg.Clock()-as.currentAt)
@@ -272,13 +272,16 @@
 	}
 }
 
-func (fo *Follower) applyPeers() {
+// applyPeers applies a new list of VMs. The seeds may not know this VM and may not be served by the
+// store, so they are told of a VM that got its first list from there.
+func (fo *Follower) applyPeers(ctx context.Context) {
 	fo.mu.Lock()
 	vms := fo.newPeers
 	fo.newPeers = nil
 	if vms != nil {
 		fo.pruneLastSeen(vms)
 	}
+	served := fo.origin == fo.cfg.Self.Addr
 	fo.mu.Unlock()
 	if vms == nil {
 		if len(fo.dataCentres) <= 1 {
@@ -286,6 +289,9 @@
 		}
 		return
 	}
+	if len(fo.dataCentres) <= 1 && len(vms) > 1 && served {
+		fo.notifySeeds(ctx)
+	}
 	fo.selector.SetPeers(vms)
 	fo.dataCentres = make(map[string]string, len(vms))
 	for _, vm := range vms {
