core/fanout, core/steer: a request is short of capacity only if fewer requests would help

Cause: a late request counted as short if any needed retry had no token or an attempt waited for a connection. Both also happen with a shard whose servers are all silent, and with a single slow or failing server. Change: core/steer tells for each shard whether a server has spare capacity, servers respond but are full, or none responds in time (Capacity). The fan-out machine counts a request as short if, when a token or connection was lacking, the minimum coverage depended on full shards. io/entry passes this and its time on to the valve. A retry without which a gather fails waits for a token until the deadline, and less important attempts leave tokens for it: one for retries, two or a third of the burst for both retries and needed hedges (Need.Reserve).

fanout.Budget takes a Need in place of a flag, so the stand-ins of two tests take it too; TestBudgetNeeds asserts the same decisions.

--- a/core/fanout/config.go
+++ b/core/fanout/config.go
@@ -23,10 +23,9 @@
 	Pick(now time.Duration, ask PickRequest) (*origin.Upstream, bool)
 }
 
-// Budget allows or denies each hedge and each retry. Needed is set if the request would fail
-// without this attempt, because too few other shards can still answer.
+// Budget allows or denies each hedge and each retry.
 type Budget interface {
-	Spend(shard int, needed bool) bool
+	Spend(shard int, need Need) bool
 }
 
 // Config holds the parameters of one request. All times are on the clock of the now arguments.
@@ -60,4 +59,6 @@
 	Rand    func() float64
 	Chooser Chooser
 	Budget  Budget
+	// Capacity returns what the servers of a shard can take of one more request; nil if unknown.
+	Capacity func(now time.Duration, shard int) Capacity
 }
--- a/core/fanout/crash.go
+++ b/core/fanout/crash.go
@@ -65,7 +65,7 @@
 	case mc.answered:
 	case !mc.guard.trialsOnly:
 		for i := range mc.shards {
-			if mc.shards[i].due {
+			if sh := &mc.shards[i]; sh.due && now >= sh.retryAt {
 				mc.retry(now, i, false)
 			}
 		}
--- a/core/fanout/event.go
+++ b/core/fanout/event.go
@@ -190,4 +190,7 @@
 	Hedges   int
 	Retries  int
 	At       time.Duration
+	// Lacked is set if the request lacked capacity, for the last time at LackedAt.
+	Lacked   bool
+	LackedAt time.Duration
 }
--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -45,6 +45,8 @@
 	// lastVerdict is the verdict on the previous attempt; 0 if there was none.
 	due         bool
 	lastVerdict Verdict
+	// retryAt is when an attempt that is due and had no token is tried again.
+	retryAt time.Duration
 }
 
 // Machine runs one request from Start to its answer. It is not safe for concurrent use.
@@ -64,6 +66,9 @@
 	reason   string
 	answered bool
 	guard    crashGuard
+	// lacked is set once the request lacked capacity, for the last time at lackedAt.
+	lacked   bool
+	lackedAt time.Duration
 }
 
 // New returns the machine for one request; Start begins the work.
@@ -152,8 +157,12 @@
 	}
 	hedge := mc.cfg.HardDeadline
 	for i := range mc.shards {
-		if due := mc.shards[i].hedgeAt; due > 0 {
-			hedge = min(hedge, due)
+		sh := &mc.shards[i]
+		if sh.hedgeAt > 0 {
+			hedge = min(hedge, sh.hedgeAt)
+		}
+		if sh.due {
+			at = min(at, sh.retryAt)
 		}
 	}
 	return min(at, max(hedge, mc.guard.hedgeNotBefore))
@@ -219,133 +228,6 @@
 	}
 }
 
-// retry sends the next attempt of a shard that is due, or fails the shard if no more are allowed.
-func (mc *Machine) retry(now time.Duration, i int, trial bool) {
-	sh := &mc.shards[i]
-	after := sh.lastVerdict
-	sh.due, sh.lastVerdict = false, 0
-	if sh.ran > 0 && !mc.cfg.Idempotent {
-		mc.failShard(i, ReasonMayHaveRun)
-		return
-	}
-	if !mc.mayAttempt(sh) {
-		mc.failShard(i, ReasonAttempts)
-		return
-	}
-	cause := CauseFirst
-	if sh.reached {
-		cause = CauseRetry
-	}
-	if !mc.send(now, i, cause, after, trial) {
-		mc.failShard(i, mc.reason)
-	}
-}
-
-func (mc *Machine) mayAttempt(sh *shard) bool {
-	ran := sh.ran
-	if mc.guard.trialsOnly && mc.guard.broken >= confirmedCrashes {
-		ran -= sh.broken
-	}
-	return ran+sh.open < mc.cfg.MaxAttempts && sh.tries < mc.cfg.MaxAttempts+SpareAttempts
-}
-
-// pick picks a server that was not asked for the shard yet. If there is none, it allows a server
-// that refused, since that did not run the request and may have capacity by now, or one that was
-// advised against, since a slow server is better than none.
-func (mc *Machine) pick(now time.Duration, i int, first, trial bool) (*origin.Upstream, bool) {
-	rq := PickRequest{Shard: i, Tried: mc.triedServers(i), First: first, Trial: trial}
-	up, ok := mc.cfg.Chooser.Pick(now, rq)
-	if !ok && mc.shards[i].mayReuse {
-		rq.Tried = mc.nonReusableServers(i)
-		up, ok = mc.cfg.Chooser.Pick(now, rq)
-	}
-	return up, ok
-}
-
-// send picks a server and sends an attempt. If it cannot, it returns false and sets mc.reason.
-func (mc *Machine) send(now time.Duration, i int, ca Cause, after Verdict, trial bool) bool {
-	if mc.cfg.HardDeadline-now < mc.cfg.MinTimeLeft {
-		mc.reason = ReasonDeadline
-		return false
-	}
-	up, ok := mc.pick(now, i, ca == CauseFirst && !mc.shards[i].mayReuse, trial)
-	if !ok {
-		mc.reason = ReasonNoUpstream
-		return false
-	}
-	if ca != CauseFirst && !mc.cfg.Budget.Spend(i, mc.needed(ca)) {
-		mc.reason = ReasonBudget
-		return false
-	}
-	mc.attempts = append(mc.attempts, attempt{shard: i, up: up, started: now, trial: trial})
-	sh := &mc.shards[i]
-	sh.open++
-	sh.tries++
-	sh.total++
-	sh.hedgeAt = 0
-	if mc.cfg.Idempotent && mc.cfg.HedgeAfter > 0 && mc.mayAttempt(sh) {
-		sh.hedgeAt = now + mc.cfg.HedgeAfter
-	}
-	mc.countCause(ca)
-	mc.actions = append(mc.actions, Action{
-		Kind:     ActSend,
-		Attempt:  len(mc.attempts) - 1,
-		Shard:    i,
-		Upstream: up,
-		Cause:    ca,
-		After:    after,
-		Trial:    trial,
-	})
-	return true
-}
-
-// needed reports whether the request fails if the current shard does not answer. A hedge is needed
-// if so many shards are late that fewer than MinParts would have answered at the target time.
-func (mc *Machine) needed(ca Cause) bool {
-	spare := mc.cfg.Shards - mc.cfg.MinParts - mc.failed
-	if ca == CauseHedge {
-		return mc.cfg.Shards-mc.served-mc.failed > spare
-	}
-	return spare <= 0
-}
-
-func (mc *Machine) countCause(ca Cause) {
-	switch ca {
-	case CauseHedge:
-		mc.hedges++
-	case CauseRetry:
-		mc.retries++
-	}
-}
-
-// triedServers returns the servers that were asked for a shard.
-func (mc *Machine) triedServers(i int) []*origin.Upstream {
-	mc.tried = mc.tried[:0]
-	if mc.shards[i].total == 0 {
-		return mc.tried
-	}
-	for k := range mc.attempts {
-		if mc.attempts[k].shard == i {
-			mc.tried = append(mc.tried, mc.attempts[k].up)
-		}
-	}
-	return mc.tried
-}
-
-// nonReusableServers returns the servers that were asked for a shard, without those that refused
-// or were advised against. Asking refusing servers again matters when few servers are left: if
-// two of a shard's three servers are left and each refuses two of five requests at random, one
-// request in six is refused by both; with one more attempt it is one in sixteen.
-func (mc *Machine) nonReusableServers(i int) []*origin.Upstream {
-	mc.tried = mc.tried[:0]
-	for k := range mc.attempts {
-		if at := &mc.attempts[k]; at.shard == i && at.verdict != Refused && at.verdict != Doubted {
-			mc.tried = append(mc.tried, at.up)
-		}
-	}
-	return mc.tried
-}
-
 // failShard records that a shard cannot answer, and why.
 func (mc *Machine) failShard(i int, reason string) {
 	sh := &mc.shards[i]
@@ -389,7 +271,7 @@
 	case enough && now >= mc.cfg.Target:
 		mc.answer(now, OutcomeServed, ReasonTarget)
 	case now >= mc.cfg.HardDeadline:
-		mc.answer(now, mc.failureOutcome(), ReasonDeadline)
+		mc.answer(now, mc.failureOutcome(), mc.deadlineReason())
 	case !mc.guard.trialsOnly:
 		mc.hedge(now)
 	}
@@ -433,6 +315,8 @@
 		Attempts:     len(mc.attempts),
 		Hedges:       mc.hedges,
 		Retries:      mc.retries,
+		Lacked:       mc.lacked,
+		LackedAt:     mc.lackedAt,
 		At:           now,
 	}})
 }
--- a/core/fanout/machine_test.go
+++ b/core/fanout/machine_test.go
@@ -32,14 +32,14 @@
 	return nil, false
 }
 
-// fixedBudget is a Budget with a fixed number of tokens; it records the needed arguments.
+// fixedBudget is a Budget with a fixed number of tokens; it records the needs.
 type fixedBudget struct {
-	left   int
-	needed []bool
+	left  int
+	needs []fanout.Need
 }
 
-func (to *fixedBudget) Spend(_ int, needed bool) bool {
-	to.needed = append(to.needed, needed)
+func (to *fixedBudget) Spend(_ int, need fanout.Need) bool {
+	to.needs = append(to.needs, need)
 	to.left--
 	return to.left >= 0
 }
@@ -232,7 +232,7 @@
 // One shard is lost while one may be missing, then a second one. Tokens are few: the first loss
 // must not take the token that the second one needs. The first shard's only server fails rather
 // than refuses, since a refusing one would be asked again.
-func TestBudgetNeededFlag(t *testing.T) {
+func TestBudgetNeeds(t *testing.T) {
 	is := is.New(t)
 	to := &fixedBudget{left: 100}
 	cfg := config(3, 2)
@@ -240,7 +240,7 @@
 	cfg.HedgeAfter = 0
 	cfg.Chooser = servers{0: {"a0"}, 1: {"a1", "b1"}, 2: {"a2", "b2"}}
 	start(cfg).result(1*ms, 1, fanout.Refused).result(2*ms, 0, fanout.Failed).result(3*ms, 2, fanout.Refused)
-	is.Equal(to.needed, []bool{false, true})
+	is.Equal(to.needs, []fanout.Need{fanout.NeedNone, fanout.NeedAnswer})
 }
 
 // For any results in any order: there is exactly one answer; a request that may run only once is
--- a/core/poison/sim_arrival_test.go
+++ b/core/poison/sim_arrival_test.go
@@ -66,7 +66,7 @@
 }
 
 // Spend grants every token, so that a lack of tokens does not limit the number of crashes.
-func (ar *simArrival) Spend(int, bool) bool { return true }
+func (ar *simArrival) Spend(int, fanout.Need) bool { return true }
 
 func (ar *simArrival) step(ev fanout.Event) {
 	if !ar.done {
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -92,6 +92,7 @@
 	an := fl.run(ctx)
 	fl.reportArrival()
 	fl.late = an.Outcome != fanout.OutcomeServed || an.At > fl.rq.began+fl.rt.Target
+	fl.lacked, fl.lackedAt = an.Lacked, an.LackedAt
 	rs := fl.response(an)
 	en.recordOutcome(an, fl.rq)
 	fl.log(an, rs.status)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -304,6 +304,7 @@
 		return en.execute(ctx, fl)
 	}
 	va := en.valves.forRoute(rt)
+	va.Advance(en.cfg.Clock())
 	if !en.cfg.Off.Off(toggle.Valve) && !va.Admit(en.admitLevel(vw.Routes(), rq.priority(rt)), rand.Float64()) {
 		rs := refusalResponse(consts.StatusServiceUnavailable, reasonNoRoom, "the servers have no room for more")
 		rs.setRetryAfter(retryAfterBusy)
@@ -313,6 +314,10 @@
 	}
 	fl := en.newFlight(rq, rt, vw)
 	rs, outcome := en.execute(ctx, fl)
-	va.Record(fl.lackedCapacity && fl.late)
+	if fl.late && fl.lacked {
+		va.RecordShort(en.cfg.Clock(), fl.lackedAt)
+	} else {
+		va.Record(false)
+	}
 	return rs, outcome
 }
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -60,10 +60,13 @@
 	target   time.Duration
 	minParts int
 	// admittedAt is when the request was admitted as arrived describes it; 0 without admission.
-	// late is set if it was answered after its target or not served.
+	// late is set if it was answered after its target or not served. lacked is set if it lacked
+	// capacity, for the last time at lackedAt.
 	admittedAt time.Duration
 	arrived    admit.Arrival
 	late       bool
+	lacked     bool
+	lackedAt   time.Duration
 	// hedgeAfter is how long an attempt may take before a second server is asked.
 	hedgeAfter time.Duration
 	// firstSentAt is when the first attempts had been written.
@@ -84,9 +87,6 @@
 	joinFrom map[int]string
 	// calls has a nil entry for each attempt that another VM sends.
 	calls []*relay.Call
-	// lackedCapacity is set if a retry that was needed had no token, or an attempt waited too
-	// long here for a connection.
-	lackedCapacity bool
 	// check is the status check of servers before the request is sent; nil if there is none.
 	check *steer.Check
 	// onlyColdLeft is set if the only servers left of a shard were ones that are warming up.
@@ -141,17 +141,11 @@
 		Rand:         rand.Float64,
 		Chooser:      fl,
 		Budget:       fl,
+		Capacity:     fl.capacity,
 	})
 	return fl
 }
 
-// Spend takes a token for one more attempt at a shard's service; it implements fanout.Budget.
-func (fl *flight) Spend(shard int, needed bool) bool {
-	ok := fl.en.budgets.spend(fl.en.cfg.Clock(), fl.services[shard])
-	fl.lackedCapacity = fl.lackedCapacity || needed && !ok
-	return ok
-}
-
 // run drives the fan-out machine until it has an answer.
 func (fl *flight) run(ctx context.Context) fanout.Answer {
 	clock := fl.en.cfg.Clock
@@ -217,22 +211,6 @@
 	return fl.machine.Start(now)
 }
 
-// dropQueued cancels the attempts that have waited here for a connection for hedgeAfter, the
-// time that a server is given to respond. They have caused no work yet, and another server may
-// have capacity.
-func (fl *flight) dropQueued() {
-	if fl.en.cfg.Off.Off(toggle.Moves) {
-		return
-	}
-	late := fl.en.cfg.Clock() - fl.hedgeAfter
-	for k, ca := range fl.calls {
-		if ca != nil && fl.results[k].verdict == 0 && fl.machine.Started(k) <= late && ca.Queued() {
-			fl.lackedCapacity = true
-			ca.Drop(0)
-		}
-	}
-}
-
 // record stores a result for the response and the log line, and returns the event for the
 // machine.
 func (fl *flight) record(ar attemptResult) fanout.Event {
--- a/io/entry/latency.go
+++ b/io/entry/latency.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumvane/core/budget"
+	"laburnumvane/core/fanout"
 	"laburnumvane/core/hedge"
 	"laburnumvane/core/route"
 )
@@ -143,8 +144,11 @@
 	return float64(bs.extra.Burst) * bs.extra.Part
 }
 
+// depth returns the maximum number of tokens of a budget.
+func (bs *budgets) depth() float64 { return max(1, burstDepthShare*bs.burstPart()) }
+
 func (bs *budgets) newBudget(tokens int) *serviceBudget {
-	depth := max(1, burstDepthShare*bs.burstPart())
+	depth := bs.depth()
 	bu := budget.New(budget.Config{Share: usedShare * bs.extra.Share, Burst: depth})
 	if over := bu.Tokens() - tokens; over > 0 {
 		bu.Charge(over)
@@ -182,7 +186,12 @@
 	bu.Earn(1)
 }
 
-// spend takes a token and reports whether there was one.
-func (bs *budgets) spend(now time.Duration, service string) bool {
-	return bs.forService(now, service).Spend()
+// spend takes a token and reports whether there was one, apart from those that are kept for more
+// important needs.
+func (bs *budgets) spend(now time.Duration, service string, need fanout.Need) bool {
+	bu := bs.forService(now, service)
+	bs.mu.RLock()
+	reserve := need.Reserve(bs.depth())
+	bs.mu.RUnlock()
+	return bu.SpendAbove(reserve)
 }
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -31,6 +31,9 @@
 	if an.Reason != "" {
 		en = en.Str("reason", an.Reason)
 	}
+	if an.Lacked {
+		en = en.Bool("lacked", true)
+	}
 	if broken := fl.brokenAttempts(); broken > 0 {
 		en = en.Int("broken", broken).Str("fingerprint", rq.fingerprint().String())
 	}
