--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -24,8 +24,9 @@
 // (see docs/design/admission.md):
 //
 //	ga := admit.NewGate[*waiter](admit.GateConfig{})
-//	vd := ga.Offer(now, arrival, waiter) // then Step, as above
-//	ga.Done(now, arrival, took, 0)       // at the end of a request that was started
+//	vd := ga.Offer(now, arrival, waiter)  // then Step, as above
+//	arrival = ga.Sent(now, arrival, took) // once a request that was started was sent; then Step
+//	ga.Done(now, arrival, took, 0)        // at its end; then Step
 //
 // A Machine or Gate is not safe for concurrent use; its owner guards it with a mutex.
 // Times are monotonic, measured from the start of the process. A time before that
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -182,10 +182,10 @@
 	is.Equal(reason, admit.ReasonServers) // that its servers were slow is still known
 }
 
-// One of 36 shards takes three or eight times as long, and a request needs it. If its server has spare capacity,
-// requests were refused (three of four) though refusals change nothing and a late answer still has
-// part of its value. If it is overloaded, admission must stop, but for a few trials. Load: a tenth of
-// the capacity of this VM.
+// One of 36 shards takes three or eight times as long, and a request needs it. If its server has
+// spare capacity, three of four requests were refused though refusals change nothing and a late
+// answer still has part of its value. If it is overloaded, admission must stop, but for a few trials.
+// Load: a tenth of the capacity of this VM.
 func TestReplaySlowShard(t *testing.T) {
 	const usual, target = 10 * time.Millisecond, 25 * time.Millisecond
 	spare := steer.Load{Running: 1, Slots: 5, Slowdown: 8}
