--- a/core/admit/simulation_test.go
+++ b/core/admit/simulation_test.go
@@ -274,29 +274,6 @@
 	sm.After(se.deadline-sm.Now(), se.expire)
 }
 
-// expire ends the search and its attempts without a reply at the deadline. One event for all of them
-// keeps the agenda short, which most of the time of a run is spent on.
-func (se *simSearch) expire() {
-	for _, su := range se.subs[:se.primaries] {
-		su.expire()
-	}
-	se.finish(false)
-	for _, su := range se.subs[se.primaries:] {
-		su.expire()
-	}
-}
-
-// expire fails an attempt without a reply.
-func (su *simSub) expire() {
-	if su.ended {
-		return
-	}
-	su.ended = true
-	vm := su.se.vm
-	vm.tb.End(vm.sm.Now(), su.server, limit.Sample{Kind: limit.Failed, Latency: vm.sm.Now() - su.sentAt})
-	vm.step()
-}
-
 func (se *simSearch) send(su *simSub) bool {
 	vm := se.vm
 	id, ok := vm.pick(su.shard, su.tried)
