--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -16,21 +16,33 @@
 const (
 	// accountQueueShare is the part of the queue that one account may fill.
 	accountQueueShare = 0.25
-	// lastingAfter is how long requests must wait without interruption, or a route's servers be
-	// too slow for its target, until requests are accepted only if they can meet their target.
-	// Before that the deadline counts: a short surge is better answered late than refused.
-	lastingAfter = 95 * time.Millisecond
-	// lastingAtMost is the same whatever arrives. demandTime is the time over which the cost of
-	// what arrives is averaged.
+	// lastingAfter is how long requests must wait without interruption until requests are accepted
+	// only if they can meet their target, if as much arrives as this VM can do. Before that the
+	// deadline counts: a short surge is better answered late than refused.
+	lastingAfter = 110 * time.Millisecond
+	// slowAfter is how long a route's servers must be too slow for its target, for their load, until
+	// requests are refused for it.
+	slowAfter = 95 * time.Millisecond
+	// lastingAtMost is the same as lastingAfter whatever arrives. demandTime is the time over which the cost of
+	// what arrives is averaged. With 1 s, chance alone exceeds the capacity so often at 0.85 of it
+	// that more than 1 in 100 requests are refused.
 	lastingAtMost = 500 * time.Millisecond
-	demandTime    = time.Second
+	demandTime    = 1500 * time.Millisecond
 	// trialShare is the share of the requests refused for slow servers that is run all the same,
 	// so that this VM learns when the servers have recovered.
 	trialShare = 0.25
+	// loadRatio: servers that take this many times as long as without load are slow for their load,
+	// even if they would be too slow for the target without it. With 2, a slow server with one
+	// request ahead would count.
+	loadRatio = 3
 	// localWeight is the divisor of the moving averages of local times.
 	localWeight = 16
 	// deviations is how many mean deviations are allowed for in the local time.
 	deviations = 2
+	// dueShare is the share of that time after which, with the time of the servers, a request that
+	// has not ended is assumed to wait for servers. With 1, requests that wait for a shard that they
+	// can do without leave too little room for others at 0.85 of the capacity.
+	dueShare = 0.8
 	// leastRateShare bounds what more urgent requests take off the rate of less urgent ones.
 	leastRateShare = 0.1
 	// ownShare: a request is refused for its account's own load if this share of what is ahead of
@@ -69,10 +81,13 @@
 	Cost  float64
 	Bytes int
 	// Servers is how long the servers take to answer with the least coverage, as far as is known.
-	Servers time.Duration
+	// Unloaded is the same if nothing else were sent to them.
+	Servers, Unloaded time.Duration
 	// Target is the time by which an answer has its full value, Deadline that after which it has
 	// none.
 	Target, Deadline time.Duration
+	// sent is when it was sent, due when it is expected to end; 0 before.
+	sent, due time.Duration
 }
 
 // Verdict is the decision on an arrival.
@@ -110,32 +125,27 @@
 	count   int
 	bytes   int
 	// inProgress is the cost that was started and has not ended.
-	inProgress      float64
+	inProgress float64
+	// away holds the requests that wait for servers, and due all that were sent until they are
+	// expected to end. Overdue is the cost of those that have not ended by then: they wait for
+	// servers that are slower than expected, or for parts that the answer does not need.
+	away, due       absences
+	overdue         float64
 	offered, served pace.Sum
 	// demand is the cost of what arrived lately.
 	demand pace.Sum
 	// backlogSince is since when requests have waited without interruption.
 	backlogSince time.Duration
 	routes       map[string]*routeState
-	started      map[int]*pace.Sum
-	retry        retrySlots
+	// routesSet is set once SetRoutes was called: routes holds those of the configuration.
+	routesSet bool
+	started   map[int]*pace.Sum
+	retry     retrySlots
 	// trimmed lists the entries that were removed and have not got a Grant yet.
 	trimmed []*Entry[W]
 	grants  []Grant[W]
 }
 
-// routeState is what is known of the servers of a route.
-type routeState struct {
-	// slowSince is since when they have been too slow for the target; 0 if they are not. slowAt is
-	// when that was seen last.
-	slowSince, slowAt time.Duration
-	// credit is the number of trials that are due.
-	credit float64
-	// local is how long requests took beyond the time of the servers, and deviation by how much
-	// that varies, both on average; local is 0 until one has ended.
-	local, deviation time.Duration
-}
-
 // NewGate returns a Gate without requests.
 func NewGate[W any](cfg GateConfig) *Gate[W] {
 	defaultInt(&cfg.MaxWaiting, DefaultMaxWaiting)
@@ -203,7 +213,7 @@
 func (ga *Gate[W]) tooSlow(ar Arrival, need time.Duration) Reason {
 	rs := ga.route(ar.Route)
 	switch {
-	case ga.now+ar.Servers <= ar.Target:
+	case ga.now+ar.Servers <= ar.Target || !ar.slowForLoad(ga.now):
 		rs.slowSince = 0
 	case rs.slowSince == 0 || ga.now-rs.slowAt > slowExpiry:
 		rs.slowSince = max(1, ga.now)
@@ -214,7 +224,7 @@
 	switch {
 	case ga.now >= ar.Deadline:
 		return ReasonDeadlineTooClose
-	case ga.now+ar.Servers > ar.Deadline, rs.slowSince > 0 && ga.now-rs.slowSince >= lastingAfter:
+	case ga.now+ar.Servers > ar.Deadline, rs.slowSince > 0 && ga.now-rs.slowSince >= slowAfter:
 		if rs.credit += trialShare; rs.credit >= 1 {
 			rs.credit--
 			return ""
@@ -227,6 +237,12 @@
 	return ""
 }
 
+// slowForLoad reports whether servers that are too slow for the target would be faster if less were
+// sent to them. If not, a late answer is all that there is to be had, and a refusal helps nobody.
+func (ar Arrival) slowForLoad(now time.Duration) bool {
+	return now+ar.Unloaded <= ar.Target || ar.Servers >= loadRatio*ar.Unloaded
+}
+
 // full returns why a request may not wait; empty if it may.
 func (ga *Gate[W]) full(fl *flow[W], ar Arrival) Reason {
 	switch {
@@ -246,25 +262,11 @@
 	return ga.pace.Delay() + seconds(ar.Cost/ga.pace.Rate())
 }
 
-func (ga *Gate[W]) route(name string) *routeState {
-	rs, ok := ga.routes[name]
-	if !ok {
-		rs = &routeState{}
-		ga.routes[name] = rs
-	}
-	return rs
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// hasRoom reports whether a request can start now.
-func (ga *Gate[W]) hasRoom(cost float64) bool {
-	return ga.inProgress == 0 || ga.inProgress+cost <= ga.pace.Window()
-}
-
 // wait estimates how long a new request of a flow waits.
 func (ga *Gate[W]) wait(fl *flow[W], ar Arrival) time.Duration {
-	over := max(0, ga.inProgress+ar.Cost-ga.pace.Window())
+	over := max(0, ga.working()+ar.Cost-ga.pace.Window())
 	rate := ga.pace.Rate()
 	if !ga.neglected(fl) {
 		urgent := 0.0
@@ -285,7 +287,9 @@
 	if ga.count == 0 {
 		return false
 	}
-	backlog, excess := ga.now-ga.backlogSince, ga.demand.Rate(ga.now, demandTime)/ga.pace.Rate()
+	// What was done lately can be done, even if the window is small at the moment.
+	able := max(ga.pace.Rate(), ga.pace.Work(ga.now))
+	backlog, excess := ga.now-ga.backlogSince, ga.demand.Rate(ga.now, demandTime)/able
 	return backlog >= lastingAtMost || excess > 1 && float64(backlog)*excess*excess >= float64(lastingAfter)
 }
 
@@ -313,34 +317,6 @@
 	return true
 }
 
-// Sent records how long a started request took until its first sub-requests were written.
-func (ga *Gate[W]) Sent(now time.Duration, cost float64, took time.Duration) {
-	ga.advance(now)
-	ga.pace.Sent(ga.now, cost, took)
-}
-
-// Late records how late a timer of this VM fired.
-func (ga *Gate[W]) Late(late time.Duration) { ga.pace.Late(late) }
-
-// Done ends a request that was started. Idle is the part of the time that it took in which it only
-// waited for parts that its answer did not need: it says nothing about how long others need.
-func (ga *Gate[W]) Done(now time.Duration, ar Arrival, took, idle time.Duration) {
-	ga.advance(now)
-	limited := ga.count > 0 || ga.inProgress+ar.Cost > ga.pace.Window()
-	ga.inProgress = max(0, ga.inProgress-ar.Cost)
-	ga.pace.End(ga.now, ar.Cost, took, limited)
-	ga.route(ar.Route).observe(max(1, took-idle-ar.Servers))
-}
-
-// observe records how long a request took beyond the time of the servers.
-func (rs *routeState) observe(local time.Duration) {
-	if rs.local == 0 {
-		rs.local = local
-	}
-	rs.deviation += ((local - rs.local).Abs() - rs.deviation) / localWeight
-	rs.local += (local - rs.local) / localWeight
-}
-
 func (ga *Gate[W]) refuseEntry(re Reason, en *Entry[W]) {
 	vd := ga.refuse(re, en.ar, ga.wait(en.fl, en.ar))
 	ga.grants = append(ga.grants, Grant[W]{Waiter: en.waiter, Reason: vd.Reason, RetryAfter: vd.RetryAfter})
@@ -350,4 +326,11 @@
 	return Verdict[W]{Kind: Refused, Reason: re, RetryAfter: ga.retryAfter(ar, wait)}
 }
 
-func (ga *Gate[W]) advance(now time.Duration) { ga.now = max(ga.now, now) }
+func (ga *Gate[W]) advance(now time.Duration) {
+	ga.now = max(ga.now, now)
+	ga.away.advance(ga.now)
+	ga.overdue += ga.due.advance(ga.now)
+	if ga.inProgress == 0 {
+		ga.overdue = 0 // no rounding errors remain
+	}
+}
--- a/io/entry/admission.go
+++ b/io/entry/admission.go
@@ -13,6 +13,7 @@
 	"laburnumvane/core/fanout"
 	"laburnumvane/core/origin"
 	"laburnumvane/core/plan"
+	"laburnumvane/core/route"
 	"laburnumvane/core/toggle"
 	"laburnumvane/io/meter"
 )
@@ -28,6 +29,8 @@
 type admission struct {
 	mu   sync.Mutex
 	gate *admit.Gate[chan admitVerdict]
+	// routes are the routes that the gate knows.
+	routes *route.Table
 }
 
 // admitVerdict ends the wait of a request.
@@ -53,7 +56,11 @@
 	ar := fl.arrival(now)
 	ready := make(chan admitVerdict, 1)
 	var vd admit.Verdict[chan admitVerdict]
-	ad.update(now, func(ga *admit.Gate[chan admitVerdict]) { vd = ga.Offer(now, ar, ready) })
+	routes := en.cfg.View().Routes()
+	ad.update(now, func(ga *admit.Gate[chan admitVerdict]) {
+		ad.setRoutes(routes)
+		vd = ga.Offer(now, ar, ready)
+	})
 	switch vd.Kind {
 	case admit.Refused:
 		return en.refuseAdmission(fl, ar, vd.Reason, vd.RetryAfter)
@@ -67,6 +74,20 @@
 	return nil
 }
 
+// setRoutes tells the gate the routes of the configuration in effect, so that it forgets others. The
+// lock must be held.
+func (ad *admission) setRoutes(routes *route.Table) {
+	if routes == ad.routes {
+		return
+	}
+	ad.routes = routes
+	var names []string
+	for _, rt := range routes.Routes() {
+		names = append(names, rt.Name)
+	}
+	ad.gate.SetRoutes(names)
+}
+
 // arrival describes a request to the gate.
 func (fl *flight) arrival(now time.Duration) admit.Arrival {
 	shards := make([][]*origin.Upstream, len(fl.services))
@@ -75,7 +96,9 @@
 	}
 	// Without enough servers the request ends at once without being sent, with the reason that
 	// there are none.
-	servers, _ := fl.en.cfg.Steer.Coverage(now, fl.latency.usualLatency(), shards, fl.minParts)
+	usual := fl.latency.usualLatency()
+	servers, _ := fl.en.cfg.Steer.Coverage(now, usual, shards, fl.minParts)
+	unloaded, _ := fl.en.cfg.Steer.UnloadedCoverage(now, usual, shards, fl.minParts)
 	return admit.Arrival{
 		Account:  fl.rq.accountName(),
 		Priority: fl.rq.priority(fl.rt),
@@ -83,6 +106,7 @@
 		Cost:     float64(max(1, len(fl.services))),
 		Bytes:    len(fl.rq.body) + len(fl.head),
 		Servers:  servers,
+		Unloaded: unloaded,
 		Target:   fl.target,
 		Deadline: fl.hardDeadline - minAttemptTime,
 	}
@@ -128,16 +152,19 @@
 	}
 }
 
-// recordSent records how long this VM took to send an admitted request.
+// recordSent records that an admitted request was sent, and how long this VM took for that.
 func (fl *flight) recordSent() {
-	// A status check waits for servers, not for this VM.
-	if fl.admittedAt == 0 || !fl.rt.Idempotent {
+	if fl.admittedAt == 0 {
 		return
 	}
-	ad := fl.en.admission
-	ad.mu.Lock()
-	defer ad.mu.Unlock()
-	ad.gate.Sent(fl.firstSentAt, fl.arrived.Cost, fl.firstSentAt-fl.admittedAt)
+	fl.en.admission.update(fl.en.cfg.Clock(), func(ga *admit.Gate[chan admitVerdict]) {
+		if fl.rt.Idempotent {
+			fl.arrived = ga.Sent(fl.firstSentAt, fl.arrived, fl.firstSentAt-fl.admittedAt)
+			return
+		}
+		// A status check waits for servers, not for this VM.
+		fl.arrived = ga.Away(fl.firstSentAt, fl.arrived)
+	})
 }
 
 // recordTimer records how late a timer fired.
@@ -193,7 +220,8 @@
 		Int("status", rs.status).Str("reason", string(reason)).Uint64("version", configVersion(fl.vw)).
 		Int("priority", ar.Priority).Float64("retryAfterMs", milliseconds(retryAfter)).
 		Float64("leftMs", milliseconds(ar.Deadline-now)).Float64("targetMs", milliseconds(ar.Target-now)).
-		Float64("serversMs", milliseconds(ar.Servers)).Float64("waitMs", milliseconds(st.Wait)).
+		Float64("serversMs", milliseconds(ar.Servers)).Float64("unloadedMs", milliseconds(ar.Unloaded)).
+		Float64("waitMs", milliseconds(st.Wait)).
 		Int("waiting", st.Waiting).Int("accounts", st.Accounts).Float64("share", share).
 		Float64("inProgress", st.InProgress).Float64("window", st.Window).
 		Float64("rate", st.Rate).Float64("work", st.Work).
