--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -19,6 +19,7 @@
 // Requests within the limits must not be refused while all VMs work, wherever they arrive: a refused
 // request is lost value for the client.
 func TestUsualRatesAreServed(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		vms, centres, through int
 		// most is how many of 1,000 may be refused. In 13 data centres the holders of an account with 3
@@ -77,6 +78,7 @@
 // Accounts send many times their usual rate through one VM, a few or all of them. The limit must be
 // kept in every window, and what the limit allows must be used.
 func TestOverloadKeepsLimit(t *testing.T) {
+	t.Parallel()
 	for _, factor := range []float64{5, 20, 60} {
 		for _, through := range []int{1, 4, 68} {
 			t.Run(fmt.Sprintf("%v times through %d", factor, through), func(t *testing.T) {
@@ -170,6 +172,7 @@
 // VMs are killed, restarted, added and frozen, and data centres cut off, while accounts exceed their
 // limits. A restarted holder must not give out its burst again, nor a partition double a limit.
 func TestFaultsKeepLimit(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct{ vms, centres int }{{8, 3}, {68, 3}, {40, 13}} {
 		t.Run(fmt.Sprintf("%d VMs, %d data centres", tc.vms, tc.centres), func(t *testing.T) {
 			is := is.New(t)
@@ -205,6 +208,7 @@
 // A limit is lowered, raised, removed and added while its account exceeds it, and the versions reach
 // VMs at different times. From one window after the new version is in force the new limit holds.
 func TestChangedLimits(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name          string
 		before, after float64
--- a/core/quota/tenure_test.go
+++ b/core/quota/tenure_test.go
@@ -51,6 +51,7 @@
 // A holder that alone is cut off for longer than its entry lives must give up its parts before another VM
 // uses them: an account would get up to a third more than its limit, for as long as the cut lasts.
 func TestHolderAloneKeepsLimit(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct{ vms, centres int }{{8, 3}, {68, 3}, {40, 13}} {
 		t.Run(fmt.Sprintf("%d VMs, %d data centres", tc.vms, tc.centres), func(t *testing.T) {
 			worst, most := math.Inf(-1), 0.0
@@ -97,6 +98,7 @@
 
 // A holder that is cut off alone must serve what its parts permit until it has to give them up.
 func TestHolderAloneServesFromItsParts(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var kept, after tally
 	for seed := range *seeds {
@@ -129,6 +131,7 @@
 // While the store responds to no VM, the copies of all VMs are old. No holder may give up its part for that:
 // all accounts with a limit would be refused.
 func TestStoreOutageKeepsParts(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		vms, centres, dead, most int
 	}{{8, 3, 0, 1}, {68, 3, 0, 1}, {60, 13, 0, 5}, {68, 3, 1, 30}, {8, 3, 1, 400}} {
--- a/core/quota/throttle_test.go
+++ b/core/quota/throttle_test.go
@@ -21,6 +21,7 @@
 // A VM that is no holder must not refuse with noLimitHolder while the holders are only slow, or while it
 // was throttled itself and has not read their replies, unless the time of its request is used up.
 func TestThrottledVMsAreReachable(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name string
 		// holders is how many of the six holders are throttled.
