laburnumvane: the log level of the HTTP library is set once

Cause: TestAccountsOfRunningVMs failed in a whole run of the checks with a data race: it set the library's log level while servers of an earlier test read it. Other commands did the same in one process. Change: silenceHertz sets the level once, in tests before the first of them.

--- a/cmd/laburnumvane/accounts_vms_test.go
+++ b/cmd/laburnumvane/accounts_vms_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"testing"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/matryer/is"
 
 	"laburnumvane/io/entry"
@@ -21,7 +20,6 @@
 func startTryVMs(t *testing.T) *tryRun {
 	t.Helper()
 	is := is.New(t)
-	hlog.SetLevel(hlog.LevelFatal)
 	clearVariables(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
--- a/cmd/laburnumvane/emulate.go
+++ b/cmd/laburnumvane/emulate.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/urfave/cli/v3"
 
 	"laburnumvane/io/emul"
@@ -90,7 +89,7 @@
 	if err != nil {
 		return failure(cmd.FullName(), err)
 	}
-	hlog.SetLevel(hlog.LevelFatal)
+	silenceHertz()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	sg, err := emul.NewStage(stageConfig(cmd, rg))
--- a/cmd/laburnumvane/procs_help_test.go
+++ b/cmd/laburnumvane/procs_help_test.go
@@ -41,6 +41,7 @@
 
 func testMain(m *testing.M) int {
 	defer func() { _ = os.RemoveAll(program.dir) }()
+	silenceHertz() // before any server reads the level
 	return m.Run()
 }
 
--- a/cmd/laburnumvane/serve.go
+++ b/cmd/laburnumvane/serve.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
 
@@ -76,7 +75,7 @@
 func newLogger(out io.Writer, level string) *log.Logger {
 	// The HTTP library logs in its own format, so its logging is turned off. The events that it
 	// would log are counted in the metrics.
-	hlog.SetLevel(hlog.LevelFatal)
+	silenceHertz()
 	return &log.Logger{
 		Level:      log.ParseLevel(level),
 		TimeFormat: time.RFC3339Nano,
--- a/cmd/laburnumvane/try.go
+++ b/cmd/laburnumvane/try.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
 
@@ -42,7 +41,7 @@
 }
 
 func tryAction(_ context.Context, cmd *cli.Command) error {
-	hlog.SetLevel(hlog.LevelFatal)
+	silenceHertz()
 	tr := &tryRun{out: cmd.Root().Writer}
 	defer tr.close()
 	if err := tr.run(); err != nil {
