--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -237,8 +237,8 @@
 	return ""
 }
 
-// slowForLoad reports whether servers that are too slow for the target would be faster if less were
-// sent to them. If not, a late answer is all that there is to be had, and a refusal helps nobody.
+// slowForLoad reports whether servers that are too slow for the target would be faster with less load.
+// If not, refusing requests does not make the remaining ones faster.
 func (ar Arrival) slowForLoad(now time.Duration) bool {
 	return now+ar.Unloaded <= ar.Target || ar.Servers >= loadRatio*ar.Unloaded
 }
--- a/core/mirror/selector_test.go
+++ b/core/mirror/selector_test.go
@@ -262,9 +262,8 @@
 	}
 }
 
-// Guards against a VM that asks nobody. The store falls silent before it has returned the entries of
-// the VMs, so this VM has a stale copy and knows no other VM but its seeds. One of these may have
-// newer data.
+// A VM whose store stops responding before it has returned the list of VMs knows only its seeds. It
+// must ask them; otherwise its copy stays stale.
 func TestSeedsAreAskedWhileNoVMIsListed(t *testing.T) {
 	is := is.New(t)
 	const seed = "10.0.0.2:7000"
--- a/core/quota/tenure_test.go
+++ b/core/quota/tenure_test.go
@@ -79,7 +79,7 @@
 					}
 				}
 				for i, ac := range accounts {
-					// VMs hear of the return of the holder at different times.
+					// An update that lists the holder again reaches VMs at different times.
 					if over[i] > propagation+100*ms {
 						t.Errorf("seed %d: parts in use exceeded the limit of %s for %v", seed, ac.Name, over[i])
 					}
--- a/core/valve/shortage_test.go
+++ b/core/valve/shortage_test.go
@@ -107,7 +107,7 @@
 
 // A shard is lost, and servers are slow or fail. Requests lack tokens and connections for these
 // servers although the others have spare capacity. If the valve counts that as a lack of capacity,
-// it refuses up to a quarter of the requests, and goes on after the shard has returned.
+// it refuses up to a quarter of the requests, and continues to do so after the shard has recovered.
 func TestLostShardIsNoShortage(t *testing.T) {
 	is := is.New(t)
 	off := replays(t, "no valve", lostShard, noValve)
--- a/io/entry/limit_wait_test.go
+++ b/io/entry/limit_wait_test.go
@@ -14,8 +14,8 @@
 	"laburnumvane/io/inner"
 )
 
-// slowClient delays the replies of holders: the clock goes on by 60 ms during each call. They end when the
-// request has ended or, unless silent is set, a second one has begun.
+// slowClient is a client whose calls to holders take 60 ms of the test's clock. A call returns when the
+// request has ended or, unless silent is set, when a second call has begun.
 type slowClient struct {
 	allowClient
 	silent bool
