quota: an account above its limit gets its burst in each window

A bucket gained 0.8 of a burst per window only after it had been nearly empty for a whole window. A bucket now gains as long as, for each beginning within the last window, its level and its gain since stay within its capacity and a fifth of the slack, so that no window can exceed that by it. The fifth was one of the two for new buckets, which buckets that counted as empty used before. A holder that refused is asked again after 150 ms instead of 250.

--- a/core/quota/calls.go
+++ b/core/quota/calls.go
@@ -10,7 +10,7 @@
 
 const (
 	// refusalMemory is how long a holder is not asked again after it had nothing to give.
-	refusalMemory = 250 * time.Millisecond
+	refusalMemory = 150 * time.Millisecond
 	// minSilence and maxSilence bound how long a VM is not called after a call without a reply;
 	// the time doubles with each such call.
 	minSilence = 250 * time.Millisecond
@@ -332,6 +332,5 @@
 		return 0
 	}
 	st.level -= give
-	st.borrowed = max(0, st.borrowed-give)
 	return give
 }
--- a/core/quota/holders.go
+++ b/core/quota/holders.go
@@ -13,15 +13,12 @@
 	// one holder.
 	minPart = 2
 	// sliceCount is the number of equal parts into which the allowance beyond a limit is divided:
-	// one each for bursts, for the refill of a window and for tokens in flight, two for new
-	// buckets.
+	// one each for bursts, for the refill of a window, for tokens in flight, for new buckets, and for
+	// the tokens that holders have while they gain bursts.
 	sliceCount = 5
-	// emptySlices is how many of these parts a bucket may hold that counts as empty. While it gains a
-	// burst per window, the part for bursts and one of those for new buckets are not used otherwise.
-	emptySlices = 2
-	// burstRefillShare is the share of a burst that such a bucket gains in a window. The rest leaves room
-	// for restarts and tokens in flight if all holders have as much as counts as empty.
-	burstRefillShare = 0.8
+	// burstRefillFactor is how fast a bucket may gain its capacity beyond its refill, in capacities per
+	// window.
+	burstRefillFactor = 1
 	// shrinkDelay is how long a data centre counts after its last VM disappeared. The VMs of a
 	// data centre that is cut off from the store for that long still use their parts.
 	shrinkDelay = 10 * time.Minute
@@ -72,10 +69,10 @@
 	// limit and refill are the bucket's capacity and its tokens per second; start is its initial
 	// level.
 	limit, refill, start float64
-	// empty is the level up to which the bucket counts as empty. If it has been empty for window, it
-	// gains burstRefill tokens per second in addition.
-	empty, burstRefill float64
-	window             time.Duration
+	// burstRefill is how many tokens per second the bucket may gain beyond its refill, burstCapacity the
+	// most of its level and gain in a window, the time over which a limit is measured; see burstWindow.
+	burstRefill, burstCapacity float64
+	window                     time.Duration
 	// total is the refill of all parts together.
 	total float64
 	// isolated is the refill of the bucket of a VM that reaches no holder.
@@ -108,7 +105,8 @@
 	}
 	share := 1 / (centres * float64(local))
 	pa.limit, pa.refill, pa.start = burst*share, pa.total*share, slice*share
-	pa.empty, pa.burstRefill, pa.window = min(pa.limit/2, emptySlices*slice*share), burstRefillShare*ac.Burst*share/window, li.cfg.Bounds.Window
+	pa.burstCapacity, pa.window = pa.limit+pa.start, li.cfg.Bounds.Window
+	pa.burstRefill = burstRefillFactor * pa.burstCapacity / window
 	return pa
 }
 
--- a/core/quota/state.go
+++ b/core/quota/state.go
@@ -66,13 +66,9 @@
 	keeps bool
 	part  part
 	// level is the bucket's content at a time; it does not change while this VM is no holder.
-	level float64
-	at    time.Duration
-	// borrowed is how much of level came from other holders.
-	borrowed float64
-	// emptySince is since when the bucket has held no more than part.empty, and at most the same of
-	// borrowed tokens.
-	emptySince time.Duration
+	level       float64
+	at          time.Duration
+	burstWindow burstWindow
 	// leftAt is when this VM ceased to be a holder; started is set once the bucket has had its
 	// initial level.
 	leftAt  time.Duration
@@ -109,7 +105,7 @@
 	}
 	st, ok := li.accounts[ac.Name]
 	if !ok {
-		st = &state{name: ac.Name, at: now, emptySince: now, peers: make(map[string]peerState), keeps: li.keeps(now, ho)}
+		st = &state{name: ac.Name, at: now, peers: make(map[string]peerState), keeps: li.keeps(now, ho)}
 		li.accounts[ac.Name] = st
 		li.apply(st, ac, ho)
 		// Had the bucket existed since the last change in the fleet, it would have filled until
@@ -130,9 +126,7 @@
 func (li *Limiter) apply(st *state, ac *acct.Account, ho *Holders) {
 	st.rate, st.burst, st.holders, st.epoch, st.centres = ac.Rate, ac.Burst, ho, li.epoch, li.dataCentres
 	former := st.part
-	if st.part = li.partOf(ac, ho, st.keeps); st.part != former {
-		st.emptySince = st.at
-	}
+	st.part = li.partOf(ac, ho, st.keeps)
 	if former.holds && !st.part.holds {
 		st.leftAt = st.at
 	}
@@ -146,7 +140,9 @@
 			st.level = max(min(st.level, st.part.start), st.level-other)
 		}
 		st.level = min(st.level, st.part.limit)
-		st.borrowed = min(st.borrowed, st.level)
+		if st.part != former {
+			st.burstWindow.block(int64(st.at/(st.part.window/windowSlots)), st.part.burstCapacity)
+		}
 	}
 }
 
@@ -154,13 +150,10 @@
 func (st *state) advance(now time.Duration) {
 	if now > st.at {
 		if st.part.holds {
-			st.level = st.refilled((now - st.at).Seconds())
+			st.refill(now)
 		}
 		st.at = now
 	}
-	if st.level-min(st.borrowed, st.part.empty) > st.part.empty {
-		st.emptySince = now
-	}
 	if now >= st.extraUntil {
 		st.extra = 0
 	}
@@ -187,22 +180,8 @@
 		return
 	}
 	st.put(now, 1-lost)
-	if st.level+float64(st.running) > st.part.empty {
-		// The tokens of running requests may come back in this window like those of a bucket.
-		st.emptySince = now
-	}
-}
-
-// refilled returns the level after some seconds without requests. A limit allows the rate and a burst
-// in every window. A bucket that has been empty for a whole window has not given out its burst in that
-// window, so it is refilled with most of a burst per window in addition, as long as it stays empty.
-// However the account sends, no window has more than its rate and one burst.
-func (st *state) refilled(seconds float64) float64 {
-	level := st.level + st.part.refill*seconds
-	if st.at-st.emptySince >= st.part.window {
-		level = max(level, min(st.part.empty+min(st.borrowed, st.part.empty), st.level+(st.part.refill+st.part.burstRefill)*seconds))
-	}
-	return min(st.part.limit, level)
+	// The tokens of running requests may come back in this window like those of a bucket.
+	st.burstWindow.record(min(st.part.burstCapacity, st.level+float64(st.running)))
 }
 
 // available returns the tokens that can be used now.
@@ -219,10 +198,10 @@
 	st.extra -= fromExtra
 	if st.part.holds {
 		st.level = max(0, st.level-(n-fromExtra))
-		st.borrowed = max(0, st.borrowed-(n-fromExtra))
 		moved := min(st.extra, st.part.limit-st.level)
 		st.level += moved
 		st.extra -= moved
+		st.burstWindow.record(st.level)
 	}
 }
 
@@ -231,7 +210,8 @@
 	if st.part.holds {
 		fits := max(0, min(n, st.part.limit-st.level))
 		st.level += fits
-		st.borrowed += fits
+		// Waiting requests use tokens at once: these count as tokens in flight.
+		st.burstWindow.record(st.level - float64(st.waiting))
 		n -= fits
 	}
 	if n > 0 {
