--- a/cmd/laburnumvane/accounts_vms_test.go
+++ b/cmd/laburnumvane/accounts_vms_test.go
@@ -57,7 +57,7 @@
 }
 
 // The command is an operator's only view of an account over all VMs. It must give the same holders and
-// limit from any VM, find the holders by itself, show one that is down and succeed nevertheless.
+// limit from any VM, discover the holders, and succeed if one of them is down, which it must show.
 func TestAccountsOfRunningVMs(t *testing.T) {
 	is := is.New(t)
 	tr := startTryVMs(t)
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -88,8 +88,8 @@
 	is.True(!sooner)
 }
 
-// A fleet with room must be served as by latency alone: the choice by load knows nothing better then,
-// and cost a calm day 3 in 100 of its requests in time.
+// A fleet with spare capacity must be served by latency alone: the choice by load cost a calm day 3 in
+// 100 of its requests in time.
 func TestBusy(t *testing.T) {
 	for _, tc := range []struct {
 		name string
--- a/core/valve/replay_test.go
+++ b/core/valve/replay_test.go
@@ -185,7 +185,7 @@
 	rq.perform(rq.mc.Start(rp.Now()))
 }
 
-// count adds the result of a request that was sent, and tells its valve.
+// count adds the result of a request that was sent, and records it in the valve.
 func (rp *replay) count(rq *replayRequest, an fanout.Answer) {
 	result := an.Outcome.String() + " " + an.Reason
 	late := an.Outcome != fanout.OutcomeServed || an.At > rq.target
--- a/io/edge/usage.go
+++ b/io/edge/usage.go
@@ -7,7 +7,7 @@
 )
 
 // processorTime returns the processor time that this process has used; 0 if the kernel does not
-// tell.
+// report it.
 func processorTime() time.Duration {
 	var ru unix.Rusage
 	if err := unix.Getrusage(unix.RUSAGE_SELF, &ru); err != nil {
--- a/io/follow/notify.go
+++ b/io/follow/notify.go
@@ -12,8 +12,8 @@
 	// notifyTimeout limits the call that tells a VM that this one has a copy. After it the other VMs
 	// have one from elsewhere.
 	notifyTimeout = 200 * time.Millisecond
-	// maxStaleCallers limits the VMs that are told when this VM's copy is current again. Each of
-	// them tells as many others.
+	// maxStaleCallers limits the VMs that are notified when this VM's copy is current again. Each
+	// of them notifies as many others.
 	maxStaleCallers = 8
 )
 
--- a/io/relay/await_test.go
+++ b/io/relay/await_test.go
@@ -58,7 +58,7 @@
 }
 
 // A request waits for a connection that is being opened. If it has no other server, it must not be
-// taken for one that waits in vain and be withdrawn.
+// withdrawn as one that waits too long.
 func TestRequestWithoutOtherServerIsNotQueued(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
