relay: how long a request waited for a connection is known and logged

review/3 shows servers that are given more time than their clients have left. The time may pass at four places: in the queue for a connection, in a write that blocks, on the way to another VM, or before the request is read. The log line of a request could not tell them apart.

Result.Waited is the time from Send until a connection was free; `answered` lines have the longest one as `waitedMs`.

--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -21,6 +21,7 @@
 		Float64("awayMs", float64(rq.transitTime.Microseconds())/1000).
 		Float64("sentMs", float64((fl.firstSentAt-rq.began).Microseconds())/1000).
 		Float64("slowestMs", float64(fl.slowestAttempt().Microseconds())/1000).
+		Float64("waitedMs", float64(fl.longestWait().Microseconds())/1000).
 		Int("parts", len(an.Winners)).
 		Int("missing", an.Missing).
 		Int("attempts", an.Attempts).
@@ -52,6 +53,15 @@
 	return slowest
 }
 
+// longestWait returns the longest time that an attempt waited for a connection.
+func (fl *flight) longestWait() time.Duration {
+	var longest time.Duration
+	for _, ar := range fl.results {
+		longest = max(longest, ar.rs.Waited)
+	}
+	return longest
+}
+
 // remoteAttempts counts the attempts that went to another data centre.
 func (fl *flight) remoteAttempts() int {
 	n := 0
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -39,6 +39,9 @@
 	Err   *Error
 	// Took is the time since the request was written; 0 if it was not.
 	Took time.Duration
+	// Waited is the time from Send until a connection was free for the request, or until it
+	// failed without one.
+	Waited time.Duration
 }
 
 // Call is a request that has been passed to Send.
@@ -51,7 +54,8 @@
 	cn      *conn
 	written bool
 	done    bool
-	began   time.Duration
+	// sentAt is when the call was passed to Send, began when a connection was free for it.
+	sentAt, began time.Duration
 }
 
 // finish reports the first result and ignores later ones.
@@ -62,8 +66,11 @@
 		return
 	}
 	ca.done = true
+	now := ca.sv.cfg.Clock()
 	if ca.written {
-		rs.Took = ca.sv.cfg.Clock() - ca.began
+		rs.Took, rs.Waited = now-ca.began, ca.began-ca.sentAt
+	} else {
+		rs.Waited = now - ca.sentAt
 	}
 	ca.mu.Unlock()
 	ca.rq.Done(rs)
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -89,7 +89,7 @@
 
 // Send sends a request on a free connection, or queues it for the next one.
 func (sv *Server) Send(rq Request) *Call {
-	ca := &Call{rq: rq, sv: sv}
+	ca := &Call{rq: rq, sv: sv, sentAt: sv.cfg.Clock()}
 	sv.dispatch(ca)
 	return ca
 }
