relay: the message of a request is made when a connection is free

Callers saw nothing, but servers did: they were told of more time than the clients had left and worked for clients that had gone.

Cause: the message with its deadline was made before relay.Send, and waited in the queue for a connection with the request. waitedMs shows such waits (up to 2.2 s); no write blocked, and the requests did not go by way of another VM.

Change: relay.Request has a function Message in place of the bytes. The pool calls it when the connection is free.

Whatever the reason for a wait, the message is made after it, so no later wait on this path can bring the fault back.

--- a/io/entry/account_test.go
+++ b/io/entry/account_test.go
@@ -36,7 +36,7 @@
 
 func (ar *accountRelay) Send(_ *origin.Upstream, rq relay.Request) *relay.Call {
 	if ar.panics {
-		panic("cannot send " + string(rq.Raw))
+		panic("cannot send " + string(rq.Message()))
 	}
 	ar.requests = append(ar.requests, rq)
 	return &relay.Call{}
--- a/io/entry/message.go
+++ b/io/entry/message.go
@@ -44,9 +44,14 @@
 	return append(out, "\r\n"...)
 }
 
-// message returns the complete request for one server.
-func (en *Entry) message(head []byte, rq *request, up *origin.Upstream, left time.Duration) []byte {
-	ms := strconv.FormatInt(max(1, left.Milliseconds()), 10)
+// message returns the complete request for one server as it is sent now, or nil if less than
+// minAttemptTime is left.
+func (en *Entry) message(head []byte, rq *request, up *origin.Upstream, hardDeadline time.Duration) []byte {
+	left := hardDeadline - en.cfg.Clock()
+	if left < minAttemptTime {
+		return nil
+	}
+	ms := strconv.FormatInt(left.Milliseconds(), 10)
 	names := &en.cfg.Names
 	out := make([]byte, 0, len(head)+len(rq.body)+len(names.Deadline)+len(names.Target)+len(ms)+len(up.ID)+len(": \r\n: \r\n\r\n"))
 	out = append(out, head...)
--- a/io/entry/status.go
+++ b/io/entry/status.go
@@ -160,9 +160,9 @@
 	for i, up := range ups {
 		en.cfg.Meter.Count(meter.Sent, "check")
 		calls[i] = en.cfg.Relay.Send(up, relay.Request{
-			Method: consts.MethodGet,
-			Raw:    []byte("GET " + path + " HTTP/1.1\r\nHost: " + up.Addr + "\r\n\r\n"),
-			Done:   func(rs relay.Result) { results <- statusResult{up: up, valid: en.recordStatus(up, rs)} },
+			Method:  consts.MethodGet,
+			Message: func() []byte { return []byte("GET " + path + " HTTP/1.1\r\nHost: " + up.Addr + "\r\n\r\n") },
+			Done:    func(rs relay.Result) { results <- statusResult{up: up, valid: en.recordStatus(up, rs)} },
 		})
 	}
 	return calls
--- a/io/relay/await_test.go
+++ b/io/relay/await_test.go
@@ -44,7 +44,7 @@
 			po.Sync(origin.New([]*origin.Upstream{up}), func(*origin.Upstream) relay.Limits { return relay.Limits{Max: 1} })
 			for _, id := range []string{"a", "b"} {
 				result := make(chan relay.Result, 1)
-				po.Send(up, relay.Request{ID: id, Method: "GET", AwaitConn: tc.await, Raw: []byte("GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"), Done: func(rs relay.Result) { result <- rs }})
+				po.Send(up, relay.Request{ID: id, Method: "GET", AwaitConn: tc.await, Message: message("GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"), Done: func(rs relay.Result) { result <- rs }})
 				rs := <-result
 				is.Equal(rs.Err == nil, tc.await)
 				if !tc.await {
@@ -80,7 +80,7 @@
 			up := &origin.Upstream{ID: "s1", Service: "s", Addr: "127.0.0.1:1"}
 			po.Sync(origin.New([]*origin.Upstream{up}), func(*origin.Upstream) relay.Limits { return relay.Limits{Max: 1} })
 			result := make(chan relay.Result, 1)
-			ca := po.Send(up, relay.Request{ID: "a", AwaitConn: tc.await, Done: func(rs relay.Result) { result <- rs }})
+			ca := po.Send(up, relay.Request{ID: "a", AwaitConn: tc.await, Message: message(""), Done: func(rs relay.Result) { result <- rs }})
 			is.Equal(ca.Queued(), !tc.await)
 			close(accept)
 			is.Equal((<-result).Err.Kind, relay.KindDial)
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -12,8 +12,10 @@
 	// for a status check.
 	ID     string
 	Method string
-	// Raw is the complete request as sent.
-	Raw []byte
+	// Message returns the complete request, or nil if it is too late to send it. It is called when
+	// a connection is free, which may be long after Send, so that a deadline in the request is
+	// still right. It may be called again if nothing was written.
+	Message func() []byte
 	// Priority orders requests that wait for the same server; 0 comes first.
 	Priority int
 	// FreshConn asks for a connection that was used recently: the server may have silently
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -65,6 +65,12 @@
 // start writes a call's request. It runs on the caller's goroutine, because passing it to
 // another one would cost a wake-up per attempt.
 func (cn *conn) start(ca *Call) {
+	message := ca.rq.Message()
+	if message == nil {
+		ca.fail("relay.start", KindExpired, false, nil)
+		cn.sv.release(cn)
+		return
+	}
 	cn.mu.Lock()
 	if cn.closed {
 		cn.mu.Unlock()
@@ -87,14 +93,14 @@
 	ca.mu.Lock()
 	ca.cn, ca.written, ca.began = cn, true, cn.sv.cfg.Clock()
 	ca.mu.Unlock()
-	cn.write(ca, written)
+	cn.write(ca, message, written)
 }
 
-func (cn *conn) write(ca *Call, written chan struct{}) {
+func (cn *conn) write(ca *Call, message []byte, written chan struct{}) {
 	err := cn.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n := 0
 	if err == nil {
-		n, err = cn.nc.Write(ca.rq.Raw)
+		n, err = cn.nc.Write(message)
 	}
 	if err == nil {
 		close(written)
--- a/io/relay/doc.go
+++ b/io/relay/doc.go
@@ -5,7 +5,7 @@
 //
 //	po := relay.New(relay.Config{Clock: clock, HeaderID: headerID})
 //	po.Sync(directory, plan)
-//	ca := po.Send(up, relay.Request{ID: id, Raw: raw, Done: done})
+//	ca := po.Send(up, relay.Request{ID: id, Message: message, Done: done})
 //	ca.Drop(time.Second)
 //	po.Tick()
 //
--- a/io/relay/ended_test.go
+++ b/io/relay/ended_test.go
@@ -44,7 +44,7 @@
 			po.Sync(origin.New([]*origin.Upstream{up}), func(*origin.Upstream) Limits { return Limits{Max: 4} })
 			results := make(chan Result, tc.conns)
 			for k := range tc.conns {
-				po.Send(up, Request{ID: strconv.Itoa(k), Raw: []byte("x"), Done: func(rs Result) { results <- rs }})
+				po.Send(up, Request{ID: strconv.Itoa(k), Message: func() []byte { return []byte("x") }, Done: func(rs Result) { results <- rs }})
 			}
 			waitFor(t, func() bool { return sv.reads.Load() == int64(tc.conns) })
 			sv.crash()
--- a/io/relay/open_test.go
+++ b/io/relay/open_test.go
@@ -43,7 +43,7 @@
 func (fs *fakeServer) send() *Result {
 	fs.sent++
 	rs := &Result{}
-	fs.po.Send(fs.up, Request{ID: strconv.Itoa(fs.sent), Raw: []byte("x"), Done: func(got Result) { *rs = got }})
+	fs.po.Send(fs.up, Request{ID: strconv.Itoa(fs.sent), Message: func() []byte { return []byte("x") }, Done: func(got Result) { *rs = got }})
 	return rs
 }
 
--- a/io/relay/used_test.go
+++ b/io/relay/used_test.go
@@ -34,7 +34,7 @@
 	po.Sync(origin.New([]*origin.Upstream{up}), func(*origin.Upstream) relay.Limits { return relay.Limits{Max: 1} })
 	for range 2 {
 		result := make(chan relay.Result, 1)
-		po.Send(up, relay.Request{Method: "GET", Raw: []byte("GET /health HTTP/1.1\r\nHost: h\r\n\r\n"), Done: func(rs relay.Result) { result <- rs }})
+		po.Send(up, relay.Request{Method: "GET", Message: message("GET /health HTTP/1.1\r\nHost: h\r\n\r\n"), Done: func(rs relay.Result) { result <- rs }})
 		rs := <-result
 		is.True(rs.Err == nil)
 		<-closed
--- a/io/relay/written_test.go
+++ b/io/relay/written_test.go
@@ -51,7 +51,7 @@
 	po.Sync(origin.New([]*origin.Upstream{up}), func(*origin.Upstream) relay.Limits { return relay.Limits{Idle: 1, Max: 1} })
 	for _, id := range []string{"a", "b", "c"} {
 		result := make(chan relay.Result, 1)
-		po.Send(up, relay.Request{ID: id, Method: "GET", Raw: []byte("GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"), Done: func(rs relay.Result) { result <- rs }})
+		po.Send(up, relay.Request{ID: id, Method: "GET", Message: message("GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"), Done: func(rs relay.Result) { result <- rs }})
 		rs := <-result
 		is.True(rs.Err == nil)
 	}
@@ -76,6 +76,9 @@
 	}
 }
 
+// message returns the Message of a request that is always the same.
+func message(text string) func() []byte { return func() []byte { return []byte(text) } }
+
 // serveConns listens on loopback until the test ends, and calls serve for each connection. It
 // returns the address.
 func serveConns(t *testing.T, serve func(nc net.Conn)) string {
