remote: the time that a request waits to be sent to another VM is subtracted

A VM that forwards a request, or has another VM send it to servers, gave the time that was left when it made the message. The wait for a connection, for the other VM's 100 Continue and for VMs that decline was added to what servers were told: the same cause as for requests that wait for a connection to a server.

The new fields waited_us of CarryRequest and JoinRequest have a fixed size. They are appended while the body is sent, when connection and readiness are there; older VMs ignore them. A join takes its time left when the call begins, not before its goroutine starts.

TestWaitToBeSentIsTold and TestForwardedRequestHasWaited fail with the stamp and the subtraction taken out (waited_us missing; a deadline of 1.292 s in place of 992 ms).

--- a/io/entry/account_test.go
+++ b/io/entry/account_test.go
@@ -121,7 +121,7 @@
 		Method: "GET", Host: "h", URI: "/", Fields: []poison.Field{{Name: "User-Agent", Value: "u"}},
 	}))
 	rq := authenticated(t, en, "key-1")
-	forwarded := en.forwardedRequest(en.carryRequest(rq, en.cfg.View().Routes().Routes()[0], 0), 0)
+	forwarded := en.forwardedRequest(en.carryRequest(rq, en.cfg.View().Routes().Routes()[0], 0), 0, 0)
 	is.Equal(forwarded.fingerprint(), rq.fingerprint()) // also in an older build, which takes the fields as they are
 }
 
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -122,7 +122,7 @@
 		return declined(declinedBusy), nil
 	}
 	defer en.forwarded.Add(-1)
-	rq := en.forwardedRequest(cr, en.cfg.Clock())
+	rq := en.forwardedRequest(cr, en.cfg.Clock(), microseconds(cr.GetWaitedUs()))
 	vw := en.cfg.View()
 	rt, reason := en.matchForwarded(vw, rq, cr)
 	if reason != "" {
--- a/io/entry/forwarded.go
+++ b/io/entry/forwarded.go
@@ -13,9 +13,10 @@
 )
 
 // forwardedRequest returns a request that another VM forwarded, as if a client had sent it to
-// this VM. The caller takes the view afterwards.
-func (en *Entry) forwardedRequest(cr *inner.CarryRequest, now time.Duration) *request {
-	spent := time.Duration(cr.GetSpentUs()) * time.Microsecond
+// this VM. waited is the time between the other VM's taking of its times and the sending. The caller
+// takes the view afterwards.
+func (en *Entry) forwardedRequest(cr *inner.CarryRequest, now, waited time.Duration) *request {
+	spent := microseconds(cr.GetSpentUs())
 	rq := &request{
 		id:          cr.GetId(),
 		method:      cr.GetMethod(),
@@ -26,9 +27,9 @@
 		transitTime: time.Duration(cr.GetAwayUs()) * time.Microsecond,
 		forwarded:   true,
 		copyAge:     en.cfg.CopyAge(),
-		began:       now - spent,
+		began:       now - waited - spent,
 	}
-	if remaining := time.Duration(cr.GetLeftUs()) * time.Microsecond; remaining > 0 {
+	if remaining := microseconds(cr.GetLeftUs()); remaining > 0 {
 		rq.timeout = remaining + spent
 	}
 	if rq.transitTime == 0 {
--- a/io/entry/join.go
+++ b/io/entry/join.go
@@ -103,7 +103,6 @@
 		WaitUs:   uint64(joinWaitShare * float64(wait.Microseconds())),
 		UsualUs:  uint64(usual.Microseconds()),
 	}
-	rq.Request.LeftUs = uint64((fl.hardDeadline - now).Microseconds())
 	for _, ac := range group {
 		rq.Servers = append(rq.Servers, ac.Upstream.ID)
 		fl.machine.HoldHedges(ac.Attempt, now+wait+joinSlack)
@@ -117,6 +116,7 @@
 // runJoin gets the joined reply for a group, and then the results that it left out.
 func (fl *flight) runJoin(targets []*origin.Upstream, group []fanout.Action, sent time.Duration, rq *inner.JoinRequest) {
 	en := fl.en
+	rq.Request.LeftUs = uint64(max(0, fl.hardDeadline-en.cfg.Clock()).Microseconds())
 	rp, vm, err := en.cfg.HomeClient.Join(fl.ctx, targets, microseconds(rq.GetUsualUs()), rq)
 	switch {
 	case err != nil && !remote.MayHaveRun(err):
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -86,8 +86,8 @@
 	if en.leaving.Load() || jr.GetRequest().GetId() == "" {
 		return &inner.JoinReply{Declined: true}, nil
 	}
-	now := en.cfg.Clock()
-	rq := en.forwardedRequest(jr.GetRequest(), now)
+	now, waited := en.cfg.Clock(), microseconds(jr.GetWaitedUs())
+	rq := en.forwardedRequest(jr.GetRequest(), now, waited)
 	vw := en.cfg.View()
 	if reason := en.matchJoined(vw, rq, jr.GetRequest()); reason != "" {
 		en.noteDeclined(rq, reason)
@@ -96,7 +96,7 @@
 	jo := &joiner{
 		en: en, jr: jr,
 		rq:           rq,
-		hardDeadline: now + microseconds(jr.GetRequest().GetLeftUs()),
+		hardDeadline: now + microseconds(jr.GetRequest().GetLeftUs()) - waited,
 		usualLatency: microseconds(jr.GetUsualUs()),
 		begun:        now,
 		calls:        make([]*relay.Call, len(jr.GetServers())),
--- a/io/remote/join.go
+++ b/io/remote/join.go
@@ -10,8 +10,9 @@
 	"laburnumvane/io/inner"
 )
 
-// Join has one of the VMs send a request to servers of its data centre. If the error is of
-// KindNone nothing ran there. The results that the reply leaves out can be requested from the
+// Join has one of the VMs send a request to servers of its data centre. The times in the request are
+// as of the call; the time that passes until it is sent is added to it. If the error is of KindNone
+// nothing ran there. The results that the reply leaves out can be requested from the
 // VM with Follow.
 func (cl *Client) Join(ctx context.Context, vms []*origin.Upstream, usual time.Duration, rq *inner.JoinRequest) (*inner.JoinReply, *origin.Upstream, error) {
 	began := cl.cfg.Clock()
@@ -21,7 +22,7 @@
 	}
 	cl.table.Begin(began, usual, vm.Process())
 	se := &sending{cl: cl, addr: vm.Addr}
-	rp, err := cl.stubs.Client(vm.Addr).Join(se.trace(ctx), rq)
+	rp, err := cl.stubs.Client(vm.Addr).Join(se.trace(withStamp(ctx, joinWaitedField, began)), rq)
 	sent := se.end()
 	now := cl.cfg.Clock()
 	if err != nil {
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -122,6 +122,8 @@
 	stubs *stubs.Pool[inner.Home]
 	// watcher runs the probes that peers asks for.
 	watcher *watcher
+	// transport returns what sends requests in place of the given transport; tests change it.
+	transport func(http.RoundTripper) http.RoundTripper
 }
 
 // New creates a client without connections.
@@ -132,9 +134,14 @@
 		peers:   probe.New(probe.Config{Limits: probe.DefaultLimits()}),
 		place:   place.New(place.Config{}),
 		watcher: newWatcher(),
+
+		transport: func(rt http.RoundTripper) http.RoundTripper { return rt },
 	}
 	cl.stubs = stubs.New(stubs.Config[inner.Home]{
-		NewClient:       func(base string, hc *http.Client) inner.Home { return inner.NewHomeProtobufClient(base, hc) },
+		NewClient: func(base string, hc *http.Client) inner.Home {
+			hc.Transport = &stamper{next: cl.transport(hc.Transport), clock: cfg.Clock}
+			return inner.NewHomeProtobufClient(base, hc)
+		},
 		Dial:            cl.dial,
 		ContinueTimeout: continueTimeout,
 		MaxIdle:         idleConnsPerVM,
@@ -144,10 +151,12 @@
 
 // Carry forwards a request to one of the VMs and returns its reply and address. usual is the
 // usual latency of such a request, and own the time that it is expected to take on this VM; 0 if
-// this VM should not run it unless no other does.
+// this VM should not run it unless no other does. The times in the request are as of the call; the
+// time that passes until it is sent is added to it.
 func (cl *Client) Carry(ctx context.Context, vms []*origin.Upstream, usual, own time.Duration, rq *inner.CarryRequest) (*inner.CarryReply, string, error) {
 	var tried []*origin.Upstream
 	began := cl.cfg.Clock()
+	ctx = withStamp(ctx, carryWaitedField, began)
 	for len(tried) < maxTries && cl.cfg.Clock()-began < maxSearchTime {
 		vm, sooner := cl.choose(vms, tried, usual, own)
 		if sooner {
