entry: a request that waited is checked again before it is sent

A server turns cold while requests wait for a connection to it. They had been given to it as a warm server, or counted against its bound when they were chosen, and all went out at once when the connection was open: 16 within a second where 8 are allowed (FAILBACK; a site whose manifest sets warmup_per_s).

When the message is made and over 20 ms have passed since the server was chosen, the server must still be listed and accept requests, the copy of the store must be current enough, and a cold server's bound must allow one more. Else the attempt counts as not run, and another server may get it.

--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -272,7 +272,7 @@
 	fl.calls[k] = en.cfg.Relay.Send(up, relay.Request{
 		ID:        fl.rq.id,
 		Method:    fl.rq.method,
-		Message:   func() []byte { return en.message(fl.head, fl.rq, up, fl.hardDeadline) },
+		Message:   func() []byte { return en.message(fl.head, fl.rq, up, now, fl.hardDeadline) },
 		Priority:  fl.rq.priority(fl.rt),
 		FreshConn: !fl.rt.Idempotent,
 		AwaitConn: fl.isOnlyChoice(now, ac),
--- a/io/entry/joiner.go
+++ b/io/entry/joiner.go
@@ -146,7 +146,7 @@
 	jo.calls[k] = en.cfg.Relay.Send(up, relay.Request{
 		ID:       jo.rq.id,
 		Method:   jo.rq.method,
-		Message:  func() []byte { return en.message(jo.head, jo.rq, up, jo.hardDeadline) },
+		Message:  func() []byte { return en.message(jo.head, jo.rq, up, now, jo.hardDeadline) },
 		Priority: int(jo.jr.GetPriority()),
 		Done: func(rs relay.Result) {
 			ar := en.newAttemptResult(k, rs, true)
--- a/io/entry/message.go
+++ b/io/entry/message.go
@@ -44,11 +44,16 @@
 	return append(out, "\r\n"...)
 }
 
-// message returns the complete request for one server as it is sent now, or nil if less than
-// minAttemptTime is left.
-func (en *Entry) message(head []byte, rq *request, up *origin.Upstream, hardDeadline time.Duration) []byte {
-	left := hardDeadline - en.cfg.Clock()
-	if left < minAttemptTime {
+// maxUncheckedWait is how long a request may wait for a connection before it is checked again whether
+// the server may get it. A warmup.Limiter allows for that much between its permission and the sending.
+const maxUncheckedWait = 20 * time.Millisecond
+
+// message returns the complete request for one server, chosen at chosenAt, as it is sent now. It
+// returns nil if less than minAttemptTime is left, or the server may no longer get the request.
+func (en *Entry) message(head []byte, rq *request, up *origin.Upstream, chosenAt, hardDeadline time.Duration) []byte {
+	now := en.cfg.Clock()
+	left := hardDeadline - now
+	if left < minAttemptTime || now-chosenAt > maxUncheckedWait && !en.mayStillSend(now, up) {
 		return nil
 	}
 	ms := strconv.FormatInt(left.Milliseconds(), 10)
@@ -61,6 +66,14 @@
 	return append(out, rq.body...)
 }
 
+// mayStillSend reports whether a server that was chosen a while ago may get a request now. It may have
+// begun to warm up since then.
+func (en *Entry) mayStillSend(now time.Duration, up *origin.Upstream) bool {
+	vw := en.cfg.View()
+	current, ok := vw.Upstreams().Find(up.ID)
+	return ok && current.Accepting() && !en.mayMissWarmUp(vw, up.Service) && en.admitCold(now, current)
+}
+
 // newAttemptResult returns the result of an attempt that this VM sent.
 func (en *Entry) newAttemptResult(k int, rs relay.Result, gathered bool) attemptResult {
 	broken := rs.Err != nil && rs.Err.Broken()
--- a/io/relay/error.go
+++ b/io/relay/error.go
@@ -19,7 +19,7 @@
 	KindBackoff Kind = "backoff"
 	// KindNoRoom: all connections are in use and the queue is full.
 	KindNoRoom Kind = "noRoom"
-	// KindExpired: too little time was left when a connection was free.
+	// KindExpired: it was too late to send the request when a connection was free.
 	KindExpired Kind = "expired"
 	// KindDropped: cancelled by this VM.
 	KindDropped Kind = "dropped"
