relay: responses without end are given up at a limit

A server may send a head or a body without end. The VM read on until the deadline of the request, and up to 3 s after it; the client was not answered before, and the VM's memory filled with what was read.

Cause: http.ReadResponse limits neither the status line nor headers, and Body.Close reads a body to its end, also after its limit was exceeded. The buffer of a body had the size that the response claimed, and bodies of many servers were not limited together.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,8 +15,9 @@
 const (
 	// readBufferBytes holds most responses of a shard with their headers.
 	readBufferBytes = 2 << 10
-	// maxReplyBytes limits a response; a server that sends more is faulty.
-	maxReplyBytes = 8 << 20
+	// maxHeadBytes limits the status line and headers of a response; a server that sends more is
+	// faulty.
+	maxHeadBytes = 64 << 10
 	// maxStrays is how many responses to other requests are discarded before a connection is
 	// closed.
 	maxStrays = 2
@@ -43,7 +43,9 @@
 type conn struct {
 	sv *Server
 	nc net.Conn
+	// br reads from in.
 	br *bufio.Reader
+	in *limitedReader
 
 	mu sync.Mutex
 	// call is the current call, nil while the connection is idle. lastID is the id of the
@@ -148,15 +150,20 @@
 
 // readReply reads one response. rp is nil if the response belongs to another request.
 func (cn *conn) readReply(ca *Call) (rp *Reply, reuse bool, kind Kind, err error) {
-	rs, err := http.ReadResponse(cn.br, &http.Request{Method: ca.rq.Method})
+	cn.in.left = maxHeadBytes
+	rs, err := http.ReadResponse(cn.br, &http.Request{Method: ca.rq.Method}) //nolint:bodyclose // see bodyReader.read
+	cn.in.left = unlimited
 	if err != nil {
 		return nil, false, KindGarbled, err
 	}
 	if rs.StatusCode < http.StatusOK {
 		return nil, true, "", nil
 	}
-	body, err := readBody(rs)
-	if err != nil {
+	body, err := cn.sv.cfg.bodies.read(rs)
+	switch {
+	case errors.Is(err, errTooLarge):
+		return nil, false, KindGarbled, err
+	case err != nil:
 		return nil, false, KindReset, err
 	}
 	cn.noteKeepAlive(rs)
@@ -170,23 +177,6 @@
 	return &Reply{Status: rs.StatusCode, Header: rs.Header, Body: body}, !rs.Close, "", nil
 }
 
-func readBody(rs *http.Response) ([]byte, error) {
-	defer rs.Body.Close()
-	if rs.ContentLength > maxReplyBytes {
-		return nil, errTooLarge
-	}
-	if rs.ContentLength >= 0 {
-		body := make([]byte, rs.ContentLength)
-		_, err := io.ReadFull(rs.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(rs.Body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		err = errTooLarge
-	}
-	return body, err
-}
-
 // noteKeepAlive stores how long the server says that it keeps the connection.
 func (cn *conn) noteKeepAlive(rs *http.Response) {
 	value := rs.Header.Get("Keep-Alive")
--- a/io/relay/opening.go
+++ b/io/relay/opening.go
@@ -38,7 +38,8 @@
 		return
 	}
 	sv.cfg.Opened()
-	cn := &conn{sv: sv, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), opened: now, lastUsed: now}
+	in := &limitedReader{rd: nc, left: unlimited}
+	cn := &conn{sv: sv, nc: nc, br: bufio.NewReaderSize(in, readBufferBytes), in: in, opened: now, lastUsed: now}
 	go cn.readLoop()
 	// A server at its connection limit accepts one more and resets it. A request lost on such a
 	// connection could not be distinguished from one that ran.
--- a/io/relay/pool.go
+++ b/io/relay/pool.go
@@ -48,6 +48,9 @@
 	// IdleTimeout and SpareTimeout default to DefaultIdleTimeout and DefaultSpareTimeout.
 	IdleTimeout  time.Duration
 	SpareTimeout time.Duration
+
+	// bodies is shared by all connections of the pool.
+	bodies *bodyReader
 }
 
 // Pool holds the connections to all servers.
@@ -60,6 +63,7 @@
 
 // New creates an empty pool.
 func New(cfg Config) *Pool {
+	cfg.bodies = &bodyReader{}
 	if cfg.Dial == nil {
 		cfg.Dial = Dial
 	}
