stubs: replies of other VMs without end are given up at a limit

What listens at the address of another VM may reply without end, for example after the address was given to another process. The library for calls reads a reply completely, and the test's process ran out of memory (limit of 20 GB) with the limit taken out.

Replies may have 64 MiB, and their heads 64 KiB.

--- a/io/stubs/stubs.go
+++ b/io/stubs/stubs.go
@@ -18,8 +18,14 @@
 	"time"
 )
 
-// idleTimeout is how long an idle connection is kept.
-const idleTimeout = time.Minute
+const (
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = time.Minute
+	// DefaultMaxReply is more than a copy of the store or the joined results of all shards take.
+	DefaultMaxReply = 64 << 20
+	// maxHeadBytes limits the head of a reply.
+	maxHeadBytes = 64 << 10
+)
 
 // Config configures a pool of clients of type T.
 type Config[T any] struct {
@@ -34,6 +40,8 @@
 	ContinueTimeout time.Duration
 	// MaxIdle is the maximum number of idle connections kept to each VM.
 	MaxIdle int
+	// MaxReply limits the size of a reply, in bytes; 0 means DefaultMaxReply.
+	MaxReply int64
 }
 
 // Pool holds a client for each VM that was called, until Remove or Close.
@@ -50,6 +58,9 @@
 
 // New returns an empty pool.
 func New[T any](cfg Config[T]) *Pool[T] {
+	if cfg.MaxReply <= 0 {
+		cfg.MaxReply = DefaultMaxReply
+	}
 	return &Pool[T]{cfg: cfg, byAddr: make(map[string]vmClient[T])}
 }
 
@@ -69,15 +80,33 @@
 			IdleConnTimeout:     idleTimeout,
 			// Messages are small or already compressed; an Accept-Encoding header
 			// would only make them longer.
-			DisableCompression:    true,
-			ExpectContinueTimeout: po.cfg.ContinueTimeout,
+			DisableCompression:     true,
+			ExpectContinueTimeout:  po.cfg.ContinueTimeout,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}
-		st = vmClient[T]{client: po.cfg.NewClient("http://"+addr, &http.Client{Transport: tr}), transport: tr}
+		hc := &http.Client{Transport: &limitedTransport{tr: tr, maxReply: po.cfg.MaxReply}}
+		st = vmClient[T]{client: po.cfg.NewClient("http://"+addr, hc), transport: tr}
 		po.byAddr[addr] = st
 	}
 	return st.client
 }
 
+// limitedTransport limits the size of replies. The library for calls reads a reply completely,
+// however long it is.
+type limitedTransport struct {
+	tr       *http.Transport
+	maxReply int64
+}
+
+// RoundTrip implements http.RoundTripper.
+func (lt *limitedTransport) RoundTrip(rq *http.Request) (*http.Response, error) {
+	rs, err := lt.tr.RoundTrip(rq)
+	if err == nil {
+		rs.Body = http.MaxBytesReader(nil, rs.Body, lt.maxReply)
+	}
+	return rs, err
+}
+
 // Remove removes a VM's client and closes its idle connections. After a call without an answer its
 // connection may be dead, while a new one may work.
 func (po *Pool[T]) Remove(addr string) {
