edge: requests of other VMs may have 16 MiB

The listener for other VMs read bodies without end: in TestEndlessRequests, which follows with the limits of the other listeners, the cases body, chunks and one chunk took over 64 MB and went on.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -46,6 +46,9 @@
 	dialWorkers = 1024
 	// innerHeaderTimeout limits how long another VM may take to send its headers.
 	innerHeaderTimeout = 2 * time.Second
+	// maxInnerBodyBytes limits a request of another VM: a client's request with its largest body,
+	// or the state that VMs exchange.
+	maxInnerBodyBytes = 16 << 20
 )
 
 // Edge is one VM.
--- a/io/edge/listen.go
+++ b/io/edge/listen.go
@@ -67,7 +67,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(inner.FeedPathPrefix, inner.NewFeedServer(eg.follow))
 	mux.Handle(inner.HomePathPrefix, inner.NewHomeServer(eg.entry))
-	return mux
+	return http.MaxBytesHandler(mux, maxInnerBodyBytes)
 }
 
 // serve runs a listener in the background and logs an error if it ends before the stop.
