guard: listeners without a limit for bodies have one

One request to the listener of checks or of metrics ended the VM: with Content-Length the library allocates what the request claims, since a limit of 0 means none ('fatal error: runtime: out of memory').

MaxBody has a default of 4 KiB, which both listeners use; their requests need no body. TestEndlessRequests sends ten kinds of requests without end to the four listeners of a VM of gateway.

--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -22,11 +22,13 @@
 	DefaultRequestTime = 10 * time.Second
 	DefaultWriteTime   = 10 * time.Second
 	DefaultMaxHeader   = 16 << 10
+	DefaultMaxBody     = 4 << 10
 )
 
-// Config configures the limits. All fields but MaxBody have defaults.
+// Config configures the limits. All fields have defaults.
 type Config struct {
-	// MaxBody is the maximum size of a request's body, in bytes.
+	// MaxBody is the maximum size of a request's body, in bytes. The default is for listeners whose
+	// requests need no body.
 	MaxBody int
 	// MaxHeader is the maximum size of a request's headers, in bytes.
 	MaxHeader int
@@ -105,6 +107,10 @@
 	if cfg.WriteTime <= 0 {
 		cfg.WriteTime = DefaultWriteTime
 	}
+	if cfg.MaxBody <= 0 {
+		// The library takes 0 for no limit, and allocates what a request claims.
+		cfg.MaxBody = DefaultMaxBody
+	}
 	if cfg.MaxHeader <= 0 {
 		cfg.MaxHeader = DefaultMaxHeader
 	}
