entry, fanout: a second attempt that waits for a connection is taken back

A caller waited until its deadline although a healthy server had not been asked: the first server did not answer, and the second attempt waited for a connection.

Cause: dropQueued runs when the request wakes, and Machine.Wake plans nothing for an attempt without a further hedge, nor while the request is on trial. And a hedge that ended as not sent was not repeated while the attempt before it was open. Seen as waits of up to 2.2 s in the queue on review/3 (waitedMs), also without closed connections.

Change: the request wakes when an attempt has waited for hedgeAfter; a hedge that was not sent is sent to another server, with the token that it had, so that the retry budget is used as before.

--- a/core/fanout/capacity.go
+++ b/core/fanout/capacity.go
@@ -62,8 +62,12 @@
 	return max(0, min(reserve, burst-1))
 }
 
-// spend takes a token for a further attempt.
+// spend takes a token for a further attempt, if the shard has no unused one.
 func (mc *Machine) spend(now time.Duration, i int, ca Cause) bool {
+	if sh := &mc.shards[i]; sh.unusedTokens > 0 {
+		sh.unusedTokens--
+		return true
+	}
 	need := mc.need(now, i, ca)
 	ok := mc.cfg.Budget.Spend(i, need)
 	if need != NeedNone && !ok {
--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -19,8 +19,9 @@
 	up      *origin.Upstream
 	started time.Duration
 	verdict Verdict
-	// trial is set if the attempt shows whether the request crashes servers.
-	trial bool
+	// trial is set if the attempt shows whether the request crashes servers, and paid if it has a
+	// token.
+	trial, paid bool
 }
 
 // shard is the state of the request at one service.
@@ -41,6 +42,9 @@
 	failed bool
 	// hedgeAt is when a hedge is sent; 0 if none is planned.
 	hedgeAt time.Duration
+	// unusedTokens counts the attempts that had a token and were not sent; the next ones of the
+	// shard need none.
+	unusedTokens int
 	// late is set once a hedge was due.
 	late bool
 	// due is set while an attempt waits to be sent, possibly for the result of a trial.
@@ -195,6 +199,9 @@
 		// The request did not reach the service: another process listens at that address, or
 		// nothing was sent. It does not count against the service's limit of attempts.
 		sh.tries--
+		if ev.Verdict == Unsent && at.paid {
+			sh.unusedTokens++
+		}
 	default:
 		sh.reached = true
 	}
@@ -214,8 +221,12 @@
 	case Doubted:
 		sh.mayReuse = true
 	}
-	if sh.open == 0 {
+	switch {
+	case sh.open == 0:
 		sh.due, sh.lastVerdict = true, ev.Verdict
+	case ev.Verdict == Unsent && mc.cfg.HedgeAfter > 0 && mc.mayAttempt(sh):
+		// The hedge got no connection, and the attempt before it is still late.
+		sh.hedgeAt = now
 	}
 }
 
--- a/io/entry/capacity.go
+++ b/io/entry/capacity.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"laburnumvane/core/fanout"
@@ -32,4 +33,19 @@
 			ca.Drop(0)
 		}
 	}
+	fl.queued = slices.DeleteFunc(fl.queued, func(k int) bool { return fl.machine.Started(k) <= late })
+}
+
+// nextQueueCheck returns when dropQueued is due for the attempt that has waited longest for a
+// connection; ok is false if none waits. The machine plans no event for an attempt that has no
+// further hedge, or while the request is on trial.
+func (fl *flight) nextQueueCheck() (at time.Duration, ok bool) {
+	if fl.en.cfg.Off.Off(toggle.Moves) {
+		return 0, false
+	}
+	fl.queued = slices.DeleteFunc(fl.queued, func(k int) bool { return fl.results[k].verdict != 0 || !fl.calls[k].Queued() })
+	if len(fl.queued) == 0 {
+		return 0, false
+	}
+	return fl.machine.Started(fl.queued[0]) + fl.hedgeAfter, true
 }
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -87,6 +87,8 @@
 	joinFrom map[int]string
 	// calls has a nil entry for each attempt that another VM sends.
 	calls []*relay.Call
+	// queued are the attempts that had to wait for a connection, in the order of their start.
+	queued []int
 	// check is the status check of servers before the request is sent; nil if there is none.
 	check *steer.Check
 	// onlyColdLeft is set if the only servers left of a shard were ones that are warming up.
@@ -283,6 +285,9 @@
 			mailbox <- ar
 		},
 	})
+	if fl.calls[k].Queued() {
+		fl.queued = append(fl.queued, k)
+	}
 }
 
 // recordLoad records a server's load report from a response. A report that cannot be parsed is
--- a/io/entry/waketimer.go
+++ b/io/entry/waketimer.go
@@ -7,7 +7,7 @@
 )
 
 // wakeTimer is the timer of a request. It fires when the request's fan-out machine is due to
-// act, and records how late it fired.
+// act or an attempt has waited too long for a connection, and records how late it fired.
 type wakeTimer struct {
 	fl    *flight
 	timer *time.Timer
@@ -24,6 +24,9 @@
 
 func (wt *wakeTimer) delay() time.Duration {
 	at, now := wt.fl.machine.Wake(), wt.fl.en.cfg.Clock()
+	if check, ok := wt.fl.nextQueueCheck(); ok {
+		at = min(at, check)
+	}
 	wt.due = 0
 	if at > now {
 		wt.due = at
