--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -190,21 +190,7 @@
 	}
 	at.verdict = ev.Verdict
 	sh := &mc.shards[at.shard]
-	sh.open--
-	if ev.Verdict.MayHaveRun() {
-		sh.ran++
-	}
-	switch ev.Verdict {
-	case Unsent, Elsewhere, Doubted:
-		// The request did not reach the service: another process listens at that address, or
-		// nothing was sent. It does not count against the service's limit of attempts.
-		sh.tries--
-		if ev.Verdict == Unsent && at.paid {
-			sh.unusedTokens++
-		}
-	default:
-		sh.reached = true
-	}
+	sh.count(at)
 	mc.updateGuard(now, at, ev)
 	if mc.answered || sh.winner != none {
 		return
@@ -230,6 +216,25 @@
 	}
 }
 
+// count counts the verdict on an attempt of the shard.
+func (sh *shard) count(at *attempt) {
+	sh.open--
+	if at.verdict.MayHaveRun() {
+		sh.ran++
+	}
+	switch at.verdict {
+	case Unsent, Elsewhere, Doubted:
+		// The request did not reach the service: another process listens at that address, or
+		// nothing was sent. It does not count against the service's limit of attempts.
+		sh.tries--
+		if at.verdict == Unsent && at.paid {
+			sh.unusedTokens++
+		}
+	default:
+		sh.reached = true
+	}
+}
+
 // setWinner records the attempt that answered for a shard and drops its other attempts.
 func (mc *Machine) setWinner(i, k int) {
 	sh := &mc.shards[i]
