--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -210,7 +210,7 @@
 	switch {
 	case sh.open == 0:
 		sh.due, sh.lastVerdict = true, ev.Verdict
-	case ev.Verdict == Unsent && mc.cfg.HedgeAfter > 0 && mc.mayAttempt(sh):
+	case ev.Verdict == Unsent && mc.mayHedge(sh):
 		// The hedge got no connection, and the attempt before it is still late.
 		sh.hedgeAt = now
 	}
--- a/core/fanout/send.go
+++ b/core/fanout/send.go
@@ -44,6 +44,11 @@
 	return ran+sh.open < mc.cfg.MaxAttempts && sh.tries < mc.cfg.MaxAttempts+SpareAttempts
 }
 
+// mayHedge reports whether a shard may have another attempt while one is open.
+func (mc *Machine) mayHedge(sh *shard) bool {
+	return mc.cfg.Idempotent && mc.cfg.HedgeAfter > 0 && mc.mayAttempt(sh)
+}
+
 // pick picks a server that was not asked for the shard yet. If there is none, it allows a server
 // that refused, since that did not run the request and may have capacity by now, or one that was
 // advised against, since a slow server is better than none.
@@ -78,7 +83,7 @@
 	sh.tries++
 	sh.total++
 	sh.hedgeAt = 0
-	if mc.cfg.Idempotent && mc.cfg.HedgeAfter > 0 && mc.mayAttempt(sh) {
+	if mc.mayHedge(sh) {
 		sh.hedgeAt = now + mc.cfg.HedgeAfter
 	}
 	mc.countCause(ca)
