entry: a request that may run once waits for a connection as before

Its line: waitedMs 221, attempts 4, reason attempts, the second server 'unsent dropped'. Under load that server had not answered the status check in time, so that its attempt was not marked to wait for a connection; the wake-up that was added for hedges took it back after 220 ms, and the remaining attempts went to the server that had refused already.

A request that may run once has no hedges, for which the wake-up is; it waits as before. TestUnsentHedgeIsRepeated covers the machine's part. The other changes are names and comments.

--- a/core/fanout/hedge_test.go
+++ b/core/fanout/hedge_test.go
@@ -29,6 +29,24 @@
 	is.Equal(fanout.MaxHedges(10), 0)
 }
 
+// The first server is late, and the hedge got no connection. If it is not sent to another server, the
+// request waits for the late one until its deadline. It must not need a second token, since the first
+// one caused no work.
+func TestUnsentHedgeIsRepeated(t *testing.T) {
+	is := is.New(t)
+	cfg := config(1, 1)
+	budget := &fixedBudget{left: 1}
+	cfg.Budget = budget
+	mc := fanout.New(cfg)
+	mc.Start(0)
+	is.Equal(countSends(mc.Step(50*ms, fanout.Event{Kind: fanout.EvWake})), 1)
+	acts := mc.Step(100*ms, fanout.Event{Kind: fanout.EvResult, Attempt: 1, Verdict: fanout.Unsent})
+	is.Equal(countSends(acts), 1)
+	is.Equal(acts[0].Upstream.ID, "c0")
+	is.Equal(acts[0].Cause, fanout.CauseHedge)
+	is.Equal(budget.left, 0)
+}
+
 // crowd replays clients that return at once to idle servers: 36 shards with three servers of four
 // slots each, 28 ms of work, a twentieth of it five times as long.
 type crowd struct {
--- a/core/fanout/machine.go
+++ b/core/fanout/machine.go
@@ -19,9 +19,9 @@
 	up      *origin.Upstream
 	started time.Duration
 	verdict Verdict
-	// trial is set if the attempt shows whether the request crashes servers, and paid if it has a
-	// token.
-	trial, paid bool
+	// trial is set if the attempt shows whether the request crashes servers, and hasToken if a token
+	// was taken for it.
+	trial, hasToken bool
 }
 
 // shard is the state of the request at one service.
@@ -227,7 +227,7 @@
 		// The request did not reach the service: another process listens at that address, or
 		// nothing was sent. It does not count against the service's limit of attempts.
 		sh.tries--
-		if at.verdict == Unsent && at.paid {
+		if at.verdict == Unsent && at.hasToken {
 			sh.unusedTokens++
 		}
 	default:
--- a/core/fanout/send.go
+++ b/core/fanout/send.go
@@ -77,7 +77,7 @@
 		mc.reason = ReasonBudget
 		return false
 	}
-	mc.attempts = append(mc.attempts, attempt{shard: i, up: up, started: now, trial: trial, paid: ca != CauseFirst})
+	mc.attempts = append(mc.attempts, attempt{shard: i, up: up, started: now, trial: trial, hasToken: ca != CauseFirst})
 	sh := &mc.shards[i]
 	sh.open++
 	sh.tries++
--- a/io/entry/capacity.go
+++ b/io/entry/capacity.go
@@ -36,11 +36,12 @@
 	fl.queued = slices.DeleteFunc(fl.queued, func(k int) bool { return fl.machine.Started(k) <= late })
 }
 
-// nextQueueCheck returns when dropQueued is due for the attempt that has waited longest for a
-// connection; ok is false if none waits. The machine plans no event for an attempt that has no
-// further hedge, or while the request is on trial.
+// nextQueueCheck returns when dropQueued is due for the first of the attempts that wait for a
+// connection; ok is false if none waits. The machine itself plans no event for an attempt that has no
+// further hedge, nor while only trials are sent. A request that may run once has no hedges, and waits:
+// another server may only be asked after one that refused it.
 func (fl *flight) nextQueueCheck() (at time.Duration, ok bool) {
-	if fl.en.cfg.Off.Off(toggle.Moves) {
+	if !fl.rt.Idempotent || fl.en.cfg.Off.Off(toggle.Moves) {
 		return 0, false
 	}
 	fl.queued = slices.DeleteFunc(fl.queued, func(k int) bool { return fl.results[k].verdict != 0 || !fl.calls[k].Queued() })
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -87,7 +87,7 @@
 	joinFrom map[int]string
 	// calls has a nil entry for each attempt that another VM sends.
 	calls []*relay.Call
-	// queued are the attempts that had to wait for a connection, in the order of their start.
+	// queued are the attempts that had to wait for a connection, in the order of sending.
 	queued []int
 	// check is the status check of servers before the request is sent; nil if there is none.
 	check *steer.Check
