--- a/io/relay/endless_test.go
+++ b/io/relay/endless_test.go
@@ -19,9 +19,9 @@
 	endlessSlack = 1 << 20
 )
 
-// A server sends bytes that are no response, without end. If the VM reads on until somebody closes the
-// connection, its memory fills, and the client waits until its deadline for what cannot come. The
-// request must fail as soon as the limit is reached, and the connection be closed.
+// A server sends a response that never ends. Reading it until the request's deadline fills the VM's
+// memory and delays the answer to the client. The request must fail, and its connection be closed, as
+// soon as the limit is reached.
 func TestEndlessResponses(t *testing.T) {
 	const chunked = "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 	chunk := strings.Repeat("x", 1<<10)
