--- a/io/client/endless_test.go
+++ b/io/client/endless_test.go
@@ -10,8 +10,8 @@
 	"laburnumvane/io/client"
 )
 
-// What listens at a VM's address replies without end. A command line tool must report it instead of
-// filling the operator's memory.
+// The process at a VM's address sends a reply that never ends. A command must report an error instead
+// of filling the memory of the operator's machine.
 func TestEndlessReplies(t *testing.T) {
 	const maxReply = 1 << 20
 	for _, rp := range flood.Replies() {
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // listener returns connections that limit the time in which requests must arrive.
@@ -45,6 +47,16 @@
 	lingerBytes = 16 << 20
 )
 
+// errRequestTooLarge means that a request exceeds its limits as it is encoded.
+var errRequestTooLarge = errors.New("the request is too large")
+
+// chunkOverhead is how much larger a body in chunks may be than the body itself: 2 allows for chunks
+// of five bytes.
+const chunkOverhead = 2
+
+// maxRequest returns the maximum size of a request as it is encoded, with room for a trailer.
+func (cfg *Config) maxRequest() int { return 2*cfg.MaxHeader + chunkOverhead*cfg.MaxBody }
+
 // conn limits the time in which a whole request must arrive, and replaces the errors that the
 // library writes itself by error replies in JSON.
 type conn struct {
@@ -58,6 +70,8 @@
 	// ownDeadline is when the next request must have begun, or the present one must be
 	// complete; zero means no limit.
 	ownDeadline time.Time
+	// requestBytes counts what has been read of the present request.
+	requestBytes int
 }
 
 // NetConn returns the underlying connection, for checks whether it has unread bytes.
@@ -72,18 +86,26 @@
 	_ = cn.Conn.SetReadDeadline(cn.ownDeadline)
 }
 
-// Read sets the deadline of a request when its first byte arrives.
+// Read sets the deadline of a request when its first byte arrives, and limits the request's size. The
+// library limits headers and body, but not trailers and the white space between chunks.
 func (cn *conn) Read(p []byte) (int, error) {
 	n, err := cn.Conn.Read(p)
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	if n > 0 && cn.state == waiting {
 		cn.state = reading
+		cn.requestBytes = 0
 		cn.ownDeadline = time.Now().Add(cn.cfg.Times().Request)
 		if deadlineErr := cn.applyDeadline(); err == nil {
 			err = deadlineErr
 		}
 	}
+	if cn.state == reading {
+		cn.requestBytes += n
+		if err == nil && cn.requestBytes > cn.cfg.maxRequest() {
+			err = errRequestTooLarge
+		}
+	}
 	return n, err
 }
 
--- a/io/peer/endless_test.go
+++ b/io/peer/endless_test.go
@@ -12,8 +12,8 @@
 	"laburnumvane/io/peer"
 )
 
-// What listens at the address of another VM replies without end. If the reply is read as long as it
-// comes, this VM's memory fills.
+// The process at the address of another VM sends a reply that never ends. Reading all of it fills this
+// VM's memory. The call must fail as soon as the limit is reached.
 func TestEndlessReplies(t *testing.T) {
 	const maxReplyBytes = 64 << 20
 	for _, rp := range flood.Replies() {
--- a/io/plat/endless_test.go
+++ b/io/plat/endless_test.go
@@ -10,7 +10,7 @@
 	"laburnumvane/io/plat"
 )
 
-// The key-value service replies without end. The call must fail at the limit of a reply, not at its
+// The key-value service sends a reply that never ends. The call must fail at the limit of a reply, not at its
 // timeout, and leave no connection on which bytes still arrive.
 func TestEndlessReplies(t *testing.T) {
 	const maxReply = 1 << 20
--- a/io/relay/body.go
+++ b/io/relay/body.go
@@ -26,7 +26,7 @@
 }
 
 // read reads a body to its end. After an error it does not close the body, because Close would read
-// on to the end of what may be endless; the connection has to be closed instead. A buffer grows with
+// on until the body ends, which may be never; the connection has to be closed instead. A buffer grows with
 // what has arrived, not with what the response claims to contain.
 func (bo *bodyReader) read(rs *http.Response) ([]byte, error) {
 	if rs.ContentLength > maxReplyBytes {
--- a/io/upst/bufconn.go
+++ b/io/upst/bufconn.go
@@ -8,6 +8,9 @@
 	"github.com/go-faster/errors"
 )
 
+// errTooLarge means that the head, the body or the trailer of a reply exceeds its limit.
+var errTooLarge = errors.New("the reply is too large")
+
 // errSkipTooFar means that more bytes were skipped than are buffered.
 var errSkipTooFar = errors.New("skip exceeds the buffered bytes")
 
@@ -22,7 +25,9 @@
 	// in holds the bytes read; in[from:] is not consumed yet.
 	in   []byte
 	from int
-	out  []byte
+	// maxUnread limits the unconsumed bytes, maxRead those still to be read; 0 is no limit.
+	maxUnread, maxRead int
+	out                []byte
 	// written counts the bytes that the kernel has accepted.
 	written int64
 	// alive uses raw and peekSocket to check the socket for input; the result is in noInput.
@@ -54,6 +59,9 @@
 // Peek returns the next n bytes; they stay valid until the next Peek.
 func (bc *bufConn) Peek(n int) ([]byte, error) {
 	for len(bc.in)-bc.from < n {
+		if bc.maxUnread > 0 && n > bc.maxUnread {
+			return nil, errTooLarge
+		}
 		if err := bc.fill(n); err != nil {
 			return nil, err
 		}
@@ -72,6 +80,11 @@
 	}
 	got, err := bc.nc.Read(bc.in[len(bc.in):cap(bc.in)])
 	bc.in = bc.in[:len(bc.in)+got]
+	if bc.maxRead > 0 {
+		if bc.maxRead -= got; bc.maxRead <= 0 {
+			return errTooLarge
+		}
+	}
 	if got > 0 {
 		// An error returned together with bytes is returned again by the next read.
 		return nil
@@ -79,6 +92,9 @@
 	return err
 }
 
+// setLimits limits the unconsumed bytes and those still to be read; 0 is no limit.
+func (bc *bufConn) setLimits(maxUnread, maxRead int) { bc.maxUnread, bc.maxRead = maxUnread, maxRead }
+
 // Skip consumes n buffered bytes; it returns an error if fewer are buffered.
 func (bc *bufConn) Skip(n int) error {
 	if n > bc.Len() {
--- a/io/upst/conn.go
+++ b/io/upst/conn.go
@@ -1,6 +1,7 @@
 package upst
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -8,6 +9,7 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/go-faster/errors"
@@ -15,8 +17,14 @@
 	"laburnumvane/io/wire"
 )
 
-// maxReplyBytes limits the size of a reply; a larger one is an error.
-const maxReplyBytes = 8 << 20
+// maxHeadBytes limits the size of a reply's head, and of its trailer, and maxReplyBytes that of its
+// body. maxTotalBytes limits the reply as it is encoded: a body in chunks may contain white space
+// without end. A larger one is an error.
+const (
+	maxHeadBytes  = 64 << 10
+	maxReplyBytes = 8 << 20
+	maxTotalBytes = 4 * maxReplyBytes
+)
 
 // connState is the state of a connection after an exchange.
 type connState uint8
@@ -103,7 +111,7 @@
 func (cn *conn) read(out any) (connState, error) {
 	rs := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(rs)
-	if err := resp.ReadHeaderAndLimitBody(rs, cn.tcp, maxReplyBytes); err != nil {
+	if err := cn.readResponse(rs); err != nil {
 		return connBroken, cn.fail("upst.read", kindOf(err), true, err)
 	}
 	cs := connUsable
@@ -123,6 +131,38 @@
 	return cs, nil
 }
 
+// readResponse reads a response within the limits. The library limits the body only, and reads the
+// head and the trailer again from their beginning with each packet that arrives.
+func (cn *conn) readResponse(rs *protocol.Response) error {
+	defer cn.tcp.setLimits(0, 0)
+	cn.tcp.setLimits(maxHeadBytes, maxTotalBytes)
+	if err := resp.ReadHeaders(rs, cn.tcp); err != nil {
+		return err
+	}
+	if rs.MustSkipBody() {
+		return nil
+	}
+	cn.tcp.maxUnread = 0
+	length := rs.Header.ContentLength()
+	body, err := ext.ReadBody(cn.tcp, length, maxReplyBytes, rs.BodyBuffer().B[:0])
+	if err != nil {
+		return err
+	}
+	rs.BodyBuffer().B = body
+	if length != chunkedLength {
+		return nil
+	}
+	cn.tcp.maxUnread = maxHeadBytes
+	// The last chunk has arrived, so that the body is complete even if the connection ends now.
+	if err := ext.ReadTrailer(rs.Header.Trailer(), cn.tcp); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	return nil
+}
+
+// chunkedLength is the length that the library gives for a body in chunks.
+const chunkedLength = -1
+
 // readLate waits for a reply after its deadline and discards it.
 func (cn *conn) readLate(until time.Time) connState {
 	if err := cn.tcp.setDeadline(until); err != nil {
