--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -50,6 +50,7 @@
 	rq.GetBody = nil
 	rq.Header.Set("Laburnumvane-Request-Id", at.id)
 	rq.Header.Set("Laburnumvane-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	cl.fl.noteSent(at.id, vm)
 	cl.fl.note("client: sent %s %s %s to %s, %d bytes", at.id, method, path, vm.name, len(body))
 	rs, err := cl.http.Do(rq)
 	if err == nil {
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -68,12 +68,15 @@
 	servers []*serverProc
 	vms     []*vmProc
 	seeds   []string
+	network string
 	base    int
 	record  *os.File
 	version int
 	// started counts the servers that were ever started, and runs what they ran.
 	started int
 	runs    []serverRun
+	// sentTo is the VM to which each request was sent.
+	sentTo map[string]*vmProc
 }
 
 func newFleet(dir, recordPath string) (*fleet, error) {
@@ -85,16 +88,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet{dir: dir, store: st, record: record, base: freeBase()}, nil
+	network, base := freePorts()
+	return &fleet{dir: dir, store: st, record: record, network: network, base: base, sentTo: make(map[string]*vmProc)}, nil
 }
 
-// freeBase returns the first of some ports that are free on the addresses of the VMs.
-func freeBase() int {
+// metricsPort is the port in the run line of the deploy file.
+const metricsPort = 9464
+
+// freePorts returns the first three bytes of addresses for VMs, and the first of some ports that are
+// free there.
+func freePorts() (network string, base int) {
 	for {
-		base := 12_000 + 10*rand.IntN(1500)
+		network, base = fmt.Sprintf("127.0.%d", 40+rand.IntN(200)), 12_000+10*rand.IntN(1500)
 		free := true
-		for n := range 5 {
-			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.40.1:%d", base+n))
+		for _, port := range []int{base, base + 1, base + 2, base + 3, metricsPort} {
+			ln, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", network, port))
 			if err != nil {
 				free = false
 				continue
@@ -102,7 +110,7 @@
 			_ = ln.Close()
 		}
 		if free {
-			return base
+			return network, base
 		}
 	}
 }
@@ -134,6 +142,12 @@
 	}
 }
 
+func (fl *fleet) noteSent(request string, vm *vmProc) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.sentTo[request] = vm
+}
+
 func (fl *fleet) addServer(service, zone string, slots int, work time.Duration) (*serverProc, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -186,10 +200,12 @@
 }
 
 // enter writes a server's entry. Later check-ins change only its sequence, which changes no item.
-func (fl *fleet) enter(sv *serverProc) {
+func (fl *fleet) enter(sv *serverProc) { fl.writeEntry(sv, "ready", 1) }
+
+func (fl *fleet) writeEntry(sv *serverProc, state string, sequence int) {
 	text, _ := json.Marshal(map[string]any{
 		"service": sv.service, "address": sv.addr, "zone": sv.zone, "version": "v1", "concurrency": sv.slots,
-		"state": "ready", "warmup_left_ms": 0, "sequence": 1,
+		"state": state, "warmup_left_ms": 0, "sequence": sequence,
 	})
 	fl.store.put("servers/"+sv.id, text)
 }
@@ -211,7 +227,7 @@
 // addVM prepares a VM; its address depends on its number.
 func (fl *fleet) addVM(zone string, zones []string) *vmProc {
 	n := len(fl.vms) + 1
-	ip := fmt.Sprintf("127.0.40.%d", n)
+	ip := fmt.Sprintf("%s.%d", fl.network, n)
 	at := func(k int) string { return fmt.Sprintf("%s:%d", ip, fl.base+k) }
 	vm := &vmProc{name: fmt.Sprintf("frontend-%s-%d", zone, n), zone: zone, client: at(0), ready: at(1)}
 	if len(fl.seeds) < 3 {
@@ -255,7 +271,7 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(program, "gateway", "--metrics-port", "9464")
+	cmd := exec.Command(program, "gateway", "--metrics-port", fmt.Sprint(metricsPort))
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "LABURNUMVANE_BOOT=" + path}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -301,6 +317,9 @@
 		}
 	}
 	for _, sv := range fl.servers {
+		if sv.process == nil {
+			continue
+		}
 		sv.end()
 	}
 	_ = fl.record.Close()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -41,7 +41,7 @@
 }
 
 func runCase(name, folder string, trouble, keep bool) int {
-	cases := map[string]func(caseConfig) (bool, error){"cut-watches": runCutWatches}
+	cases := map[string]func(caseConfig) (bool, error){"cut-watches": runCutWatches, "pages": runPages}
 	run, ok := cases[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", name)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -38,6 +39,9 @@
 	// changed is closed at the next change, and cuts when waiting watches are cut.
 	changed, cuts chan struct{}
 	addr          string
+	// page is the most items of a page. A call takes latency on average; 0 is no delay.
+	page    int
+	latency time.Duration
 }
 
 // newStore starts a store on a free loopback port.
@@ -46,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st := &store{items: map[string]record{}, leases: map[uint64]*lease{}, revision: 1, changed: make(chan struct{}), cuts: make(chan struct{}), addr: ln.Addr().String()}
+	st := &store{items: map[string]record{}, leases: map[uint64]*lease{}, revision: 1, changed: make(chan struct{}), cuts: make(chan struct{}), addr: ln.Addr().String(), page: 500}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /laburnumvane/kv-key", st.serveKey)
 	mux.HandleFunc("GET /laburnumvane/kv-range", st.serveRange)
@@ -55,7 +59,14 @@
 	mux.HandleFunc("POST /laburnumvane/kv-lease", st.serveLease)
 	mux.HandleFunc("POST /laburnumvane/kv-keep/{id}", st.serveKeep)
 	mux.HandleFunc("DELETE /laburnumvane/kv-lease-end/{id}", st.serveLeaseEnd)
-	go func() { _ = http.Serve(ln, mux) }()
+	go func() {
+		_ = http.Serve(ln, http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+			if st.latency > 0 {
+				time.Sleep(time.Millisecond + rand.N(2*st.latency))
+			}
+			mux.ServeHTTP(wr, rq)
+		}))
+	}()
 	go st.expireLeases()
 	return st, nil
 }
@@ -146,9 +157,6 @@
 	})
 }
 
-// pageItems is the most items of a page.
-const pageItems = 500
-
 func (st *store) serveRange(wr http.ResponseWriter, rq *http.Request) {
 	query := rq.URL.Query()
 	st.mu.Lock()
@@ -160,8 +168,8 @@
 		}
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	truncated := len(found) > pageItems
-	writeJSON(wr, http.StatusOK, map[string]any{"items": found[:min(len(found), pageItems)], "truncated": truncated, "as_of": st.revision})
+	truncated := len(found) > st.page
+	writeJSON(wr, http.StatusOK, map[string]any{"items": found[:min(len(found), st.page)], "truncated": truncated, "as_of": st.revision})
 }
 
 func (st *store) serveWatch(wr http.ResponseWriter, rq *http.Request) {
