--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -39,7 +39,8 @@
 	// changed is closed at the next change, and cuts when waiting watches are cut.
 	changed, cuts chan struct{}
 	addr          string
-	// page is the most items of a page. A call takes latency on average; 0 is no delay.
+	// page is the most items of a page. If latency is set, a call takes 1 ms and up to
+	// twice latency more.
 	page    int
 	latency time.Duration
 }
